--- a/libs/model/src/jackdawlatch/model/presets.py
+++ b/libs/model/src/jackdawlatch/model/presets.py
@@ -84,11 +84,11 @@
     spare_hysteresis_s: Annotated[float, msgspec.Meta(ge=0, le=DAY_S)] = 30
 
 
-class Configuration(records.StrictRecord, frozen=True, kw_only=True):
+class Configuration(
+    records.Versioned, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
     """The one value that holds every preset and names the one in force."""
 
-    version: Annotated[int, msgspec.Meta(ge=0)] = 0
-    edit_id: str = ''
     in_force: Name = 'ordinary'
     presets_by_name: dict[Name, Preset] = {}
     pools_by_name: dict[Name, Pool] = {}
--- a/libs/model/src/jackdawlatch/model/records.py
+++ b/libs/model/src/jackdawlatch/model/records.py
@@ -18,6 +18,18 @@
     """A record written by a person: an unknown field is an error."""
 
 
+class Versioned(Record, frozen=True, kw_only=True):
+    """The value of a key that is edited by compare-and-swap.
+
+    ``version`` grows by one with each write; ``edit_id`` is that of the last
+    write and ``recent_edit_ids`` lists the latest ones, oldest first.
+    """
+
+    version: int = 0
+    edit_id: str = ''
+    recent_edit_ids: tuple[str, ...] = ()
+
+
 RecordType = TypeVar('RecordType', bound=Record)
 
 
