--- /dev/null
+++ b/libs/entry/src/jackdawlatch/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that answers callers."""
