--- /dev/null
+++ b/libs/node/src/jackdawlatch/node/__init__.py
@@ -0,0 +1,1 @@
+"""What every daemon shares."""
--- /dev/null
+++ b/libs/node/src/jackdawlatch/node/documents.py
@@ -0,0 +1,119 @@
+"""The accepted documents of the fleet, as this process knows them."""
+
+import dataclasses
+from collections.abc import Callable
+from typing import TypeVar
+
+import msgspec
+
+from jackdawlatch.model import hosts, presets, records
+
+CONFIG_KEY = 'fleet/config'
+MEMBERSHIP_PREFIX = 'fleet/membership/'
+
+RecordType = TypeVar('RecordType', bound=records.Record)
+Listener = Callable[[str], None]
+
+
+class Document(records.Record, frozen=True, kw_only=True):
+    """One accepted value of the store, with the revision it had there."""
+
+    key: str
+    revision: int
+    content: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Decoded:
+    """A document with its record, decoded once."""
+
+    document: Document
+    record: records.Record
+
+
+class Documents:
+    """Keeps the highest revision of each document, and only ever a higher.
+
+    Documents come from the store's watch, from peers and from the command
+    line; it does not matter in which order or how often.
+    """
+
+    def __init__(self) -> None:
+        self._decoded_by_key: dict[str, Decoded] = {}
+        self._listeners: list[Listener] = []
+
+    @property
+    def configuration(self) -> presets.Configuration:
+        """Return the configuration in force, empty before the first."""
+        found = self._decoded_by_key.get(CONFIG_KEY)
+        if found and isinstance(found.record, presets.Configuration):
+            return found.record
+        return presets.Configuration()
+
+    def membership(self, shard: str) -> hosts.Membership:
+        """Return the membership of a shard, empty before the first."""
+        found = self._decoded_by_key.get(MEMBERSHIP_PREFIX + shard)
+        if found and isinstance(found.record, hosts.Membership):
+            return found.record
+        return hosts.Membership()
+
+    def memberships(self) -> tuple[hosts.Membership, ...]:
+        """Return the memberships of every shard."""
+        return tuple(
+            found.record
+            for found in self._decoded_by_key.values()
+            if isinstance(found.record, hosts.Membership)
+        )
+
+    def listen(self, listener: Listener) -> None:
+        """Call ``listener`` with the key of each document that changes."""
+        self._listeners.append(listener)
+
+    def offer(self, document: Document) -> bool:
+        """Take in a document if it is newer; say whether it was.
+
+        Raises ``msgspec.ValidationError`` when it can't be understood.
+        """
+        if document.revision <= self.revision_of(document.key):
+            return False
+        record_type = _type_of(document.key)
+        record = records.decode(document.content, record_type)
+        self._decoded_by_key[document.key] = Decoded(document, record)
+        for listener in self._listeners:
+            listener(document.key)
+        return True
+
+    def revision_of(self, key: str) -> int:
+        """Return the revision that is known of a key, 0 if none."""
+        found = self._decoded_by_key.get(key)
+        return found.document.revision if found else 0
+
+    def revisions_by_key(self) -> dict[str, int]:
+        """Return the revision of every document."""
+        return {
+            key: found.document.revision
+            for key, found in self._decoded_by_key.items()
+        }
+
+    def newer_than(
+        self, revisions_by_key: dict[str, int]
+    ) -> tuple[Document, ...]:
+        """Return the documents of which the other side has less."""
+        return tuple(
+            found.document
+            for key, found in self._decoded_by_key.items()
+            if found.document.revision > revisions_by_key.get(key, 0)
+        )
+
+
+def is_document(key: str) -> bool:
+    """Say whether a key holds a document of the fleet."""
+    return key == CONFIG_KEY or key.startswith(MEMBERSHIP_PREFIX)
+
+
+def _type_of(key: str) -> type[records.Record]:
+    if key == CONFIG_KEY:
+        return presets.Configuration
+    if key.startswith(MEMBERSHIP_PREFIX):
+        return hosts.Membership
+    raise msgspec.ValidationError(f'{key} is not a document of the fleet')
--- /dev/null
+++ b/libs/node/src/jackdawlatch/node/launching.py
@@ -0,0 +1,104 @@
+"""The command line that every daemon has: ``--settings FILE [--check]``."""
+
+import abc
+import asyncio
+import dataclasses
+import enum
+from collections.abc import Sequence
+from typing import Any, Generic, TextIO, TypeVar
+
+from absl import flags, logging
+from returns import result
+
+from jackdawlatch.settings import daemons, loading
+
+Settings = TypeVar('Settings', bound=daemons.Daemon)
+
+
+class ExitStatus(enum.IntEnum):
+    """What a program's exit status tells its caller."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class Environment:
+    """What a program gets from outside."""
+
+    arguments: Sequence[str]
+    stdout: TextIO
+    stderr: TextIO
+
+
+class Program(abc.ABC, Generic[Settings]):
+    """One daemon: its name, its settings, and how it runs."""
+
+    name: str
+    settings_type: type[Settings]
+
+    @abc.abstractmethod
+    async def run(self, settings: Settings) -> ExitStatus:
+        """Run until stopped."""
+
+    def check(
+        self, settings: Settings, source: str
+    ) -> result.Result[Any, loading.SettingsInvalid]:
+        """Check what concerns several fields."""
+        return daemons.check(settings, source)
+
+
+def launch(program: Program[Settings], environment: Environment) -> ExitStatus:
+    """Run a daemon's command line to its end."""
+    parser = _parser()
+    try:
+        rest = parser((program.name, *environment.arguments))
+    except flags.Error as error:
+        return _usage(program, environment, str(error))
+    if len(rest) > 1 or parser.settings is None:
+        return _usage(program, environment, 'give --settings FILE')
+    loaded = load(program, parser.settings)
+    if isinstance(loaded, result.Failure):
+        problem = loaded.failure().line()
+        environment.stderr.write(f'{program.name}: {problem}\n')
+        return ExitStatus.USAGE
+    if parser.check:
+        environment.stdout.write(f'{parser.settings}: ok\n')
+        return ExitStatus.OK
+    logging.set_verbosity(logging.INFO)
+    return asyncio.run(program.run(loaded.unwrap()))
+
+
+def load(
+    program: Program[Settings], path: str
+) -> result.Result[Settings, loading.SettingsInvalid]:
+    """Return the checked settings of a program."""
+    loaded = loading.load(path, program.settings_type)
+    if isinstance(loaded, result.Failure):
+        return loaded
+    checked = program.check(loaded.unwrap(), path)
+    if isinstance(checked, result.Failure):
+        return checked
+    return loaded
+
+
+def _parser() -> flags.FlagValues:
+    parser = flags.FlagValues()
+    flags.DEFINE_string(
+        'settings', None, 'The JSON settings file.', flag_values=parser
+    )
+    flags.DEFINE_boolean(
+        'check', False, 'Only check the settings.', flag_values=parser
+    )
+    return parser
+
+
+def _usage(
+    program: Program[Settings], environment: Environment, message: str
+) -> ExitStatus:
+    environment.stderr.write(
+        f'{program.name}: usage: {message} '
+        '(hint: --settings FILE runs, --check only checks the file)\n'
+    )
+    return ExitStatus.USAGE
--- /dev/null
+++ b/libs/settings/src/jackdawlatch/settings/__init__.py
@@ -0,0 +1,1 @@
+"""JSON settings, checked on start."""
--- /dev/null
+++ b/libs/settings/tests/test_settings_loading.py
@@ -0,0 +1,67 @@
+import contextlib
+import pathlib
+import tempfile
+import types
+from collections.abc import Iterator
+
+import msgspec
+
+from jackdawlatch.settings import daemons, loading
+from jackdawlatch.testing import functions
+
+GOOD = types.MappingProxyType(
+    {
+        'id': 'e1',
+        'zone': 'z1',
+        'peer_address': '127.0.0.1:7001',
+        'operations_address': '127.0.0.1:7002',
+        'store_addresses': ['http://127.0.0.1:7000'],
+    }
+)
+
+
+@contextlib.contextmanager
+def settings_file() -> Iterator[pathlib.Path]:
+    with tempfile.TemporaryDirectory() as folder:
+        yield pathlib.Path(folder) / 'entry.json'
+
+
+def _failure(path: pathlib.Path, **changes: object) -> loading.SettingsInvalid:
+    path.write_bytes(msgspec.json.encode({**GOOD, **changes}))
+    return loading.load(str(path), daemons.Daemon).failure()
+
+
+def test_good_settings_load(settings_file: pathlib.Path) -> None:
+    settings_file.write_bytes(msgspec.json.encode(dict(GOOD)))
+    assert loading.load(str(settings_file), daemons.Daemon).unwrap().id == 'e1'
+
+
+def test_failures_name_the_field(settings_file: pathlib.Path) -> None:
+    assert 'unknown' in _failure(settings_file, zones=['z1']).expected
+    assert _failure(settings_file, zone=3).path == 'zone'
+    assert _failure(settings_file, lease_ttl_s=0).path == 'lease_ttl_s'
+    wrong_seed = _failure(settings_file, seed_addresses=['x'])
+    assert wrong_seed.path.startswith('seed_addresses[')
+    assert str(settings_file) in _failure(settings_file, zone=3).message
+
+
+def test_missing_and_broken_files_are_typed(
+    settings_file: pathlib.Path,
+) -> None:
+    missing = loading.load(str(settings_file), daemons.Daemon).failure()
+    assert missing.code == 'settings-invalid'
+    settings_file.write_text('{"id": ')
+    assert 'truncated' in (
+        loading.load(str(settings_file), daemons.Daemon).failure().expected
+    )
+
+
+def test_duplicate_address_is_refused() -> None:
+    settings = daemons.Daemon(
+        **{**GOOD, 'operations_address': GOOD['peer_address']}
+    )
+    failure = daemons.check(settings, 'entry.json').failure()
+    assert failure.path == 'operations_address'
+
+
+load_tests = functions.loader(__name__, {'settings_file': settings_file})
