--- /dev/null
+++ b/libs/admission/src/jackdawlatch/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Queues, fair shares, limits and retry budgets of one service."""
--- /dev/null
+++ b/libs/admission/src/jackdawlatch/admission/lines.py
@@ -0,0 +1,101 @@
+"""First-in first-out lines of tickets, one per kind of work."""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+from collections.abc import Iterator
+
+from jackdawlatch.admission import tickets
+from jackdawlatch.model import work
+
+Line = collections.OrderedDict[str, tickets.Ticket]
+
+# Stale deadlines are swept once they outnumber the waiting tickets.
+SWEEP_MINIMUM = 64
+
+
+@dataclasses.dataclass(frozen=True)
+class Place:
+    """Where a ticket stands: ``number`` grows with each arrival."""
+
+    kind: work.Kind
+    number: int
+
+
+class Lines:
+    """Tickets in arrival order per kind; removal by id takes O(1)."""
+
+    def __init__(self) -> None:
+        self._lines_by_kind: dict[work.Kind, Line] = {}
+        self._places_by_id: dict[str, Place] = {}
+        self._numbers = itertools.count()
+        self._deadlines: list[tuple[float, str]] = []
+
+    def __len__(self) -> int:
+        """Return how many tickets wait in all."""
+        return len(self._places_by_id)
+
+    def __contains__(self, ticket_id: str) -> bool:
+        """Return whether a ticket waits."""
+        return ticket_id in self._places_by_id
+
+    def __iter__(self) -> Iterator[tickets.Ticket]:
+        """Iterate over the tickets, kind by kind."""
+        for line in self._lines_by_kind.values():
+            yield from line.values()
+
+    @property
+    def kinds(self) -> tuple[work.Kind, ...]:
+        """The kinds that have a ticket waiting."""
+        return tuple(self._lines_by_kind)
+
+    def length(self, kind: work.Kind) -> int:
+        """Return how many tickets of a kind wait."""
+        return len(self._lines_by_kind.get(kind, ()))
+
+    def append(self, ticket: tickets.Ticket) -> None:
+        """Put a ticket at the end of the line of its kind."""
+        line = self._lines_by_kind.setdefault(
+            ticket.kind, collections.OrderedDict()
+        )
+        line[ticket.id] = ticket
+        self._places_by_id[ticket.id] = Place(
+            kind=ticket.kind, number=next(self._numbers)
+        )
+        heapq.heappush(self._deadlines, (ticket.deadline_s, ticket.id))
+
+    def first(self, kind: work.Kind) -> tickets.Ticket:
+        """Return the oldest ticket of a kind that has one waiting."""
+        return next(iter(self._lines_by_kind[kind].values()))
+
+    def number(self, kind: work.Kind) -> int:
+        """Return the arrival number of the oldest ticket of a kind."""
+        return self._places_by_id[self.first(kind).id].number
+
+    def remove(self, ticket_id: str) -> tickets.Ticket | None:
+        """Take out a ticket, wherever it stands in its line."""
+        place = self._places_by_id.pop(ticket_id, None)
+        if place is None:
+            return None
+        line = self._lines_by_kind[place.kind]
+        ticket = line.pop(ticket_id)
+        if not line:
+            self._lines_by_kind.pop(place.kind)
+        self._sweep()
+        return ticket
+
+    def expired(self, now_s: float) -> Iterator[tickets.Ticket]:
+        """Take out every ticket whose deadline has come."""
+        while self._deadlines and self._deadlines[0][0] <= now_s:
+            _, ticket_id = heapq.heappop(self._deadlines)
+            ticket = self.remove(ticket_id)
+            if ticket is not None:
+                yield ticket
+
+    def _sweep(self) -> None:
+        stale = len(self._deadlines) - len(self._places_by_id)
+        if stale < max(SWEEP_MINIMUM, len(self._places_by_id)):
+            return
+        self._deadlines = [(ticket.deadline_s, ticket.id) for ticket in self]
+        heapq.heapify(self._deadlines)
--- /dev/null
+++ b/libs/routing/src/jackdawlatch/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of runner, health, ejection, draining and rendezvous hashing."""
