Dispatch requests over brokered slots

Cause: one attempt loop has to keep not-run and unknown outcomes apart. Ruled out: retrying an unknown outcome of a non-idempotent request. Conclusion: an unknown outcome once seen is what is told.

--- /dev/null
+++ b/libs/entry/src/jackdawlatch/entry/dispatch.py
@@ -0,0 +1,179 @@
+"""Sends one request to a runner, and again only while that is safe."""
+
+import dataclasses
+
+from returns import result
+
+from jackdawlatch.admission import retries, tickets
+from jackdawlatch.entry import (
+    departures,
+    fleet,
+    outcomes,
+    refusals,
+    slots,
+    surroundings,
+)
+from jackdawlatch.model import failures, work
+from jackdawlatch.platform import runners
+from jackdawlatch.routing import leaving
+from jackdawlatch.telemetry import events
+
+FIRST_SERVER_ERROR = 500
+# A target is not blamed for missing a deadline shorter than this.
+BLAMED_TIMEOUT_S: float = 1
+MAX_ATTEMPTS = 8
+
+
+class Moved(failures.NotRun, frozen=True, kw_only=True):
+    """The runner of the slot was found leaving before anything was sent."""
+
+
+@dataclasses.dataclass
+class Course:
+    """What has become of a request so far.
+
+    ``failure`` is what the caller is told if nothing better comes; once it
+    is an unknown outcome it stays one.
+    """
+
+    request: work.Request
+    avoid: tuple[str, ...] = ()
+    failure: failures.Problem = failures.NotRun(message='nothing was tried')
+
+    def note(self, failure: failures.Problem) -> None:
+        """Keep a failure, unless an earlier one left the outcome unknown."""
+        if not isinstance(self.failure, failures.OutcomeUnknown):
+            self.failure = failure
+
+
+class Dispatcher:
+    """Takes a request through slots, runners and retries."""
+
+    def __init__(
+        self,
+        around: surroundings.Surroundings,
+        own_slots: slots.Slots,
+        own_runners: runners.Runners,
+        signs: departures.Departures,
+    ) -> None:
+        self._around = around
+        self._slots = own_slots
+        self._runners = own_runners
+        self._departures = signs
+        self._budgets_by_service: dict[str, retries.RetryBudget] = {}
+        self.sending = 0
+
+    async def run(self, request: work.Request) -> outcomes.Outcome:
+        """Return the answer, or why there is none.
+
+        Cancelling the call is allowed for idempotent requests only; it ends
+        the exchange and gives the slot back.
+        """
+        budget = self._budget(request.kind.service)
+        budget.attempted()
+        course = Course(request)
+        for _ in range(MAX_ATTEMPTS):
+            outcome = await self._attempt(course)
+            if isinstance(outcome, result.Success):
+                return outcome
+            failure = outcome.failure()
+            course.note(failure)
+            if not _may_retry(request, failure):
+                break
+            free = isinstance(failure, runners.Leaving | Moved)
+            if not free and not budget.spend():
+                self._around.meters.count('retries_denied')
+                break
+            self._around.meters.count('retries', code=failure.code)
+        return result.Failure(course.failure)
+
+    async def _attempt(self, course: Course) -> outcomes.Outcome:
+        request = course.request
+        if not self._around.fleet.runners(request.kind.service):
+            return result.Failure(
+                refusals.NoRunner(
+                    message=f'{request.kind.service} has no runner',
+                    retry_after_s=1,
+                )
+            )
+        acquired = await self._slots.acquire(request, course.avoid)
+        if isinstance(acquired, result.Failure):
+            return acquired
+        grant = acquired.unwrap()
+        now_s = self._around.clock.monotonic_s()
+        runner = self._around.fleet.usable(
+            request.kind.service, grant.host, now_s
+        )
+        if runner is None:
+            self._slots.release(grant, tickets.Outcome.UNUSED)
+            return result.Failure(Moved(message=f'{grant.host} is leaving'))
+        exchanged = await self._exchange(request, runner, grant)
+        if isinstance(exchanged, result.Failure):
+            course.avoid = (*course.avoid, grant.host)
+        return exchanged
+
+    async def _exchange(
+        self, request: work.Request, runner: fleet.Runner, grant: tickets.Grant
+    ) -> runners.Exchanged:
+        left_s = request.deadline_s - self._around.clock.wall_s()
+        self._around.ring.add(
+            events.Event(
+                name='request-sent', host=runner.host, request=request.id
+            )
+        )
+        judged = tickets.Outcome.UNUSED
+        self.sending += 1
+        try:
+            exchanged = await self._runners.exchange(
+                runner.address, request, left_s
+            )
+            judged = _judge(exchanged, left_s)
+        finally:
+            self.sending -= 1
+            self._slots.release(grant, judged)
+        self._note(runner.host, judged)
+        return exchanged
+
+    def _note(self, host: str, judged: tickets.Outcome) -> None:
+        self._around.meters.count('exchanges', outcome=judged.value)
+        if judged is tickets.Outcome.LEAVING:
+            self._departures.note(host, leaving.Sign.ANSWERED)
+        if judged is tickets.Outcome.REFUSED:
+            self._departures.note(host, leaving.Sign.REFUSED)
+
+    def _budget(self, service: str) -> retries.RetryBudget:
+        ratio = self._around.fleet.preset.retry_ratio
+        budget = self._budgets_by_service.get(service)
+        if budget is None:
+            budget = retries.RetryBudget(ratio)
+            self._budgets_by_service[service] = budget
+        budget.ratio = ratio
+        return budget
+
+
+def _may_retry(request: work.Request, failure: failures.Problem) -> bool:
+    """Say whether another attempt is safe and may help."""
+    if isinstance(
+        failure,
+        runners.Busy | runners.Leaving | runners.Unreachable | Moved,
+    ):
+        return True
+    return request.idempotent and isinstance(failure, runners.NoWholeAnswer)
+
+
+def _judge(exchanged: runners.Exchanged, left_s: float) -> tickets.Outcome:
+    if isinstance(exchanged, result.Success):
+        failed = exchanged.unwrap().status >= FIRST_SERVER_ERROR
+        return tickets.Outcome.FAILED if failed else tickets.Outcome.ANSWERED
+    match exchanged.failure():
+        case runners.Busy():
+            return tickets.Outcome.BUSY
+        case runners.Leaving():
+            return tickets.Outcome.LEAVING
+        case runners.Unreachable():
+            return tickets.Outcome.REFUSED
+        case runners.NoWholeAnswer():
+            return tickets.Outcome.FAILED
+        case runners.LateAnswer() if left_s >= BLAMED_TIMEOUT_S:
+            return tickets.Outcome.FAILED
+    return tickets.Outcome.UNUSED
--- /dev/null
+++ b/libs/entry/src/jackdawlatch/entry/fleet.py
@@ -0,0 +1,109 @@
+"""The runners of each service, from the accepted documents."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from jackdawlatch.model import hosts, presets
+from jackdawlatch.node import documents
+from jackdawlatch.routing import leaving
+
+
+@dataclasses.dataclass(frozen=True)
+class Runner:
+    """A host that may be given work of a service."""
+
+    host: str
+    address: str
+    slots: int
+
+
+class Fleet:
+    """Follows the documents and keeps the runners of every service.
+
+    A runner takes work while its host is live and active in the pool of the
+    service; the hosts that leave are passed on to ``signs``.
+    """
+
+    def __init__(
+        self, known: documents.Documents, signs: leaving.Leaving
+    ) -> None:
+        self._documents = known
+        self._signs = signs
+        self._runners_by_service: dict[str, dict[str, Runner]] = {}
+        self._active: frozenset[str] = frozenset()
+        self.capacities_by_pool: dict[str, tuple[hosts.Capacity, ...]] = {}
+        known.listen(self._refresh)
+        self._refresh('')
+
+    @property
+    def preset(self) -> presets.Preset:
+        """The preset in force."""
+        return self._documents.configuration.preset
+
+    @property
+    def services(self) -> Mapping[str, presets.Service]:
+        """The services of the configuration, by name."""
+        return self._documents.configuration.services_by_name
+
+    def runners(self, service: str) -> Mapping[str, Runner]:
+        """Return the runners of a service by host."""
+        return self._runners_by_service.get(service, {})
+
+    def slots_by_host(self, service: str) -> dict[str, int]:
+        """Return the slots of each runner of a service."""
+        runners_by_host = self.runners(service)
+        return {host: each.slots for host, each in runners_by_host.items()}
+
+    def usable(self, service: str, host: str, now_s: float) -> Runner | None:
+        """Return a runner if it may be given work now."""
+        runner = self.runners(service).get(host)
+        if runner is None or self._signs.has(host, now_s):
+            return None
+        return runner
+
+    def _refresh(self, _key: str) -> None:
+        pools: dict[str, list[hosts.Host]] = {}
+        departing: list[str] = []
+        for membership in self._documents.memberships():
+            for host, assignment in membership.assignments_by_host.items():
+                described = membership.hosts_by_id.get(host)
+                if described is None:
+                    continue
+                if _takes_work(assignment, described):
+                    pools.setdefault(assignment.pool, []).append(described)
+                else:
+                    departing.append(host)
+        self._signs.list_hosts(departing)
+        self._keep(pools)
+
+    def _keep(self, pools: Mapping[str, list[hosts.Host]]) -> None:
+        self._runners_by_service = {
+            name: _runners(service, pools.get(service.pool, []))
+            for name, service in self.services.items()
+        }
+        self.capacities_by_pool = {
+            pool: tuple(each.capacity for each in members)
+            for pool, members in pools.items()
+        }
+        active = frozenset(
+            each.id for members in pools.values() for each in members
+        )
+        # What was said of a host before it joined anew is out of date.
+        for host in active - self._active:
+            self._signs.forget(host)
+        self._active = active
+
+
+def _takes_work(assignment: hosts.Assignment, host: hosts.Host) -> bool:
+    active = assignment.phase is hosts.Phase.ACTIVE
+    return active and host.liveness is hosts.Liveness.LIVE
+
+
+def _runners(
+    service: presets.Service, members: list[hosts.Host]
+) -> dict[str, Runner]:
+    return {
+        host.id: Runner(host.id, host.runner, service.slots_per_host)
+        for host in members
+        if host.runner
+    }
--- /dev/null
+++ b/libs/entry/src/jackdawlatch/entry/surroundings.py
@@ -0,0 +1,24 @@
+"""What the parts of an entry share."""
+
+import dataclasses
+
+from jackdawlatch.entry import fleet as fleets
+from jackdawlatch.model import clocks
+from jackdawlatch.node import roster as rosters
+from jackdawlatch.peers import endpoint as endpoints
+from jackdawlatch.routing import leaving
+from jackdawlatch.telemetry import events, invariants, meters
+
+
+@dataclasses.dataclass(frozen=True)
+class Surroundings:
+    """The process around the parts of an entry."""
+
+    fleet: fleets.Fleet
+    roster: rosters.Roster
+    signs: leaving.Leaving
+    endpoint: endpoints.Endpoint
+    clock: clocks.Clock
+    meters: meters.Meters
+    invariants: invariants.Invariants
+    ring: events.Ring
