--- /dev/null
+++ b/libs/command/src/jackdawlatch/command/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of the operators."""
--- a/libs/store/src/jackdawlatch/store/editing.py
+++ b/libs/store/src/jackdawlatch/store/editing.py
@@ -53,6 +53,11 @@
         self._pending: list[Pending[Value]] = []
         self._writer: asyncio.Task[None] | None = None
 
+    @property
+    def known(self) -> keyvalue.Entry | None:
+        """Return the entry that was last written or read here."""
+        return self._known
+
     async def edit(self, change: Change[Value]) -> Edited[Value]:
         """Apply a change and return the value that was written.
 
