--- /dev/null
+++ b/libs/platform/src/jackdawlatch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters of the platform: host list, runners and workers."""
