--- a/libs/standins/tests/test_standins_content.py
+++ b/libs/standins/tests/test_standins_content.py
@@ -1,7 +1,7 @@
 import dataclasses
 
-import hypothesis  # noqa: WPS458 its settings are no module.
-from hypothesis import stateful
+import hypothesis
+from hypothesis import stateful  # noqa: WPS458 settings are no module.
 from hypothesis import strategies as st
 from returns import result
 
