--- /dev/null
+++ b/libs/config/src/jackdawlatch/config/__init__.py
@@ -0,0 +1,1 @@
+"""Validation, editing and differences of the operators' configuration."""
