Keep jobs in a fixed number of buckets of the store

One key per job was ruled out: each start, end and cancellation would cost a write of its own. A wave of 200 cancellations costs at most 4 writes with 4 buckets (tests/test_placement_book.py).

--- /dev/null
+++ b/libs/placement/tests/test_placement_book.py
@@ -0,0 +1,117 @@
+import asyncio
+
+from returns import result
+
+from jackdawlatch.model import clocks, failures, hosts, work
+from jackdawlatch.placement import book, buckets, drafts, endings, transitions
+from jackdawlatch.standins import fakes
+from jackdawlatch.testing import functions
+
+STITCH = drafts.Draft(service='desk', processors=2, command='stitch')
+LEASE_S = 30
+
+
+def _book(
+    store: fakes.FakeStore, clock: clocks.Clock | None = None
+) -> book.Book:
+    return book.Book(
+        store,
+        book.Options(shard='a', buckets=4, window_s=0, retention_s=60),
+        clock or clocks.ManualClock(),
+    )
+
+
+async def test_repeat_elsewhere_returns_the_same_job() -> None:
+    store = fakes.FakeStore()
+    entries = [_book(store) for _ in range(3)]
+    submitted = await asyncio.gather(
+        *(entry.submit(STITCH, 'couriers', 'key-1') for entry in entries)
+    )
+    assert len({job.unwrap().id for job in submitted}) == 1
+    found = await entries[0].find(submitted[0].unwrap().id)
+    assert found == submitted[0]
+
+
+async def test_same_key_for_a_different_job_is_refused() -> None:
+    kept = _book(fakes.FakeStore())
+    first = (await kept.submit(STITCH, 'couriers', 'key-1')).unwrap()
+    other = drafts.Draft(service='desk', command='bill')
+    refused = await kept.submit(other, 'couriers', 'key-1')
+    assert isinstance(refused.failure(), book.KeyReused)
+    assert (await kept.find(first.id)).unwrap() == first
+    elsewhere = await kept.submit(other, 'drivers', 'key-1')
+    assert elsewhere.unwrap().id != first.id
+
+
+async def test_outage_is_not_run_lost_reply_is_unknown() -> None:
+    store = fakes.FakeStore()
+    kept = _book(store)
+    store.down = True
+    refused = await kept.submit(STITCH, 'couriers', '')
+    assert isinstance(refused.failure(), failures.NotRun)
+    store.down = False
+    store.lose_replies = 1
+
+    async def fail_read_back() -> None:
+        store.down = True
+
+    store.before_put = fail_read_back
+    unknown = await kept.submit(STITCH, 'couriers', '')
+    assert isinstance(unknown.failure(), failures.OutcomeUnknown)
+
+
+async def test_full_bucket_refuses_and_final_jobs_make_room() -> None:
+    clock = clocks.ManualClock()
+    kept = _book(fakes.FakeStore(), clock)
+    bulky = drafts.Draft(service='desk', command='x' * 4000)
+    outcomes = [
+        await kept.submit(bulky, 'a', str(number)) for number in range(1200)
+    ]
+    refused = [one.failure() for one in outcomes if _failed(one)]
+    assert refused
+    assert all(isinstance(failure, buckets.Full) for failure in refused)
+    ids = [one.unwrap().id for one in outcomes if not _failed(one)]
+    await asyncio.gather(*(kept.cancel(job_id) for job_id in ids))
+    clock.advance(61)
+    again = [await kept.submit(bulky, 'b', str(number)) for number in range(20)]
+    assert not any(_failed(one) for one in again)
+    assert isinstance((await kept.find(ids[0])).failure(), buckets.Unknown)
+
+
+async def test_cancel_is_idempotent_and_leaves_final_jobs() -> None:
+    store = fakes.FakeStore()
+    kept = _book(store)
+    job = (await kept.submit(STITCH, 'couriers', '')).unwrap()
+    once = (await kept.cancel(job.id)).unwrap()
+    twice = (await kept.cancel(job.id)).unwrap()
+    assert once.state is work.JobState.CANCELLED
+    assert twice == once
+    refused = transitions.assign(once, 'h1', 0, LEASE_S)
+    assert isinstance(refused.failure(), endings.Superseded)
+
+
+async def test_cancellation_wave_shares_writes() -> None:
+    store = fakes.FakeStore()
+    kept = _book(store)
+    jobs = await asyncio.gather(
+        *(kept.submit(STITCH, 'couriers', str(number)) for number in range(200))
+    )
+    before = store.calls_by_name['put']
+    await asyncio.gather(*(kept.cancel(job.unwrap().id) for job in jobs))
+    assert store.calls_by_name['put'] - before <= 4
+
+
+def test_impossible_job_is_refused_with_the_reason() -> None:
+    largest = hosts.Capacity(processors=64, memory_mb=1024)
+    declared = hosts.Capacity(processors=65)
+    refused = drafts.check_fit(declared, [largest, largest])
+    assert isinstance(refused.failure(), drafts.Impossible)
+    fitting = hosts.Capacity(processors=64)
+    assert drafts.check_fit(fitting, [largest]) == result.Success(None)
+
+
+def _failed(outcome: book.Outcome) -> bool:
+    return isinstance(outcome, result.Failure)
+
+
+load_tests = functions.loader(__name__)
