Record intents of keyed requests; compose the entry

Cause: copies of a keyed request may come through any entry. Ruled out: an owner's memory alone, which a killed or paused owner breaks.

--- a/libs/entry/src/jackdawlatch/entry/brokers.py
+++ b/libs/entry/src/jackdawlatch/entry/brokers.py
@@ -101,9 +101,7 @@
         served = self._served(update.service)
         refused = served.take(update, now_s)
         news = self._turn(update.service, served, now_s)
-        own = news.pop(
-            update.entry, slot_messages.News(service=update.service)
-        )
+        own = news.pop(update.entry, slot_messages.News(service=update.service))
         self._send(served, news)
         return records.replace(own, refused=refused)
 
--- a/libs/entry/src/jackdawlatch/entry/refusals.py
+++ b/libs/entry/src/jackdawlatch/entry/refusals.py
@@ -60,7 +60,7 @@
 
 
 class Stopping(failures.NotRun, frozen=True, kw_only=True):
-    """This entry is shutting down and takes no new requests."""
+    """The entry is shutting down and takes no new requests."""
 
     code: ClassVar[str] = 'entry-stopping'
 
--- /dev/null
+++ b/libs/entry/src/jackdawlatch/entry/root.py
@@ -0,0 +1,148 @@
+"""The composition root of an entry."""
+
+import asyncio
+import contextlib
+from typing import Any
+
+from returns import result
+from tornado import httpserver
+
+from jackdawlatch.entry import (
+    departures,
+    dispatch,
+    fleet,
+    front,
+    keyed,
+    owners,
+    server,
+    slots,
+    surroundings,
+)
+from jackdawlatch.entry import settings as entry_settings
+from jackdawlatch.model import clocks
+from jackdawlatch.node import daemon
+from jackdawlatch.platform import http_runners, runners
+from jackdawlatch.routing import leaving
+from jackdawlatch.store import keyvalue
+
+ROLE = 'entry'
+MILLISECONDS = 1000
+QUIET_S = 0.3
+FLUSH_S = 2
+QUIET_POLL_S = 0.05
+
+
+class Root:
+    """Wires the parts of an entry around its node."""
+
+    def __init__(
+        self,
+        settings: entry_settings.Entry,
+        store: keyvalue.Store,
+        own_runners: runners.Runners | None = None,
+    ) -> None:
+        self.settings = settings
+        self.node = daemon.Node(settings, ROLE, store)
+        parts = self.node.parts
+        signs = leaving.Leaving()
+        self.around = surroundings.Surroundings(
+            fleet=fleet.Fleet(parts.documents, signs),
+            roster=parts.roster,
+            signs=signs,
+            endpoint=parts.endpoint,
+            clock=parts.clock,
+            meters=parts.meters,
+            invariants=parts.invariants,
+            ring=parts.ring,
+        )
+        self.slots = slots.BrokeredSlots(self.around)
+        self.dispatcher = dispatch.Dispatcher(
+            self.around,
+            self.slots,
+            own_runners or http_runners.HttpRunners(clocks.SystemClock()),
+            departures.Departures(self.around),
+        )
+        self.owners = owners.Owners(self.around)
+        self.keyed = keyed.Keyed(
+            self.around,
+            store,
+            self.dispatcher.run,
+            keyed.Terms(
+                settings.intent_buckets,
+                settings.intent_window_ms / MILLISECONDS,
+                settings.key_window_s,
+            ),
+            self.owners.vouches,
+        )
+        self.owners.attach(self.keyed)
+        self.front = front.Front(
+            self.around, self.dispatcher.run, self.owners.run_request
+        )
+        self.server: httpserver.HTTPServer = server.serve(
+            self.front, settings.body_limit_bytes
+        )
+        parts.documents.listen(self._refresh)
+
+    async def start(self) -> result.Result[None, daemon.AddressTaken]:
+        """Start the node, then listen for callers."""
+        started = await self.node.start()
+        if isinstance(started, result.Failure):
+            return started
+        host, _, port = self.settings.http_address.rpartition(':')
+        try:
+            self.server.listen(int(port), host)
+        except OSError as error:
+            return result.Failure(
+                daemon.AddressTaken(
+                    message=f'{self.settings.http_address}: {error}',
+                    hint='choose a free http_address in the settings',
+                )
+            )
+        self.node.details = self._details
+        self.node.spawn(self.owners.run())
+        self.node.spawn(self.slots.run())
+        self.node.spawn(self.slots.brokers.run())
+        self.node.spawn(self.slots.shares.run())
+        return result.Success(None)
+
+    async def run(self) -> None:
+        """Serve until stopped, and answer all that is in flight."""
+        await self.node.run(self._drain)
+
+    async def _drain(self) -> None:
+        self.slots.retiring = True
+        self.owners.retiring = True
+        # The balancer goes on sending here until it has seen the stop.
+        await asyncio.sleep(self.settings.drain_delay_s)
+        self.front.draining = True
+        self.server.stop()
+        await self._quiet()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.keyed.flush(), FLUSH_S)
+        await self.server.close_all_connections()
+
+    async def _quiet(self) -> None:
+        """Wait until nothing was in flight for a moment."""
+        clock = self.around.clock
+        busy_s = clock.monotonic_s()
+        while clock.monotonic_s() < busy_s + QUIET_S:
+            if self._in_flight():
+                busy_s = clock.monotonic_s()
+            await asyncio.sleep(QUIET_POLL_S)
+
+    def _in_flight(self) -> int:
+        return (
+            self.front.in_flight + self.owners.serving + self.keyed.in_flight
+        )
+
+    def _refresh(self, _key: str) -> None:
+        self.slots.brokers.refresh()
+        self.slots.shares.refresh()
+
+    def _details(self) -> dict[str, Any]:
+        return {
+            'in_flight': self._in_flight(),
+            'waiting': self.slots.waiting,
+            'brokered_services': list(self.slots.brokers.services),
+            'static_services': list(self.slots.shares.services),
+        }
--- /dev/null
+++ b/libs/entry/src/jackdawlatch/entry/settings.py
@@ -0,0 +1,44 @@
+"""The settings of an entry."""
+
+from typing import Annotated
+
+import msgspec
+
+from jackdawlatch.settings import daemons
+
+MAX_BODY_BYTES = 2 * 1024 * 1024
+MAX_BUCKETS = 1024
+MAX_WINDOW_MS = 1000
+MAX_KEY_WINDOW_S = 86_400
+MAX_DELAY_S = 60
+
+
+class Entry(daemons.Daemon, frozen=True, kw_only=True):
+    """A daemon with an address for callers.
+
+    Bodies are whole, up to ``body_limit_bytes``.  ``intent_buckets`` must
+    be the same at every entry.  ``intent_window_ms`` is how long an intent
+    waits for others to share its write; ``key_window_s`` is how long an
+    idempotency key is known after its request has ended.  New connections
+    are accepted for ``drain_delay_s`` after a stop was asked for.
+    """
+
+    http_address: daemons.Address
+    body_limit_bytes: Annotated[int, msgspec.Meta(ge=1, le=MAX_BODY_BYTES)] = (
+        1024 * 1024
+    )
+    intent_buckets: Annotated[int, msgspec.Meta(ge=1, le=MAX_BUCKETS)] = 32
+    intent_window_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_WINDOW_MS)] = (
+        20
+    )
+    key_window_s: Annotated[float, msgspec.Meta(ge=1, le=MAX_KEY_WINDOW_S)] = (
+        600
+    )
+    drain_delay_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_DELAY_S)] = 1
+
+    def addresses_by_field(self) -> dict[str, str]:
+        """Return the addresses that this process listens on."""
+        return {
+            **super().addresses_by_field(),
+            'http_address': self.http_address,
+        }
