--- a/libs/command/src/jackdawlatch/command/core.py
+++ b/libs/command/src/jackdawlatch/command/core.py
@@ -13,6 +13,7 @@
 
 from jackdawlatch.command import (
     definition,
+    invocation,
     operation,
     session,
     settings,
@@ -40,11 +41,16 @@
 
 def main(environment: Environment) -> status.ExitStatus:
     """Run one command line to its end."""
+    return asyncio.run(execute(environment))
+
+
+async def execute(environment: Environment) -> status.ExitStatus:
+    """Run one command line inside a loop that already runs."""
     app = definition.application(
         consoles.Console(file=environment.stdout, highlight=False)
     )
     try:
-        invocation = app(
+        parsed = app(
             environment.arguments,
             exit_on_error=False,
             print_error=False,
@@ -54,23 +60,23 @@
         return _complain(
             environment, _first_line(error), status.ExitStatus.USAGE
         )
-    if not isinstance(invocation, definition.Invocation):
+    if not isinstance(parsed, invocation.Invocation):
         # Help and version were printed by cyclopts.
         return status.ExitStatus.OK
-    return _run(invocation, environment)
+    return await _run(parsed, environment)
 
 
-def _run(
-    invocation: definition.Invocation, environment: Environment
+async def _run(
+    parsed: invocation.Invocation, environment: Environment
 ) -> status.ExitStatus:
-    loaded = _settings(invocation.options, environment)
+    loaded = _settings(parsed.options, environment)
     if isinstance(loaded, result.Failure):
         return _fail(environment, loaded.failure())
-    reported = asyncio.run(_operate(invocation, loaded.unwrap()))
+    reported = await _operate(parsed, loaded.unwrap())
     if isinstance(reported, result.Failure):
         return _fail(environment, reported.failure())
     report = reported.unwrap()
-    if invocation.options.json:
+    if parsed.options.json:
         encoded = msgspec.json.encode(report.content)
         environment.stdout.write(f'{encoded.decode()}\n')
     else:
@@ -79,14 +85,14 @@
 
 
 async def _operate(
-    invocation: definition.Invocation, loaded: settings.Operator
+    parsed: invocation.Invocation, loaded: settings.Operator
 ) -> operation.Reported:
     opened = session.Session(loaded)
-    return await invocation.operation.run(opened)
+    return await parsed.operation.run(opened)
 
 
 def _settings(
-    options: definition.Options, environment: Environment
+    options: invocation.Options, environment: Environment
 ) -> result.Result[settings.Operator, failures.Problem]:
     path = options.settings or environment.variables.get(SETTINGS_VARIABLE)
     if path:
--- a/libs/command/src/jackdawlatch/command/items.py
+++ b/libs/command/src/jackdawlatch/command/items.py
@@ -11,8 +11,8 @@
 from jackdawlatch.config import edits, files
 from jackdawlatch.model import failures, presets
 
-ItemType = type[presets.Preset] | type[presets.Pool] | type[presets.Service]
 Item = presets.Preset | presets.Pool | presets.Service
+ItemType = type[Item]
 
 
 class NotFound(failures.Problem, frozen=True, kw_only=True):
--- a/libs/config/src/jackdawlatch/config/editor.py
+++ b/libs/config/src/jackdawlatch/config/editor.py
@@ -22,6 +22,11 @@
         self._known = known
         self._editor = editing.Editor(store, KEY, presets.Configuration())
 
+    @property
+    def accepted(self) -> keyvalue.Entry | None:
+        """Return the entry that was last written or read here."""
+        return self._editor.known
+
     async def read(
         self,
     ) -> result.Result[presets.Configuration, outcomes.NotApplied]:
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -11,6 +11,8 @@
 import unittest
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+# The tree that is tested goes before the one that is installed.
+sys.path[:0] = [str(path) for path in sorted(ROOT.glob('libs/*/src'))]
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 
 
