Stand in for runners, with faults chosen by the request

Cause: the entry needs targets that run a request and then fail to answer, and an oracle needs to know what really ran. Every run is written down before it starts, to a file too if one is given, so that the log outlives a killed runner. Ruled out: a limit on connections by the listen backlog, which would make callers wait instead of being refused.

--- a/libs/platform/src/jackdawlatch/platform/exchange.py
+++ b/libs/platform/src/jackdawlatch/platform/exchange.py
@@ -104,6 +104,8 @@
 
     def prepare(self, curl: pycurl.Curl) -> None:
         """Ask libcurl to report before each sending."""
+        # An empty proxy keeps libcurl from reading one from the environment.
+        curl.setopt(pycurl.PROXY, '')
         curl.setopt(pycurl.PREREQFUNCTION, self._before_request)
 
     def judge(self, error: httpclient.HTTPClientError) -> Failed:
--- /dev/null
+++ b/libs/standins/src/jackdawlatch/standins/runner.py
@@ -0,0 +1,173 @@
+"""A runner's stand-in: runs requests in slots and writes down every run.
+
+The query of a request chooses its behaviour: ``ms`` is its duration and
+``fault`` names one of ``endings``.
+"""
+
+import asyncio
+import time
+
+import msgspec
+from tornado import web
+
+from jackdawlatch.model import records
+from jackdawlatch.standins import endings, executions, runner_state, serving
+
+NOT_RUN_STATUS = 503
+MS_PER_S = 1000
+
+
+class Receipt(records.Record, frozen=True, kw_only=True):
+    """The answer to a request, from which its caller recognizes its own."""
+
+    host: str
+    number: int
+    id: str
+    key: str
+    method: str
+    path: str
+    body_bytes: int
+
+
+class Server(serving.Rebootable):
+    """Serves requests, ``/-/state``, drain, faults and executions."""
+
+    def __init__(self, settings: runner_state.Settings) -> None:
+        self.runner = runner_state.Runner(settings)
+        context = {'runner': self.runner}
+        super().__init__(
+            [
+                web.url('/-/state', StateHandler, context),
+                web.url('/-/(drain|resume)', DrainHandler, context),
+                web.url('/-/faults', FaultsHandler, context),
+                web.url('/-/executions', ExecutionsHandler, context),
+                web.url('/.*', RequestHandler, context),
+            ],
+            settings.port,
+            settings.connections,
+        )
+
+    def forget(self) -> None:
+        """Come up with empty memory."""
+        self.runner.forget()
+
+
+class RunnerHandler(serving.Handler):
+    """A handler that knows its runner."""
+
+    def initialize(self, runner: runner_state.Runner) -> None:
+        """Take the runner from the routing table."""
+        self.runner = runner
+
+
+class RequestHandler(RunnerHandler):
+    """Runs a request of any method and path."""
+
+    async def run(self) -> None:
+        """Run the request if there is a slot for it."""
+        pause_s = self._pause_s()
+        delay_s = self.runner.settings.delay_ms / MS_PER_S
+        await asyncio.sleep(delay_s)
+        not_run = self.runner.not_run
+        if not_run:
+            self.set_status(NOT_RUN_STATUS)
+            self.set_header('X-Not-Run', not_run)
+            self.finish()
+            return
+        execution = self.runner.begin(self._execution())
+        try:
+            await asyncio.sleep(pause_s + delay_s)
+            await self._end(execution, pause_s)
+        finally:
+            self.runner.end(execution, self._fault())
+
+    get = run
+    head = run
+    post = run
+    put = run
+    patch = run
+    delete = run
+    options = run
+
+    def _pause_s(self) -> float:
+        """Return how long the run takes; a malformed query is refused."""
+        if self._fault() not in endings.ENDINGS_BY_NAME:
+            raise web.HTTPError(serving.BAD_REQUEST_STATUS)
+        faults = self.runner.faults
+        if faults.mode is not runner_state.Mode.NORMAL:
+            return 0
+        try:
+            asked_ms = float(self.get_query_argument('ms', '0'))
+        except ValueError as error:
+            raise web.HTTPError(serving.BAD_REQUEST_STATUS) from error
+        return (asked_ms + faults.slow_ms) / MS_PER_S
+
+    def _fault(self) -> str:
+        mode = self.runner.faults.mode
+        if mode is not runner_state.Mode.NORMAL:
+            return mode.value
+        return self.get_query_argument('fault', '')
+
+    def _execution(self) -> executions.Execution:
+        headers = self.request.headers
+        return executions.Execution(
+            host=self.runner.settings.host,
+            number=0,
+            id=headers.get('X-Request-Id', ''),
+            key=headers.get('Idempotency-Key', ''),
+            service=headers.get('X-Service', ''),
+            method=self.request.method or '',
+            path=self.request.uri or '',
+            start_s=time.time(),
+        )
+
+    async def _end(
+        self, execution: executions.Execution, pause_s: float
+    ) -> None:
+        receipt = Receipt(
+            host=execution.host,
+            number=execution.number,
+            id=execution.id,
+            key=execution.key,
+            method=execution.method,
+            path=execution.path,
+            body_bytes=len(self.request.body),
+        )
+        self.set_header('Content-Type', serving.JSON_TYPE)
+        ending = endings.ENDINGS_BY_NAME[self._fault()]
+        await ending.end(self, msgspec.json.encode(receipt), pause_s)
+
+
+class StateHandler(RunnerHandler):
+    """Shows slots, and whether the runner is leaving."""
+
+    def get(self) -> None:
+        """Answer the state."""
+        self.finish_json(self.runner.state)
+
+
+class DrainHandler(RunnerHandler):
+    """Starts or ends a drain."""
+
+    def post(self, action: str) -> None:
+        """Take no new work, or take it again; work in flight goes on."""
+        self.runner.leaving = action == 'drain'
+        self.finish_json(self.runner.state)
+
+
+class FaultsHandler(RunnerHandler):
+    """Switches faults."""
+
+    def post(self) -> None:
+        """Put the posted faults in force in place of the last ones."""
+        self.runner.faults = self.read_json(runner_state.Faults)
+        self.finish_json(self.runner.faults)
+
+
+class ExecutionsHandler(RunnerHandler):
+    """Shows what was run."""
+
+    def get(self) -> None:
+        """Answer the runs, from ``since`` on."""
+        since = int(self.get_query_argument('since', '0'))
+        self.finish_json(self.runner.executions.since(since))
--- /dev/null
+++ b/libs/standins/src/jackdawlatch/standins/runner_state.py
@@ -0,0 +1,95 @@
+"""The state of a runner's stand-in."""
+
+import enum
+import time
+from typing import Annotated
+
+import msgspec
+
+from jackdawlatch.model import records
+from jackdawlatch.standins import executions
+
+MAX_MS = 600_000
+MAX_COUNT = 4096
+MAX_PORT = 65_535
+
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_MS)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
+Port = Annotated[int, msgspec.Meta(ge=0, le=MAX_PORT)]
+
+
+class Settings(records.StrictRecord, frozen=True, kw_only=True):
+    """One runner; ``delay_ms`` is the distance to its callers, one way."""
+
+    host: str
+    port: Port = 0
+    slots: Count = 8
+    connections: Count = 60
+    delay_ms: Milliseconds = 0
+    executions_path: str = ''
+
+
+class Mode(enum.StrEnum):
+    """How a runner treats every request; ``fail`` fails at once."""
+
+    NORMAL = 'normal'
+    FAIL = 'fail'
+    HANG = 'hang'
+    CLOSE = 'close'
+
+
+class Faults(records.StrictRecord, frozen=True, kw_only=True):
+    """The faults in force; ``slow_ms`` is added to every run."""
+
+    mode: Mode = Mode.NORMAL
+    slow_ms: Milliseconds = 0
+
+
+class State(records.Record, frozen=True, kw_only=True):
+    """What ``GET /-/state`` answers."""
+
+    slots: int
+    in_use: int
+    leaving: bool
+
+
+class Runner:
+    """Slots, drain, faults and the runs of one host."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.executions = executions.Executions(settings.executions_path)
+        self.forget()
+
+    @property
+    def state(self) -> State:
+        """What the runner says of itself."""
+        return State(
+            slots=self.settings.slots,
+            in_use=len(self.running),
+            leaving=self.leaving,
+        )
+
+    @property
+    def not_run(self) -> str:
+        """Why new work would not be run, empty when it would."""
+        if self.leaving:
+            return 'leaving'
+        return 'busy' if len(self.running) >= self.settings.slots else ''
+
+    def begin(self, execution: executions.Execution) -> executions.Execution:
+        """Take a slot and write the run down."""
+        begun = self.executions.begin(execution)
+        self.running.add(begun.number)
+        return begun
+
+    def end(self, execution: executions.Execution, outcome: str) -> None:
+        """Free the slot, unless a reboot has freed it already."""
+        self.running.discard(execution.number)
+        self.executions.end(execution, time.time(), outcome)
+
+    def forget(self) -> None:
+        """Come up with empty memory, as after a reboot."""
+        self.faults = Faults()
+        self.running: set[int] = set()
+        self.leaving = False
--- a/libs/standins/src/jackdawlatch/standins/serving.py
+++ b/libs/standins/src/jackdawlatch/standins/serving.py
@@ -1,18 +1,25 @@
 """What every stand-in's HTTP server shares."""
 
+import abc
+import asyncio
 from collections.abc import Sequence
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
-from tornado import httpserver, netutil, routing, web
+from tornado import httpserver, iostream, netutil, routing, web
 
 from jackdawlatch.model import records
 
 LOOPBACK = '127.0.0.1'
+MAX_CONNECTIONS = 4096
+MAX_REBOOT_S = 600
 
 OK_STATUS = 200
 BAD_REQUEST_STATUS = 400
 NOT_FOUND_STATUS = 404
+ACCEPTED_STATUS = 202
+REBOOT_NOTICE_S = 0.05
+SERVED = 'served_requests'
 JSON_TYPE = 'application/json'
 
 RecordType = TypeVar('RecordType', bound=records.Record)
@@ -36,6 +43,21 @@
         self.set_header('Content-Type', JSON_TYPE)
         self.finish(msgspec.json.encode(body))
 
+    def is_on_reused_connection(self) -> bool:
+        """Return whether an earlier request came on this connection."""
+        served = getattr(self.request.server_connection, SERVED, 0)
+        return bool(served > 1)
+
+    def prepare(self) -> None:
+        """Count the requests of the connection."""
+        self.gone = asyncio.Event()
+        connection = self.request.server_connection
+        setattr(connection, SERVED, getattr(connection, SERVED, 0) + 1)
+
+    def on_connection_close(self) -> None:
+        """Let whoever waits for the caller's end know."""
+        self.gone.set()
+
     def drop(self) -> None:
         """Close the connection without an answer."""
         self.detach().close()
@@ -49,32 +71,108 @@
         self.finish('ok\n')
 
 
+class LimitedServer(httpserver.HTTPServer):
+    """Closes each connection that is over the limit as soon as it opens."""
+
+    def limit(self, max_connections: int) -> None:
+        """Set how many connections may be open at once."""
+        self._max_connections = max_connections
+        self._streams: list[iostream.IOStream] = []
+
+    def handle_stream(self, stream: iostream.IOStream, address: Any) -> None:
+        """Serve a connection if there is room for it."""
+        self._streams = [one for one in self._streams if not one.closed()]
+        if len(self._streams) >= self._max_connections:
+            stream.close()
+            return
+        self._streams.append(stream)
+        super().handle_stream(stream, address)
+
+
 class Server:
-    """One HTTP server on one loopback port; 0 picks a free one."""
-
-    def __init__(self, rules: Sequence[Any], port: int = 0) -> None:
-        application = web.Application(
-            [
-                routing.Rule(routing.PathMatches('/healthz'), HealthHandler),
-                *rules,
-            ],
-            log_function=_ignore,
+    """One HTTP server on one loopback port; 0 picks a free one.
+
+    It can be closed and started again at the same port.
+    """
+
+    def __init__(
+        self,
+        rules: Sequence[routing.URLSpec],
+        port: int = 0,
+        max_connections: int = MAX_CONNECTIONS,
+    ) -> None:
+        self.port = port
+        self._max_connections = max_connections
+        self._application = web.Application(
+            [web.url('/healthz', HealthHandler), *rules], log_function=_ignore
         )
-        self._server = httpserver.HTTPServer(application)
-        sockets = netutil.bind_sockets(port, LOOPBACK)
-        self._server.add_sockets(sockets)
-        self.port: int = sockets[0].getsockname()[1]
+        self.start()
 
     @property
     def url(self) -> str:
         """The base URL, without a slash at its end."""
         return f'http://{LOOPBACK}:{self.port}'
 
+    def start(self) -> None:
+        """Listen; raises ``OSError`` when the port is taken."""
+        self._server = LimitedServer(self._application)
+        self._server.limit(self._max_connections)
+        sockets = netutil.bind_sockets(self.port, LOOPBACK)
+        self._server.add_sockets(sockets)
+        self.port = sockets[0].getsockname()[1]
+
     async def close(self) -> None:
         """Stop listening and close every connection."""
         self._server.stop()
         await self._server.close_all_connections()
 
 
+class Reboot(records.StrictRecord, frozen=True, kw_only=True):
+    """Asks a back end to be away for ``seconds`` and forget everything."""
+
+    seconds: Annotated[float, msgspec.Meta(ge=0, le=MAX_REBOOT_S)] = 1
+
+
+class Rebootable(Server, abc.ABC):
+    """A back end that goes down with its host and comes back empty."""
+
+    def __init__(
+        self, rules: Sequence[routing.URLSpec], port: int, max_connections: int
+    ) -> None:
+        self._rebooting: asyncio.Task[None] | None = None
+        reboot = web.url('/-/reboot', RebootHandler, {'server': self})
+        super().__init__([reboot, *rules], port, max_connections)
+
+    @abc.abstractmethod
+    def forget(self) -> None:
+        """Come up with empty memory."""
+
+    def reboot(self, seconds: float) -> None:
+        """Go down in a moment, for a stated time."""
+        if self._rebooting is None or self._rebooting.done():
+            self._rebooting = asyncio.create_task(self._reboot(seconds))
+
+    async def _reboot(self, seconds: float) -> None:
+        await asyncio.sleep(REBOOT_NOTICE_S)
+        await self.close()
+        self.forget()
+        await asyncio.sleep(seconds)
+        self.start()
+
+
+class RebootHandler(Handler):
+    """Reboots the back end."""
+
+    def initialize(self, server: Rebootable) -> None:
+        """Take the back end from the routing table."""
+        self._server = server
+
+    def post(self) -> None:
+        """Answer that the reboot is accepted."""
+        asked = self.read_json(Reboot)
+        self._server.reboot(asked.seconds)
+        self.finish_json(asked, ACCEPTED_STATUS)
+
+
 def _ignore(_handler: web.RequestHandler) -> None:
     """Write no line per request: counters tell more."""
