--- a/libs/entry/src/jackdawlatch/entry/intents.py
+++ b/libs/entry/src/jackdawlatch/entry/intents.py
@@ -68,8 +68,9 @@
             return intent_records.insert(bucket, scope, intent, now_s)
 
         # Endings that are asked for first are applied first, in one write.
+        asked_s = self._clock.monotonic_s()
         written = await self._editor.edit(change)
-        self._see(written)
+        self._see(written, asked_s)
         return written.map(_nothing)
 
     def end(self, scope: str, ending: intent_records.Ending) -> None:
@@ -86,15 +87,17 @@
 
     async def refresh(self) -> bool:
         """Read the bucket; say whether that succeeded."""
+        asked_s = self._clock.monotonic_s()
         found = await self._editor.read()
-        self._see(found)
+        self._see(found, asked_s)
         return isinstance(found, result.Success)
 
     async def _flush_later(self) -> bool:
-        await asyncio.sleep(ENDING_DELAY_S)
-        while not await self.flush():
+        written = False
+        while not written:
             await asyncio.sleep(ENDING_DELAY_S)
-        return True
+            written = await self.flush()
+        return written
 
     def _write_endings(self) -> asyncio.Task[bool]:
         return asyncio.create_task(self._edit(dict(self._endings_by_key)))
@@ -105,8 +108,9 @@
         def change(bucket: intent_records.Bucket) -> Edited:
             return result.Success(intent_records.end(bucket, endings_by_key))
 
+        asked_s = self._clock.monotonic_s()
         written = await self._editor.edit(change)
-        self._see(written)
+        self._see(written, asked_s)
         if isinstance(written, result.Failure):
             self._drop_expired()
             return False
@@ -115,10 +119,12 @@
                 self._endings_by_key.pop(scope)
         return True
 
-    def _see(self, value: 'Edited') -> None:
-        if isinstance(value, result.Success):
+    def _see(self, value: 'Edited', asked_s: float) -> None:
+        if isinstance(value, result.Failure):
+            return
+        if value.unwrap().version >= self._seen.version:
             self._seen = value.unwrap()
-            self.contact_s = self._clock.monotonic_s()
+            self.contact_s = asked_s
 
     def _drop_expired(self) -> None:
         now_s = self._clock.wall_s()
--- a/libs/entry/src/jackdawlatch/entry/keyed.py
+++ b/libs/entry/src/jackdawlatch/entry/keyed.py
@@ -9,7 +9,7 @@
 import asyncio
 import dataclasses
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 from returns import result
 
@@ -21,8 +21,7 @@
     refusals,
     surroundings,
 )
-from jackdawlatch.model import failures, records, work
-from jackdawlatch.store import keyvalue
+from jackdawlatch.model import failures, work
 
 RETRY_AFTER_S = 1
 
@@ -37,15 +36,6 @@
     task: asyncio.Task[outcomes.Outcome]
 
 
-@dataclasses.dataclass(frozen=True)
-class Terms:
-    """How keyed requests are kept; times in seconds."""
-
-    buckets: int = 32
-    commit_window_s: float = 0.02
-    key_window_s: float = 600
-
-
 class Keyed:
     """Takes keyed requests to their one outcome.
 
@@ -57,22 +47,19 @@
     def __init__(
         self,
         around: surroundings.Surroundings,
-        store: keyvalue.Store,
+        buckets: Sequence[intents.Intents],
         send: Send,
-        terms: Terms,
+        key_window_s: float,
         vouches: Callable[[int], bool],
     ) -> None:
         self._around = around
         self._clock = around.clock
         self._send = send
-        self._terms = terms
+        self._buckets = buckets
+        self._key_window_s = key_window_s
         self._vouches = vouches
-        self._memory = memory.Memory(around.clock, terms.key_window_s)
+        self._memory = memory.Memory(around.clock, key_window_s)
         self._flights_by_scope: dict[str, Flight] = {}
-        self.buckets = [
-            intents.Intents(store, number, self._clock, terms.commit_window_s)
-            for number in range(terms.buckets)
-        ]
 
     @property
     def in_flight(self) -> int:
@@ -82,7 +69,7 @@
     def bucket_of(self, request: work.Request) -> int:
         """Return the number of the bucket of a request's key."""
         scope = intent_records.scope_of(request)
-        return intent_records.number_of(scope, self._terms.buckets)
+        return intent_records.number_of(scope, len(self._buckets))
 
     async def attend(self, request: work.Request) -> outcomes.Outcome:
         """Send a request unless a copy was sent before; return its outcome.
@@ -109,7 +96,7 @@
 
     async def flush(self) -> None:
         """Write every ending that is not written yet."""
-        await asyncio.gather(*(bucket.flush() for bucket in self.buckets))
+        await asyncio.gather(*(bucket.flush() for bucket in self._buckets))
 
     def _start(
         self, request: work.Request, scope: str, fingerprint: str
@@ -137,12 +124,12 @@
     async def _fly(
         self, request: work.Request, scope: str, fingerprint: str
     ) -> outcomes.Outcome:
-        number = intent_records.number_of(scope, self._terms.buckets)
-        bucket = self.buckets[number]
+        number = intent_records.number_of(scope, len(self._buckets))
+        bucket = self._buckets[number]
         intent = intent_records.Intent(
             token=uuid.uuid4().hex,
             fingerprint=fingerprint,
-            expires_s=request.deadline_s + self._terms.key_window_s,
+            expires_s=request.deadline_s + self._key_window_s,
         )
         recorded = await bucket.record(scope, intent)
         if isinstance(recorded, result.Failure):
@@ -163,7 +150,7 @@
         outcome: outcomes.Outcome,
     ) -> None:
         if isinstance(outcome, result.Success):
-            expires_s = self._clock.wall_s() + self._terms.key_window_s
+            expires_s = self._clock.wall_s() + self._key_window_s
             ending = intent_records.ending_of(
                 intent.token, outcome.unwrap(), expires_s
             )
@@ -186,7 +173,7 @@
         if isinstance(failure, intent_records.BucketFull):
             return result.Failure(failure)
         self._around.meters.count('intents_not_kept', code=failure.code)
-        known = self.buckets[number].known(scope)
+        known = self._buckets[number].known(scope)
         if known is not None:
             return _from_record(known, intent.fingerprint)
         if self._vouches(number):
--- a/libs/entry/src/jackdawlatch/entry/outcomes.py
+++ b/libs/entry/src/jackdawlatch/entry/outcomes.py
@@ -1,11 +1,13 @@
 """The outcome of a request, and how it travels between entries."""
 
 from collections.abc import Mapping
+from typing import TypeVar
 
 from returns import result
 
 from jackdawlatch.model import failures, records, work
 
+Kind = TypeVar('Kind', bound=failures.Problem)
 Outcome = result.Result[work.Answer, failures.Problem]
 
 
@@ -51,22 +53,21 @@
 
 
 def _failure(told: Told) -> failures.Problem:
-    base = failures.OutcomeUnknown if told.unknown else failures.Problem
-    found = _classes_by_code(base).get(told.code)
     if told.unknown:
-        chosen = found or failures.OutcomeUnknown
-        return chosen(message=told.message, hint=told.hint)
-    if found and not issubclass(found, failures.NotRun):
-        return found(message=told.message, hint=told.hint)
-    refused = found or failures.NotRun
+        unknown = _classes_by_code(failures.OutcomeUnknown).get(
+            told.code, failures.OutcomeUnknown
+        )
+        return unknown(message=told.message, hint=told.hint)
+    invalid = _classes_by_code(failures.Invalid).get(told.code)
+    if invalid:
+        return invalid(message=told.message, hint=told.hint)
+    refused = _classes_by_code(failures.NotRun).get(told.code, failures.NotRun)
     return refused(
         message=told.message, hint=told.hint, retry_after_s=told.retry_after_s
     )
 
 
-def _classes_by_code(
-    base: type[failures.Problem],
-) -> Mapping[str, type[failures.Problem]]:
+def _classes_by_code(base: type[Kind]) -> Mapping[str, type[Kind]]:
     found = {base.code: base}
     for kind in base.__subclasses__():
         found.update(_classes_by_code(kind))
--- a/libs/entry/src/jackdawlatch/entry/root.py
+++ b/libs/entry/src/jackdawlatch/entry/root.py
@@ -11,9 +11,11 @@
     departures,
     dispatch,
     fleet,
+    forwarding,
     front,
+    intents,
     keyed,
-    owners,
+    ownership,
     server,
     slots,
     surroundings,
@@ -62,21 +64,28 @@
             own_runners or http_runners.HttpRunners(clocks.SystemClock()),
             departures.Departures(self.around),
         )
-        self.owners = owners.Owners(self.around)
+        buckets = [
+            intents.Intents(
+                store,
+                number,
+                parts.clock,
+                settings.intent_window_ms / MILLISECONDS,
+            )
+            for number in range(settings.intent_buckets)
+        ]
+        self.ownership = ownership.Ownership(self.around, buckets)
         self.keyed = keyed.Keyed(
             self.around,
-            store,
+            buckets,
             self.dispatcher.run,
-            keyed.Terms(
-                settings.intent_buckets,
-                settings.intent_window_ms / MILLISECONDS,
-                settings.key_window_s,
-            ),
-            self.owners.vouches,
+            settings.key_window_s,
+            self.ownership.vouches,
+        )
+        self.forwarder = forwarding.Forwarder(
+            self.around, self.ownership, self.keyed
         )
-        self.owners.attach(self.keyed)
         self.front = front.Front(
-            self.around, self.dispatcher.run, self.owners.run_request
+            self.around, self.dispatcher.run, self.forwarder.run
         )
         self.server: httpserver.HTTPServer = server.serve(
             self.front, settings.body_limit_bytes
@@ -99,7 +108,7 @@
                 )
             )
         self.node.details = self._details
-        self.node.spawn(self.owners.run())
+        self.node.spawn(self.ownership.run())
         self.node.spawn(self.slots.run())
         self.node.spawn(self.slots.brokers.run())
         self.node.spawn(self.slots.shares.run())
@@ -111,7 +120,7 @@
 
     async def _drain(self) -> None:
         self.slots.retiring = True
-        self.owners.retiring = True
+        self.ownership.retiring = True
         # The balancer goes on sending here until it has seen the stop.
         await asyncio.sleep(self.settings.drain_delay_s)
         self.front.draining = True
@@ -132,7 +141,7 @@
 
     def _in_flight(self) -> int:
         return (
-            self.front.in_flight + self.owners.serving + self.keyed.in_flight
+            self.front.in_flight + self.forwarder.serving + self.keyed.in_flight
         )
 
     def _refresh(self, _key: str) -> None:
--- /dev/null
+++ b/libs/entry/tests/entry_fleets.py
@@ -0,0 +1,168 @@
+"""Entries and runners in one process, over a fake store."""
+
+import asyncio
+import contextlib
+import json
+import time
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+from tornado import httpclient
+from tornado import testing as tornado_testing
+
+from jackdawlatch.entry import root, settings
+from jackdawlatch.model import hosts, presets, records
+from jackdawlatch.node import documents
+from jackdawlatch.standins import fakes, runner, runner_state
+from jackdawlatch.store import keyvalue
+
+PATIENCE_STEPS = 500
+STEP_S = 0.02
+
+
+class Fleet:
+    """Two runners of the service ``desk`` and any number of entries."""
+
+    def __init__(self) -> None:
+        self.store = fakes.FakeStore()
+        self.entries: list[root.Root] = []
+        self.client = httpclient.AsyncHTTPClient(force_instance=True)
+        self.runners_by_host = {
+            host: runner.Server(runner_state.Settings(host=host))
+            for host in ('h1', 'h2')
+        }
+
+    async def accept(self) -> None:
+        configuration = presets.Configuration(
+            version=1,
+            in_force='ordinary',
+            presets_by_name={'ordinary': presets.Preset(name='ordinary')},
+            pools_by_name={'desks': presets.Pool(name='desks')},
+            services_by_name={
+                'desk': presets.Service(name='desk', pool='desks')
+            },
+        )
+        await self.put(documents.CONFIG_KEY, configuration)
+        membership = hosts.Membership(
+            version=1,
+            assignments_by_host={
+                host: hosts.Assignment(pool='desks', phase=hosts.Phase.ACTIVE)
+                for host in self.runners_by_host
+            },
+            hosts_by_id={
+                host: hosts.Host(
+                    id=host,
+                    zone='z1',
+                    rack='r1',
+                    runner=served.url,
+                    capacity=hosts.Capacity(processors=64, memory_mb=1000),
+                )
+                for host, served in self.runners_by_host.items()
+            },
+        )
+        await self.put(f'{documents.MEMBERSHIP_PREFIX}main', membership)
+
+    async def put(self, key: str, record: records.Record) -> None:
+        current = self.store.content.get(key)
+        revision = current.revision if current else keyvalue.ABSENT
+        await self.store.put(key, records.encode(record), revision)
+
+    async def start(self) -> root.Root:
+        addresses = [_free_address() for _ in range(3)]
+        entry = root.Root(
+            settings.Entry(
+                id=f'e{len(self.entries)}',
+                zone='z1',
+                peer_address=addresses[0],
+                operations_address=addresses[1],
+                http_address=addresses[2],
+                store_addresses=('http://127.0.0.1:1',),
+                lease_ttl_s=1,
+                intent_buckets=4,
+                drain_delay_s=0.1,
+                strict_invariants=True,
+            ),
+            self.store,
+        )
+        (await entry.start()).unwrap()
+        self.entries.append(entry)
+        await until(lambda: all(self._sees_all(each) for each in self.entries))
+        return entry
+
+    async def ask(
+        self,
+        entry: root.Root,
+        path: str = '/services/desk/x',
+        method: str = 'GET',
+        body: bytes | None = None,
+        **headers: str,
+    ) -> httpclient.HTTPResponse:
+        """Send a request; underscores in header names stand for hyphens."""
+        return await self.client.fetch(
+            f'http://{entry.settings.http_address}{path}',
+            method=method,
+            body=body,
+            headers={
+                name.replace('_', '-'): text for name, text in headers.items()
+            },
+            raise_error=False,
+            request_timeout=20,
+            allow_nonstandard_methods=True,
+        )
+
+    async def post(
+        self, entry: root.Root, key: str, query: str = '', body: bytes = b'x'
+    ) -> httpclient.HTTPResponse:
+        return await self.ask(
+            entry,
+            f'/services/desk/x{query}',
+            'POST',
+            body,
+            Idempotency_Key=key,
+        )
+
+    def runs(self, key: str) -> int:
+        """Return how often a key was run by any runner."""
+        return sum(
+            execution.key == key
+            for served in self.runners_by_host.values()
+            for execution in served.runner.executions.since(0)
+        )
+
+    def _sees_all(self, entry: root.Root) -> bool:
+        return len(entry.around.roster.by_role('entry')) == len(self.entries)
+
+
+def outcome(answer: httpclient.HTTPResponse) -> str:
+    return str(answer.headers.get('Jackdawlatch-Outcome'))
+
+
+def code(answer: httpclient.HTTPResponse) -> Any:
+    return json.loads(answer.body)['code']
+
+
+async def until(holds: Callable[[], bool]) -> None:
+    for _ in range(PATIENCE_STEPS):
+        if holds():
+            return
+        await asyncio.sleep(STEP_S)
+    raise AssertionError(f'it never came to hold ({time.monotonic()})')
+
+
+@contextlib.asynccontextmanager
+async def fleet() -> AsyncIterator[Fleet]:
+    made = Fleet()
+    await made.accept()
+    yield made
+    made.client.close()
+    for entry in made.entries:
+        entry.node.stopping.set()
+    await asyncio.gather(*(entry.run() for entry in made.entries))
+    for served in made.runners_by_host.values():
+        await served.close()
+
+
+def _free_address() -> str:
+    socket, port = tornado_testing.bind_unused_port()
+    socket.close()
+    return f'127.0.0.1:{port}'
