--- a/libs/entry/src/jackdawlatch/entry/answers.py
+++ b/libs/entry/src/jackdawlatch/entry/answers.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+import types
 from collections.abc import Mapping
 
 import msgspec
@@ -21,20 +22,22 @@
 BAD_REQUEST = 400
 NOT_RUN_STATUS = 503
 UNKNOWN_STATUS = 502
-STATUSES_BY_CODE: Mapping[str, int] = {
-    'service-unknown': 404,
-    'path-unknown': 404,
-    'job-unknown': 404,
-    'method-not-allowed': 405,
-    'body-too-large': 413,
-    'deadline-past': 422,
-    'idempotency-key-reused': 422,
-    'job-key-reused': 422,
-    'job-impossible': 422,
-    'queue-full': 429,
-    'answer-late': 504,
-    'still-running': 504,
-}
+STATUSES_BY_CODE: Mapping[str, int] = types.MappingProxyType(
+    {
+        'service-unknown': 404,
+        'path-unknown': 404,
+        'job-unknown': 404,
+        'method-not-allowed': 405,
+        'body-too-large': 413,
+        'deadline-past': 422,
+        'idempotency-key-reused': 422,
+        'job-key-reused': 422,
+        'job-impossible': 422,
+        'queue-full': 429,
+        'answer-late': 504,
+        'still-running': 504,
+    }
+)
 # The entry sets these itself, whatever a target says.
 _OWN_HEADERS = frozenset(
     (OUTCOME_HEADER.lower(), REQUEST_ID_HEADER.lower(), 'content-length')
--- a/libs/entry/src/jackdawlatch/entry/brokers.py
+++ b/libs/entry/src/jackdawlatch/entry/brokers.py
@@ -90,6 +90,10 @@
         self._served_by_service: dict[str, Served] = {}
         self._pushes: set[asyncio.Task[None]] = set()
 
+    def serves(self, service: str) -> bool:
+        """Say whether some entry uses this process's broker of a service."""
+        return service in self._served_by_service
+
     @property
     def services(self) -> tuple[str, ...]:
         """The services that some entry uses this process's broker of."""
--- a/libs/entry/src/jackdawlatch/entry/dispatch.py
+++ b/libs/entry/src/jackdawlatch/entry/dispatch.py
@@ -1,6 +1,8 @@
 """Sends one request to a runner, and again only while that is safe."""
 
 import dataclasses
+import types
+from collections.abc import Mapping
 
 from returns import result
 
@@ -9,9 +11,9 @@
     departures,
     fleet,
     outcomes,
-    refusals,
     slots,
     surroundings,
+    unsent,
 )
 from jackdawlatch.model import failures, work
 from jackdawlatch.platform import runners
@@ -23,6 +25,18 @@
 BLAMED_TIMEOUT_S: float = 1
 MAX_ATTEMPTS = 8
 
+OUTCOMES_BY_FAILURE: Mapping[type[failures.Problem], tickets.Outcome] = (
+    types.MappingProxyType(
+        {
+            runners.Busy: tickets.Outcome.BUSY,
+            runners.Leaving: tickets.Outcome.LEAVING,
+            runners.Unreachable: tickets.Outcome.REFUSED,
+            runners.NoWholeAnswer: tickets.Outcome.FAILED,
+            runners.LateAnswer: tickets.Outcome.FAILED,
+        }
+    )
+)
+
 
 class Moved(failures.NotRun, frozen=True, kw_only=True):
     """The runner of the slot was found leaving before anything was sent."""
@@ -76,22 +90,31 @@
             outcome = await self._attempt(course)
             if isinstance(outcome, result.Success):
                 return outcome
-            failure = outcome.failure()
-            course.note(failure)
-            if not _may_retry(request, failure):
-                break
-            free = isinstance(failure, runners.Leaving | Moved)
-            if not free and not budget.spend():
-                self._around.meters.count('retries_denied')
+            course.note(outcome.failure())
+            if not self._again(request, outcome.failure(), budget):
                 break
-            self._around.meters.count('retries', code=failure.code)
         return result.Failure(course.failure)
 
+    def _again(
+        self,
+        request: work.Request,
+        failure: failures.Problem,
+        budget: retries.RetryBudget,
+    ) -> bool:
+        """Say whether another attempt is safe, may help and is paid for."""
+        if not _may_retry(request, failure):
+            return False
+        free = isinstance(failure, runners.Leaving | Moved)
+        paid = free or budget.spend()
+        name = 'retries' if paid else 'retries_denied'
+        self._around.meters.count(name, code=failure.code)
+        return paid
+
     async def _attempt(self, course: Course) -> outcomes.Outcome:
         request = course.request
         if not self._around.fleet.runners(request.kind.service):
             return result.Failure(
-                refusals.NoRunner(
+                unsent.NoRunner(
                     message=f'{request.kind.service} has no runner',
                     retry_after_s=1,
                 )
@@ -165,15 +188,12 @@
     if isinstance(exchanged, result.Success):
         failed = exchanged.unwrap().status >= FIRST_SERVER_ERROR
         return tickets.Outcome.FAILED if failed else tickets.Outcome.ANSWERED
-    match exchanged.failure():
-        case runners.Busy():
-            return tickets.Outcome.BUSY
-        case runners.Leaving():
-            return tickets.Outcome.LEAVING
-        case runners.Unreachable():
-            return tickets.Outcome.REFUSED
-        case runners.NoWholeAnswer():
-            return tickets.Outcome.FAILED
-        case runners.LateAnswer() if left_s >= BLAMED_TIMEOUT_S:
-            return tickets.Outcome.FAILED
-    return tickets.Outcome.UNUSED
+    failure = exchanged.failure()
+    if isinstance(failure, runners.LateAnswer) and left_s < BLAMED_TIMEOUT_S:
+        return tickets.Outcome.UNUSED
+    judged = (
+        outcome
+        for kind, outcome in OUTCOMES_BY_FAILURE.items()
+        if isinstance(failure, kind)
+    )
+    return next(judged, tickets.Outcome.UNUSED)
--- a/libs/entry/src/jackdawlatch/entry/front.py
+++ b/libs/entry/src/jackdawlatch/entry/front.py
@@ -5,7 +5,7 @@
 
 from returns import result
 
-from jackdawlatch.entry import answers, outcomes, refusals, requests
+from jackdawlatch.entry import answers, outcomes, requests, unsent
 from jackdawlatch.entry import surroundings as surroundings_of_entry
 from jackdawlatch.model import failures, work
 from jackdawlatch.telemetry import events
@@ -58,7 +58,7 @@
     async def _run(self, request: work.Request) -> outcomes.Outcome:
         if request.deadline_s <= self.now_s():
             return result.Failure(
-                refusals.Expired(message='the deadline passed while read')
+                unsent.Expired(message='the deadline passed while read')
             )
         started_s = self._around.clock.monotonic_s()
         keyed = request.key and not request.idempotent
--- a/libs/entry/src/jackdawlatch/entry/intent_records.py
+++ b/libs/entry/src/jackdawlatch/entry/intent_records.py
@@ -5,21 +5,20 @@
 come any more: for a window after the deadline, or after the known end.
 """
 
-import hashlib
 from collections.abc import Mapping
 from typing import ClassVar
 
-import xxhash
 from returns import result
 
+from jackdawlatch.entry import answer_sizes, unsent
 from jackdawlatch.model import failures, records, work
 from jackdawlatch.store import editing
 
 KEY_PREFIX = 'intents/'
-DIGEST_BYTES = 16
 MAX_KEPT_BODY_BYTES = 4096
 MAX_BUCKET_BYTES = 900_000
-RECORD_BYTES = 160
+# What an intent takes without an answer, its key included.
+RECORD_BYTES = 192
 
 
 class Intent(records.Record, frozen=True, kw_only=True):
@@ -60,33 +59,13 @@
     intent: Intent
 
 
-class BucketFull(failures.NotRun, frozen=True, kw_only=True):
-    """No more intents fit into the bucket at present."""
-
-    code: ClassVar[str] = 'intents-full'
-
-
-def scope_of(request: work.Request) -> str:
-    """Return the digest under which a request's key is kept."""
-    parts = (request.kind.team, request.kind.service, request.key)
-    return _digest('\0'.join(parts).encode())
-
-
-def fingerprint_of(request: work.Request) -> str:
-    """Return a digest of all that makes a request a different one."""
-    head = f'{request.method}\0{request.path}\0'
-    return _digest(head.encode() + request.body)
-
-
-def number_of(scope: str, buckets: int) -> int:
-    """Return the bucket that a key belongs to."""
-    return int(xxhash.xxh3_64_intdigest(scope.encode()) % buckets)
-
-
 def ending_of(token: str, answer: work.Answer, expires_s: float) -> Ending:
     """Return the ending of an answered attempt; a large answer is left out."""
-    size_bytes = _size_of_answer(answer)
-    kept = answer if size_bytes <= MAX_KEPT_BODY_BYTES else None
+    kept = (
+        answer
+        if answer_sizes.of_answer(answer) <= MAX_KEPT_BODY_BYTES
+        else None
+    )
     return Ending(token=token, answer=kept, expires_s=expires_s)
 
 
@@ -105,11 +84,11 @@
             Taken(message='the key was used before', intent=known)
         )
     intents_by_key[scope] = intent
-    if _size_bytes(intents_by_key) > MAX_BUCKET_BYTES:
+    if _is_full(intents_by_key):
         intents_by_key = _without_answers(intents_by_key)
-    if _size_bytes(intents_by_key) > MAX_BUCKET_BYTES:
+    if _is_full(intents_by_key):
         return result.Failure(
-            BucketFull(
+            unsent.IntentsFull(
                 message='too many idempotency keys are in use',
                 retry_after_s=1,
             )
@@ -138,8 +117,13 @@
     return records.replace(bucket, intents_by_key=intents_by_key)
 
 
-def _digest(content: bytes) -> str:
-    return hashlib.blake2b(content, digest_size=DIGEST_BYTES).hexdigest()
+def _is_full(intents_by_key: Mapping[str, Intent]) -> bool:
+    in_answers = sum(
+        answer_sizes.of_answer(intent.answer)
+        for intent in intents_by_key.values()
+        if intent.answer is not None
+    )
+    return len(intents_by_key) * RECORD_BYTES + in_answers > MAX_BUCKET_BYTES
 
 
 def _without_answers(intents_by_key: Mapping[str, Intent]) -> dict[str, Intent]:
@@ -147,17 +131,3 @@
         scope: records.replace(intent, answer=None)
         for scope, intent in intents_by_key.items()
     }
-
-
-def _size_bytes(intents_by_key: Mapping[str, Intent]) -> int:
-    return sum(
-        RECORD_BYTES + _size_of_answer(intent.answer)
-        for intent in intents_by_key.values()
-    )
-
-
-def _size_of_answer(answer: work.Answer | None) -> int:
-    if answer is None:
-        return 0
-    in_headers = sum(len(name) + len(text) + 4 for name, text in answer.headers)
-    return in_headers + len(answer.body)
--- a/libs/entry/src/jackdawlatch/entry/keyed.py
+++ b/libs/entry/src/jackdawlatch/entry/keyed.py
@@ -14,17 +14,17 @@
 from returns import result
 
 from jackdawlatch.entry import (
+    copies,
+    intent_keys,
     intent_records,
     intents,
     memory,
     outcomes,
-    refusals,
     surroundings,
+    unsent,
 )
 from jackdawlatch.model import failures, work
 
-RETRY_AFTER_S = 1
-
 Send = Callable[[work.Request], Awaitable[outcomes.Outcome]]
 
 
@@ -68,8 +68,8 @@
 
     def bucket_of(self, request: work.Request) -> int:
         """Return the number of the bucket of a request's key."""
-        scope = intent_records.scope_of(request)
-        return intent_records.number_of(scope, len(self._buckets))
+        scope = intent_keys.scope_of(request)
+        return intent_keys.number_of(scope, len(self._buckets))
 
     async def attend(self, request: work.Request) -> outcomes.Outcome:
         """Send a request unless a copy was sent before; return its outcome.
@@ -77,13 +77,13 @@
         A copy gets the same outcome: from memory, by joining the attempt in
         flight, or from the store.
         """
-        scope = intent_records.scope_of(request)
-        fingerprint = intent_records.fingerprint_of(request)
+        scope = intent_keys.scope_of(request)
+        fingerprint = intent_keys.fingerprint_of(request)
         remembered = self._memory.find(scope)
         if remembered is not None:
             self._around.meters.count('keyed_copies', source='memory')
             if remembered.fingerprint != fingerprint:
-                return _reused()
+                return copies.reused()
             return remembered.outcome
         flight = self._flights_by_scope.get(scope)
         if flight is None:
@@ -91,7 +91,7 @@
         elif flight.fingerprint == fingerprint:
             self._around.meters.count('keyed_copies', source='flight')
         else:
-            return _reused()
+            return copies.reused()
         return await self._join(flight, request)
 
     async def flush(self) -> None:
@@ -114,17 +114,12 @@
         done, _ = await asyncio.wait((flight.task,), timeout=max(0, left_s))
         if done:
             return flight.task.result()
-        return result.Failure(
-            refusals.StillRunning(
-                message='the deadline passed before the outcome was known',
-                hint='ask again with the same key',
-            )
-        )
+        return copies.still_running()
 
     async def _fly(
         self, request: work.Request, scope: str, fingerprint: str
     ) -> outcomes.Outcome:
-        number = intent_records.number_of(scope, len(self._buckets))
+        number = intent_keys.number_of(scope, len(self._buckets))
         bucket = self._buckets[number]
         intent = intent_records.Intent(
             token=uuid.uuid4().hex,
@@ -139,6 +134,9 @@
                 bucket.end(scope, _release(intent))
             return self._refused(number, scope, intent, failure)
         outcome = await self._send(request)
+        if self._clock.wall_s() >= intent.expires_s:
+            # This process was paused for so long that a copy may have run.
+            outcome = outcomes.as_unknown(outcome, 'the intent has expired')
         self._finish(bucket, scope, intent, outcome)
         return outcome
 
@@ -169,60 +167,17 @@
     ) -> outcomes.Outcome:
         """Return the outcome of a request whose intent was not recorded."""
         if isinstance(failure, intent_records.Taken):
-            return _from_record(failure.intent, intent.fingerprint)
-        if isinstance(failure, intent_records.BucketFull):
+            return copies.from_record(failure.intent, intent.fingerprint)
+        if isinstance(failure, unsent.IntentsFull):
             return result.Failure(failure)
         self._around.meters.count('intents_not_kept', code=failure.code)
         known = self._buckets[number].known(scope)
         if known is not None:
-            return _from_record(known, intent.fingerprint)
-        if self._vouches(number):
-            return result.Failure(
-                refusals.IntentNotKept(
-                    message='the store is away, so that nothing was sent',
-                    hint='send it again with the same key',
-                    retry_after_s=RETRY_AFTER_S,
-                )
-            )
-        return result.Failure(
-            refusals.KeyUnknown(
-                message='nothing was sent now, but a copy may have been before',
-                hint='ask again with the same key',
-            )
-        )
-
-
-def _from_record(
-    known: intent_records.Intent, fingerprint: str
-) -> outcomes.Outcome:
-    if known.fingerprint != fingerprint:
-        return _reused()
-    if known.answer is not None:
-        return result.Success(known.answer)
-    if known.answered:
-        return result.Failure(
-            refusals.AnswerNotKept(message='a copy was run and answered')
-        )
-    return result.Failure(
-        refusals.SentBefore(
-            message='a copy may have been sent; it is never sent again',
-            hint='ask again later with the same key',
-        )
-    )
+            return copies.from_record(known, intent.fingerprint)
+        return copies.not_kept(self._vouches(number))
 
 
 def _release(intent: intent_records.Intent) -> intent_records.Ending:
     return intent_records.Ending(
         token=intent.token, released=True, expires_s=intent.expires_s
     )
-
-
-def _reused() -> outcomes.Outcome:
-    return result.Failure(
-        refusals.KeyReused(
-            message='the key was used for a different request',
-            hint='take a new key for each request',
-            path='Idempotency-Key',
-            expected='a key of its own for each request',
-        )
-    )
--- a/libs/entry/src/jackdawlatch/entry/memory.py
+++ b/libs/entry/src/jackdawlatch/entry/memory.py
@@ -5,10 +5,10 @@
 
 from returns import result
 
-from jackdawlatch.entry import outcomes, refusals
+from jackdawlatch.entry import outcomes, unknown
 from jackdawlatch.model import clocks
 
-MAX_ANSWER_BYTES = 32 * 1024 * 1024
+MAX_ANSWER_BYTES = 33_554_432
 
 
 @dataclasses.dataclass(frozen=True)
@@ -84,6 +84,6 @@
         self._by_scope[scope] = dataclasses.replace(
             remembered,
             outcome=result.Failure(
-                refusals.AnswerNotKept(message='the answer was too large')
+                unknown.AnswerNotKept(message='the answer was too large')
             ),
         )
--- a/libs/entry/src/jackdawlatch/entry/root.py
+++ b/libs/entry/src/jackdawlatch/entry/root.py
@@ -8,19 +8,17 @@
 from tornado import httpserver
 
 from jackdawlatch.entry import (
+    brokerage,
     departures,
     dispatch,
     fleet,
-    forwarding,
     front,
-    intents,
-    keyed,
-    ownership,
+    keyed_parts,
     server,
     slots,
-    surroundings,
 )
 from jackdawlatch.entry import settings as entry_settings
+from jackdawlatch.entry import surroundings as surroundings_of_entry
 from jackdawlatch.model import clocks
 from jackdawlatch.node import daemon
 from jackdawlatch.platform import http_runners, runners
@@ -28,7 +26,6 @@
 from jackdawlatch.store import keyvalue
 
 ROLE = 'entry'
-MILLISECONDS = 1000
 QUIET_S = 0.3
 FLUSH_S = 2
 QUIET_POLL_S = 0.05
@@ -47,7 +44,7 @@
         self.node = daemon.Node(settings, ROLE, store)
         parts = self.node.parts
         signs = leaving.Leaving()
-        self.around = surroundings.Surroundings(
+        self.around = surroundings_of_entry.Surroundings(
             fleet=fleet.Fleet(parts.documents, signs),
             roster=parts.roster,
             signs=signs,
@@ -57,35 +54,19 @@
             invariants=parts.invariants,
             ring=parts.ring,
         )
-        self.slots = slots.BrokeredSlots(self.around)
+        self.brokerage = brokerage.Brokerage(self.around)
+        self.slots = slots.BrokeredSlots(self.around, self.brokerage)
         self.dispatcher = dispatch.Dispatcher(
             self.around,
             self.slots,
             own_runners or http_runners.HttpRunners(clocks.SystemClock()),
             departures.Departures(self.around),
         )
-        buckets = [
-            intents.Intents(
-                store,
-                number,
-                parts.clock,
-                settings.intent_window_ms / MILLISECONDS,
-            )
-            for number in range(settings.intent_buckets)
-        ]
-        self.ownership = ownership.Ownership(self.around, buckets)
-        self.keyed = keyed.Keyed(
-            self.around,
-            buckets,
-            self.dispatcher.run,
-            settings.key_window_s,
-            self.ownership.vouches,
-        )
-        self.forwarder = forwarding.Forwarder(
-            self.around, self.ownership, self.keyed
+        self.keyed = keyed_parts.build(
+            self.around, store, settings, self.dispatcher.run
         )
         self.front = front.Front(
-            self.around, self.dispatcher.run, self.forwarder.run
+            self.around, self.dispatcher.run, self.keyed.forwarder.run
         )
         self.server: httpserver.HTTPServer = server.serve(
             self.front, settings.body_limit_bytes
@@ -108,10 +89,10 @@
                 )
             )
         self.node.details = self._details
-        self.node.spawn(self.ownership.run())
+        self.node.spawn(self.keyed.ownership.run())
         self.node.spawn(self.slots.run())
-        self.node.spawn(self.slots.brokers.run())
-        self.node.spawn(self.slots.shares.run())
+        self.node.spawn(self.brokerage.brokers.run())
+        self.node.spawn(self.brokerage.shares.run())
         return result.Success(None)
 
     async def run(self) -> None:
@@ -119,15 +100,15 @@
         await self.node.run(self._drain)
 
     async def _drain(self) -> None:
-        self.slots.retiring = True
-        self.ownership.retiring = True
+        self.brokerage.retiring = True
+        self.keyed.ownership.retiring = True
         # The balancer goes on sending here until it has seen the stop.
         await asyncio.sleep(self.settings.drain_delay_s)
         self.front.draining = True
         self.server.stop()
         await self._quiet()
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self.keyed.flush(), FLUSH_S)
+            await asyncio.wait_for(self.keyed.keyed.flush(), FLUSH_S)
         await self.server.close_all_connections()
 
     async def _quiet(self) -> None:
@@ -140,18 +121,15 @@
             await asyncio.sleep(QUIET_POLL_S)
 
     def _in_flight(self) -> int:
-        return (
-            self.front.in_flight + self.forwarder.serving + self.keyed.in_flight
-        )
+        return self.front.in_flight + self.keyed.in_flight
 
     def _refresh(self, _key: str) -> None:
-        self.slots.brokers.refresh()
-        self.slots.shares.refresh()
+        self.brokerage.refresh()
 
     def _details(self) -> dict[str, Any]:
         return {
             'in_flight': self._in_flight(),
             'waiting': self.slots.waiting,
-            'brokered_services': list(self.slots.brokers.services),
-            'static_services': list(self.slots.shares.services),
+            'brokered_services': list(self.brokerage.brokers.services),
+            'static_services': list(self.brokerage.shares.services),
         }
--- a/libs/entry/src/jackdawlatch/entry/server.py
+++ b/libs/entry/src/jackdawlatch/entry/server.py
@@ -7,7 +7,14 @@
 
 from tornado import httpserver, httputil, web
 
-from jackdawlatch.entry import answers, front, outcomes, refusals, requests
+from jackdawlatch.entry import (
+    answers,
+    front,
+    outcomes,
+    refusals,
+    requests,
+    steering,
+)
 from jackdawlatch.model import failures
 
 # A body over the limit is read and dropped, so that the refusal arrives.
@@ -71,7 +78,7 @@
 
     def request_id(self) -> str:
         """Return the caller's request id, or a new one."""
-        checked = requests.options(self.request.headers)
+        checked = steering.options(self.request.headers)
         return checked.map(lambda chosen: chosen.request_id).value_or(
             uuid.uuid4().hex
         )
--- a/libs/entry/src/jackdawlatch/entry/slots.py
+++ b/libs/entry/src/jackdawlatch/entry/slots.py
@@ -1,31 +1,25 @@
 """Where a request gets a slot: from the service's broker, or the static share.
 
-The broker of a service is served by the entry that rendezvous hashing names
-among the entries.  While it can't be reached, this entry gives out its own
-static share of every runner's slots.
+While the broker can't be reached, this entry gives out its own static share
+of every runner's slots.
 """
 
 import abc
 import asyncio
 import uuid
-from collections.abc import Mapping
 
 from returns import result
 
-from jackdawlatch.admission import limits, tickets
+from jackdawlatch.admission import tickets
 from jackdawlatch.entry import (
-    brokers,
+    brokerage,
     slot_lines,
     slot_messages,
     surroundings,
 )
 from jackdawlatch.model import work
-from jackdawlatch.node import roster as rosters
-from jackdawlatch.routing import rendezvous
 
-ENTRY_ROLE = 'entry'
 RESYNC_S = 1
-BROKER_TIMEOUT_S = 0.5
 
 
 class Slots(abc.ABC):
@@ -46,25 +40,19 @@
 
 
 class BrokeredSlots(Slots):
-    """Slots from the service's broker, or from the static share.
+    """Slots from the service's broker, or from the static share."""
 
-    While ``retiring`` is set, this entry leaves brokering to the others.
-    """
-
-    def __init__(self, around: surroundings.Surroundings) -> None:
-        self.retiring = False
+    def __init__(
+        self,
+        around: surroundings.Surroundings,
+        own_brokerage: brokerage.Brokerage,
+    ) -> None:
         self._around = around
         self._clock = around.clock
+        self._brokerage = own_brokerage
         self._lines_by_service: dict[str, slot_lines.Line] = {}
         self._flushes: set[asyncio.Task[None]] = set()
-        self.brokers = brokers.Brokers(
-            around, around.fleet.slots_by_host, self._push
-        )
-        self.shares = brokers.Brokers(
-            around, self._static_slots, self._push_own
-        )
-        around.endpoint.handle(slot_messages.Update, self.brokers.update)
-        around.endpoint.handle(slot_messages.News, self._receive)
+        own_brokerage.deliver = self._take
 
     @property
     def waiting(self) -> int:
@@ -143,79 +131,35 @@
         # Let all requests of this turn of the loop share one update.
         await asyncio.sleep(0)
         line.flushing = False
-        owner = self._owner(service)
+        owner = self._brokerage.owner(service)
         if line.broker == owner.id:
-            if not await self._tell(owner, line.changes()):
-                await self._share(service, line)
-        elif not line.broker and service in self.shares.services:
-            line.take(await self.shares.update(line.changes()))
+            told = await self._brokerage.tell(owner, line.changes())
+            await self._heed(service, line, told)
+        elif not line.broker and self._brokerage.shares.serves(service):
+            line.take(await self._brokerage.shares.update(line.changes()))
         else:
             await self._synchronize(service)
 
     async def _synchronize(self, service: str) -> None:
         """Tell the broker all, after a change of brokers or a lost word."""
         line = self._line(service)
-        owner = self._owner(service)
-        if await self._tell(owner, line.everything()):
+        owner = self._brokerage.owner(service)
+        told = await self._brokerage.tell(owner, line.everything())
+        if isinstance(told, result.Success):
             line.broker = owner.id
-            self.shares.forget(service)
+            self._brokerage.shares.forget(service)
+        await self._heed(service, line, told)
+
+    async def _heed(
+        self, service: str, line: slot_lines.Line, told: brokerage.Told
+    ) -> None:
+        """Take in what the broker said; without a word share statically."""
+        if isinstance(told, result.Failure):
+            line.broker = ''
+            shares = self._brokerage.shares
+            line.take(await shares.update(line.everything()))
         else:
-            await self._share(service, line)
-
-    async def _share(self, service: str, line: slot_lines.Line) -> None:
-        """Go over to the static share, or tell it all again."""
-        line.broker = ''
-        line.take(await self.shares.update(line.everything()))
-
-    async def _tell(
-        self, owner: rosters.Peer, update: slot_messages.Update
-    ) -> bool:
-        line = self._line(update.service)
-        if owner.id == self._around.roster.own.id:
-            line.take(await self.brokers.update(update))
-            return True
-        replied = await self._around.endpoint.call(
-            owner.peer_address, update, slot_messages.News, BROKER_TIMEOUT_S
-        )
-        if isinstance(replied, result.Failure):
-            return False
-        line.take(replied.unwrap())
-        return True
-
-    def _entries(self) -> dict[str, rosters.Peer]:
-        own = self._around.roster.own
-        entries_by_id = {
-            peer.id: peer
-            for peer in self._around.roster.everyone()
-            if peer.role == ENTRY_ROLE
-        }
-        if self.retiring and len(entries_by_id) > 1:
-            entries_by_id.pop(own.id, None)
-        return entries_by_id
-
-    def _owner(self, service: str) -> rosters.Peer:
-        entries_by_id = self._entries()
-        chosen = rendezvous.owner(f'slots/{service}', entries_by_id)
-        return entries_by_id.get(chosen or '', self._around.roster.own)
-
-    def _static_slots(self, service: str) -> Mapping[str, int]:
-        return limits.static_slots(
-            self._around.fleet.slots_by_host(service),
-            tuple(self._entries()),
-            self._around.roster.own.id,
-        )
-
-    async def _receive(self, news: slot_messages.News) -> slot_messages.Noted:
-        self._line(news.service).take(news)
-        return slot_messages.Noted()
-
-    async def _push(self, address: str, news: slot_messages.News) -> None:
-        if address == self._around.roster.own.peer_address:
-            self._line(news.service).take(news)
-            return
-        await self._around.endpoint.call(
-            address, news, slot_messages.Noted, BROKER_TIMEOUT_S
-        )
+            line.take(told.unwrap())
 
-    async def _push_own(self, _address: str, news: slot_messages.News) -> None:
+    def _take(self, news: slot_messages.News) -> None:
         self._line(news.service).take(news)
--- a/libs/entry/tests/entry_fleets.py
+++ b/libs/entry/tests/entry_fleets.py
@@ -155,9 +155,9 @@
     await made.accept()
     yield made
     made.client.close()
-    for entry in made.entries:
-        entry.node.stopping.set()
-    await asyncio.gather(*(entry.run() for entry in made.entries))
+    for started in made.entries:
+        started.node.stopping.set()
+    await asyncio.gather(*[each.run() for each in made.entries])
     for served in made.runners_by_host.values():
         await served.close()
 
