--- a/libs/entry/tests/entry_fleets.py
+++ b/libs/entry/tests/entry_fleets.py
@@ -11,7 +11,7 @@
 from tornado import testing as tornado_testing
 
 from jackdawlatch.entry import root, settings
-from jackdawlatch.model import hosts, presets, records
+from jackdawlatch.model import hosts, presets, records, work
 from jackdawlatch.node import documents
 from jackdawlatch.standins import fakes, runner, runner_state
 from jackdawlatch.store import keyvalue
@@ -129,10 +129,27 @@
             for execution in served.runner.executions.since(0)
         )
 
+    def drop_connections(self) -> None:
+        """Close what this client has open, as a caller that leaves does."""
+        self.client.close()
+        self.client = httpclient.AsyncHTTPClient(force_instance=True)
+
     def _sees_all(self, entry: root.Root) -> bool:
         return len(entry.around.roster.by_role('entry')) == len(self.entries)
 
 
+def request(key: str) -> work.Request:
+    return work.Request(
+        id='r1',
+        kind=work.Kind(service='desk'),
+        method='POST',
+        path='/x',
+        deadline_s=time.time() + 5,
+        key=key,
+        idempotent=False,
+    )
+
+
 def outcome(answer: httpclient.HTTPResponse) -> str:
     return str(answer.headers.get('Jackdawlatch-Outcome'))
 
--- /dev/null
+++ b/libs/entry/tests/test_entry_requests.py
@@ -0,0 +1,64 @@
+import entry_fleets
+
+from jackdawlatch.testing import functions
+
+LARGE = 1024 * 1024 + 1
+
+
+async def test_bad_input_is_told_by_a_stable_code(
+    fleet: entry_fleets.Fleet,
+) -> None:
+    entry = await fleet.start()
+    refused = {
+        'service-unknown': await fleet.ask(entry, '/services/pub/x'),
+        'path-unknown': await fleet.ask(entry, '/elsewhere'),
+        'deadline-past': await fleet.ask(entry, Request_Timeout='-1'),
+        'body-too-large': await fleet.ask(
+            entry, method='POST', body=b'x' * LARGE
+        ),
+        'body-not-allowed': await fleet.ask(entry, body=b'x'),
+    }
+    statuses = {name: answer.code for name, answer in refused.items()}
+    assert statuses == {
+        'service-unknown': 404,
+        'path-unknown': 404,
+        'deadline-past': 422,
+        'body-too-large': 413,
+        'body-not-allowed': 400,
+    }
+    for name, answer in refused.items():
+        assert entry_fleets.code(answer) == name
+        assert entry_fleets.outcome(answer) == 'not-run'
+
+
+async def test_malformed_headers_are_named(fleet: entry_fleets.Fleet) -> None:
+    entry = await fleet.start()
+    for name, text in (
+        ('Request-Timeout', 'soon'),
+        ('Request-Timeout', '3601'),
+        ('Priority', 'u=9'),
+        ('X-Team', 'Desk 1'),
+        ('X-Request-Id', 'a b'),
+        ('Idempotency-Key', 'x' * 129),
+    ):
+        answer = await fleet.ask(entry, **{name: text})
+        assert answer.code == 400, name
+        assert entry_fleets.code(answer) == 'header-malformed'
+    assert not any(
+        served.runner.executions.since(0)
+        for served in fleet.runners_by_host.values()
+    )
+
+
+async def test_deadline_that_passes_in_the_queue_was_not_run(
+    fleet: entry_fleets.Fleet,
+) -> None:
+    entry = await fleet.start()
+    for served in fleet.runners_by_host.values():
+        served.runner.leaving = True
+    answer = await fleet.ask(entry, Request_Timeout='0.2')
+    assert entry_fleets.outcome(answer) == 'not-run'
+    assert answer.code == 503
+
+
+load_tests = functions.loader(__name__, {'fleet': entry_fleets.fleet})
