Meet workers and the host list behind interfaces, and stand in for them

Cause: placers and stewards need workers under leases and a lagging host list, over HTTP in the demo and driven by a clock in their fuzzing. Both stand-ins share one model of a worker, which computes what happened up to the present when it is asked, so that fuzzing needs no sleeping. Ruled out: a simulation by steps, whose step would show in every verdict.

"unknown" in the answer to a renewal lists ids that the worker never started or forgot in a reboot; tasks that ended are known, and listed by its usage.

--- /dev/null
+++ b/libs/platform/src/jackdawlatch/platform/http_workers.py
@@ -0,0 +1,147 @@
+"""Workers over HTTP with JSON bodies."""
+
+from collections.abc import Sequence
+from typing import TypeVar
+
+import msgspec
+from returns import result
+
+from jackdawlatch.model import records
+from jackdawlatch.platform import exchange, tasks, workers
+
+TIMEOUT_S = 2.0
+
+OK_STATUS = 200
+CREATED_STATUS = 201
+NOT_FOUND_STATUS = 404
+CONFLICT_STATUS = 409
+DRAINING_STATUS = 503
+DOES_NOT_FIT_STATUS = 507
+
+Body = TypeVar('Body')
+Replied = result.Result[Body, workers.Gone | workers.Unanswered]
+
+
+class HttpWorkers(workers.Workers):
+    """Calls workers; each call takes at most ``timeout_s``."""
+
+    def __init__(self, timeout_s: float = TIMEOUT_S) -> None:
+        self._timeout_s = timeout_s
+        self._client = exchange.Client()
+
+    async def start(
+        self, address: str, task: tasks.Task
+    ) -> result.Result[workers.Started, workers.NotStarted | workers.Uncertain]:
+        """Start a task under a lease; it is sent once."""
+        answered = await self._send(f'{address}/tasks', task)
+        if isinstance(answered, result.Success):
+            return _started(answered.unwrap())
+        failed = answered.failure()
+        if isinstance(failed, exchange.NotSent):
+            return result.Failure(workers.NotStarted(message=failed.message))
+        return result.Failure(workers.Uncertain(message=failed.message))
+
+    async def renew(
+        self, address: str, ids: Sequence[str], lease_s: float
+    ) -> result.Result[tuple[str, ...], workers.Unanswered]:
+        """Extend leases from now on; return the ids it never started."""
+        renewal = tasks.Renewal(ids=tuple(ids), lease_s=lease_s)
+        answered = await self._send(f'{address}/leases', renewal, resend=True)
+        replied = _read(answered, tasks.Unknown).alt(_unanswered)
+        return replied.map(lambda reply: reply.unknown)
+
+    async def usage(
+        self, address: str
+    ) -> result.Result[tasks.Usage, workers.Unanswered]:
+        """Return what the worker has and runs, as of some seconds ago."""
+        answered = await self._client.send(
+            exchange.Outgoing(
+                f'{address}/usage', timeout_s=self._timeout_s, resend=True
+            )
+        )
+        return _read(answered, tasks.Usage).alt(_unanswered)
+
+    async def checkpoint(
+        self, address: str, task_id: str
+    ) -> result.Result[str, workers.Gone | workers.Unanswered]:
+        """Stop a task and return the token to go on from."""
+        url = f'{address}/tasks/{task_id}/checkpoint'
+        answered = await self._send(url, resend=True)
+        return _read(answered, tasks.Token).map(lambda reply: reply.checkpoint)
+
+    async def throttle(
+        self, address: str, task_id: str, fraction: float
+    ) -> result.Result[None, workers.Gone | workers.Unanswered]:
+        """Limit a task to a part of its processors."""
+        limit = tasks.Throttle(fraction=fraction)
+        url = f'{address}/tasks/{task_id}/throttle'
+        answered = await self._send(url, limit, resend=True)
+        return _read(answered, tasks.TaskReport).map(_nothing)
+
+    async def stop(
+        self, address: str, task_id: str
+    ) -> result.Result[None, workers.Gone | workers.Unanswered]:
+        """Stop a task; one that has ended stays as it is."""
+        url = f'{address}/tasks/{task_id}/stop'
+        answered = await self._send(url, resend=True)
+        return _read(answered, tasks.TaskReport).map(_nothing)
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._client.close()
+
+    async def _send(
+        self,
+        url: str,
+        body: records.Record | None = None,
+        *,
+        resend: bool = False,
+    ) -> result.Result[exchange.Reply, exchange.Failed]:
+        return await self._client.send(
+            exchange.Outgoing(
+                url,
+                method='POST',
+                body=msgspec.json.encode(body) if body else b'',
+                timeout_s=self._timeout_s,
+                resend=resend,
+            )
+        )
+
+
+def _started(
+    reply: exchange.Reply,
+) -> result.Result[workers.Started, workers.NotStarted | workers.Uncertain]:
+    if reply.status == CREATED_STATUS:
+        return result.Success(workers.Started.NOW)
+    if reply.status == OK_STATUS:
+        return result.Success(workers.Started.BEFORE)
+    if reply.status == DOES_NOT_FIT_STATUS:
+        return result.Failure(workers.DoesNotFit(message='no room'))
+    if reply.status == DRAINING_STATUS:
+        return result.Failure(workers.Draining(message='draining'))
+    return result.Failure(workers.Uncertain(message=f'status {reply.status}'))
+
+
+def _read(
+    answered: result.Result[exchange.Reply, exchange.Failed],
+    body_type: type[Body],
+) -> Replied[Body]:
+    if isinstance(answered, result.Failure):
+        return result.Failure(_unanswered(answered.failure()))
+    reply = answered.unwrap()
+    if reply.status in {NOT_FOUND_STATUS, CONFLICT_STATUS}:
+        return result.Failure(workers.Gone(message=f'status {reply.status}'))
+    if reply.status != OK_STATUS:
+        message = f'status {reply.status}'
+        return result.Failure(workers.Unanswered(message=message))
+    return reply.json(body_type).alt(_unanswered)
+
+
+def _unanswered(
+    failed: exchange.Failed | workers.Gone | workers.Unanswered,
+) -> workers.Unanswered:
+    return workers.Unanswered(message=failed.message)
+
+
+def _nothing(_report: tasks.TaskReport) -> None:
+    """Drop a reply that says no more than that the call took effect."""
--- /dev/null
+++ b/libs/standins/src/jackdawlatch/standins/fake_platform.py
@@ -0,0 +1,167 @@
+"""In-process workers and hosts, driven by a clock that is handed in."""
+
+from collections.abc import Iterable, Mapping, Sequence
+
+from returns import result
+
+from jackdawlatch.model import clocks, hosts, records
+from jackdawlatch.platform import hostlist, tasks, workers
+from jackdawlatch.standins import executions, worker_model
+
+
+class FakeWorkers(workers.Workers):
+    """Workers by address, with faults that a test switches on.
+
+    ``unreachable`` lists addresses that take no connection, so that nothing
+    reaches them.  ``lose_replies`` counts the coming calls that take effect
+    and are not answered.
+    """
+
+    def __init__(
+        self,
+        machines_by_address: Mapping[str, worker_model.Machine],
+        clock: clocks.Clock,
+    ) -> None:
+        self.unreachable: set[str] = set()
+        self.lose_replies = 0
+        self.models_by_address = {
+            address: worker_model.WorkerModel(
+                machine, clock, executions.Executions()
+            )
+            for address, machine in machines_by_address.items()
+        }
+
+    def starts(self) -> tuple[executions.Execution, ...]:
+        """Return every start on every worker."""
+        return tuple(
+            execution
+            for model in self.models_by_address.values()
+            for execution in model.executions.since(0)
+        )
+
+    async def start(
+        self, address: str, task: tasks.Task
+    ) -> result.Result[workers.Started, workers.NotStarted | workers.Uncertain]:
+        """Start a task under a lease."""
+        if address in self.unreachable:
+            return result.Failure(workers.NotStarted(message=address))
+        started = self.models_by_address[address].start(task)
+        if self._loses_reply():
+            return result.Failure(workers.Uncertain(message=address))
+        return started
+
+    async def renew(
+        self, address: str, ids: Sequence[str], lease_s: float
+    ) -> result.Result[tuple[str, ...], workers.Unanswered]:
+        """Extend leases from now on."""
+        renewal = tasks.Renewal(ids=tuple(ids), lease_s=lease_s)
+        if address in self.unreachable:
+            return _unanswered(address)
+        unknown = self.models_by_address[address].renew(renewal).unknown
+        if self._loses_reply():
+            return _unanswered(address)
+        return result.Success(unknown)
+
+    async def usage(
+        self, address: str
+    ) -> result.Result[tasks.Usage, workers.Unanswered]:
+        """Return what the worker has and runs, as of some seconds ago."""
+        if address in self.unreachable:
+            return _unanswered(address)
+        return result.Success(self.models_by_address[address].usage())
+
+    async def checkpoint(
+        self, address: str, task_id: str
+    ) -> result.Result[str, workers.Gone | workers.Unanswered]:
+        """Stop a task and return the token to go on from."""
+        if address in self.unreachable:
+            return _unanswered(address)
+        ended = self.models_by_address[address].checkpoint(task_id)
+        return self._answered(ended).map(lambda report: report.checkpoint)
+
+    async def throttle(
+        self, address: str, task_id: str, fraction: float
+    ) -> result.Result[None, workers.Gone | workers.Unanswered]:
+        """Limit a task to a part of its processors."""
+        if address in self.unreachable:
+            return _unanswered(address)
+        model = self.models_by_address[address]
+        limited = model.throttle(task_id, fraction)
+        return self._answered(limited).map(_nothing)
+
+    async def stop(
+        self, address: str, task_id: str
+    ) -> result.Result[None, workers.Gone | workers.Unanswered]:
+        """Stop a task."""
+        if address in self.unreachable:
+            return _unanswered(address)
+        stopped = self.models_by_address[address].stop(task_id)
+        return self._answered(stopped).map(_nothing)
+
+    def _answered(
+        self, outcome: worker_model.Report
+    ) -> result.Result[tasks.TaskReport, workers.Gone | workers.Unanswered]:
+        return _unanswered('reply lost') if self._loses_reply() else outcome
+
+    def _loses_reply(self) -> bool:
+        lost = self.lose_replies > 0
+        self.lose_replies -= int(lost)
+        return lost
+
+
+class FakeHostList(hostlist.HostList):
+    """A list that tells of changes ``lag_s`` late.
+
+    ``down`` fails every read; ``rebooted`` lists the accepted reboots.
+    """
+
+    def __init__(
+        self,
+        known: Iterable[hosts.Host],
+        clock: clocks.Clock,
+        lag_s: float = 0,
+    ) -> None:
+        self.down = False
+        self.rebooted: list[str] = []
+        self._clock = clock
+        self._lag_s = lag_s
+        start_s = clock.monotonic_s()
+        self._changes = [(start_s, host) for host in known]
+
+    def set_liveness(self, host_id: str, liveness: hosts.Liveness) -> None:
+        """Change what the list will say of a host."""
+        present = self._present_by_id(float('inf'))[host_id]
+        changed = records.replace(present, liveness=liveness)
+        seen_s = self._clock.monotonic_s() + self._lag_s
+        self._changes.append((seen_s, changed))
+
+    async def read(
+        self,
+    ) -> result.Result[tuple[hosts.Host, ...], hostlist.ListUnavailable]:
+        """Return every host, as the list says at present."""
+        if self.down:
+            return result.Failure(hostlist.ListUnavailable(message='down'))
+        present = self._present_by_id(self._clock.monotonic_s())
+        return result.Success(tuple(present.values()))
+
+    async def reboot(
+        self, host_id: str
+    ) -> result.Result[None, hostlist.RebootRefused | hostlist.RebootUncertain]:
+        """Accept a reboot; the test decides what it does."""
+        if self.down:
+            return result.Failure(hostlist.RebootRefused(message='down'))
+        self.rebooted.append(host_id)
+        return result.Success(None)
+
+    def _present_by_id(self, now_s: float) -> dict[str, hosts.Host]:
+        return {
+            host.id: host for seen_s, host in self._changes if seen_s <= now_s
+        }
+
+
+def _unanswered(message: str) -> result.Failure[workers.Unanswered]:
+    return result.Failure(workers.Unanswered(message=message))
+
+
+def _nothing(_report: tasks.TaskReport) -> None:
+    """Drop a reply that says no more than that the call took effect."""
--- /dev/null
+++ b/libs/standins/src/jackdawlatch/standins/running.py
@@ -0,0 +1,73 @@
+"""One task inside a worker's stand-in."""
+
+import dataclasses
+
+from jackdawlatch.platform import tasks
+from jackdawlatch.standins import commands, executions
+
+FOREVER_S = float('inf')
+
+
+@dataclasses.dataclass
+class Running:
+    """A task that was started; times are seconds of the worker's clock."""
+
+    task: tasks.Task
+    command: commands.Command
+    execution: executions.Execution
+    expiry_s: float
+    progress: float = 0
+    fraction: float = 1
+    state: tasks.TaskState = tasks.TaskState.RUNNING
+    ended_s: float = 0
+    reason: str = ''
+
+    @property
+    def runs(self) -> bool:
+        """Whether it has not ended."""
+        return self.state is tasks.TaskState.RUNNING
+
+    @property
+    def processors(self) -> float:
+        """How many processors it would use if there were enough."""
+        use = self.command.use
+        wanted = self.task.processors if use is None else use
+        return wanted * self.fraction
+
+    @property
+    def memory_mb(self) -> float:
+        """How much memory it really uses."""
+        memory = self.command.memory
+        return self.task.memory_mb if memory is None else memory
+
+    @property
+    def held_processors(self) -> float:
+        """How many processors are set aside for it."""
+        return self.task.processors * self.fraction
+
+    def finish_s(self, now_s: float, speed: float) -> float:
+        """Return when it will be done at the present speed."""
+        rate = speed * self.fraction
+        if rate <= 0:
+            return FOREVER_S
+        return now_s + (1 - self.progress) * self.command.run / rate
+
+    def work(self, seconds: float, speed: float) -> None:
+        """Make progress for a time."""
+        if self.command.run > 0:
+            done = seconds * speed * self.fraction / self.command.run
+            self.progress = min(1, self.progress + done)
+
+    def report(self) -> tasks.TaskReport:
+        """Return what the worker says of it."""
+        checkpointed = self.state is tasks.TaskState.CHECKPOINTED
+        return tasks.TaskReport(
+            id=self.task.id,
+            state=self.state,
+            processors=self.processors if self.runs else 0,
+            memory_mb=self.memory_mb if self.runs else 0,
+            progress=self.progress,
+            checkpoint=repr(self.progress) if checkpointed else '',
+            ended_s=self.ended_s,
+            reason=self.reason,
+        )
--- /dev/null
+++ b/libs/standins/src/jackdawlatch/standins/snapshots.py
@@ -0,0 +1,36 @@
+"""Earlier states of a worker, since what it reports lags behind."""
+
+import collections
+
+from jackdawlatch.platform import tasks
+from jackdawlatch.standins import task_table
+
+KEPT = 512
+
+
+class Snapshots:
+    """What the usage was at the moments at which it was noted."""
+
+    def __init__(self, table: task_table.TaskTable) -> None:
+        self._table = table
+        self._usages: collections.deque[tuple[float, tasks.Usage]] = (
+            collections.deque(maxlen=KEPT)
+        )
+        self.take()
+
+    def take(self) -> None:
+        """Note the present usage."""
+        usage = tasks.Usage(
+            capacity=self._table.capacity,
+            tasks=tuple(one.report() for one in self._table.everyone()),
+        )
+        self._usages.append((self._table.now_s, usage))
+
+    def of_age(self, age_s: float) -> tasks.Usage:
+        """Return the latest usage that is at least ``age_s`` old."""
+        self.take()
+        limit_s = self._table.now_s - age_s
+        old = [taken for taken in self._usages if taken[0] <= limit_s]
+        for _ in old[1:]:
+            self._usages.popleft()
+        return self._usages[0][1]
--- /dev/null
+++ b/libs/standins/src/jackdawlatch/standins/worker.py
@@ -0,0 +1,145 @@
+"""A worker's stand-in over HTTP."""
+
+import msgspec
+from returns import result
+from tornado import ioloop, web
+
+from jackdawlatch.model import clocks
+from jackdawlatch.platform import tasks, workers
+from jackdawlatch.standins import (
+    executions,
+    serving,
+    worker_model,
+    worker_settings,
+)
+
+ADVANCE_MS = 50
+CREATED_STATUS = 201
+DRAINING_STATUS = 503
+DOES_NOT_FIT_STATUS = 507
+
+
+class Server(serving.Rebootable):
+    """Serves the worker's protocol, ``/-/starts`` and ``/-/faults``."""
+
+    def __init__(self, settings: worker_settings.Settings) -> None:
+        self.model = worker_model.WorkerModel(
+            worker_model.Machine(
+                host=settings.host,
+                capacity=settings.capacity,
+                lag_s=settings.lag_ms / serving.MS_PER_S,
+            ),
+            clocks.SystemClock(),
+            executions.Executions(settings.executions_path),
+        )
+        context = {'model': self.model}
+        super().__init__(
+            [
+                web.url('/tasks', TasksHandler, context),
+                web.url('/leases', LeasesHandler, context),
+                web.url('/usage', UsageHandler, context),
+                web.url('/tasks/([^/]+)/([a-z]+)', TaskHandler, context),
+                web.url('/-/(drain|resume)', DrainHandler, context),
+                web.url('/-/starts', StartsHandler, context),
+                web.url('/-/faults', FaultsHandler, context),
+            ],
+            settings.port,
+            serving.MAX_CONNECTIONS,
+        )
+        self._advance = ioloop.PeriodicCallback(self.model.advance, ADVANCE_MS)
+        self._advance.start()
+
+    def forget(self) -> None:
+        """Lose every task."""
+        self.model.advance()
+        self.model.forget()
+
+
+class WorkerHandler(serving.Handler):
+    """A handler that knows its worker."""
+
+    def initialize(self, model: worker_model.WorkerModel) -> None:
+        """Take the worker from the routing table."""
+        self.model = model
+
+
+class TasksHandler(WorkerHandler):
+    """Starts tasks."""
+
+    def post(self) -> None:
+        """Answer 201, 200 if it was started before, 507 or 503."""
+        started = self.model.start(self.read_json(tasks.Task))
+        if isinstance(started, result.Success):
+            first = started.unwrap() is workers.Started.NOW
+            self.set_status(CREATED_STATUS if first else serving.OK_STATUS)
+        elif isinstance(started.failure(), workers.DoesNotFit):
+            self.set_status(DOES_NOT_FIT_STATUS)
+        else:
+            self.set_status(DRAINING_STATUS)
+        self.finish()
+
+
+class LeasesHandler(WorkerHandler):
+    """Renews leases."""
+
+    def post(self) -> None:
+        """Answer the ids that were never started here."""
+        self.finish_json(self.model.renew(self.read_json(tasks.Renewal)))
+
+
+class UsageHandler(WorkerHandler):
+    """Shows the lagging usage."""
+
+    def get(self) -> None:
+        """Answer the usage."""
+        self.finish_json(self.model.usage())
+
+
+class TaskHandler(WorkerHandler):
+    """Checkpoints, throttles or stops one task."""
+
+    def post(self, task_id: str, action: str) -> None:
+        """Act on the task; 409 when there is none to act on."""
+        outcome = self._act(task_id, action)
+        if isinstance(outcome, result.Success):
+            self.finish_json(outcome.unwrap())
+        else:
+            self.set_status(serving.CONFLICT_STATUS)
+            self.finish(msgspec.json.encode(outcome.failure()))
+
+    def _act(self, task_id: str, action: str) -> worker_model.Report:
+        if action == 'checkpoint':
+            return self.model.checkpoint(task_id)
+        if action == 'stop':
+            return self.model.stop(task_id)
+        if action == 'throttle':
+            limit = self.read_json(tasks.Throttle)
+            return self.model.throttle(task_id, limit.fraction)
+        raise web.HTTPError(serving.NOT_FOUND_STATUS)
+
+
+class DrainHandler(WorkerHandler):
+    """Starts or ends a drain."""
+
+    def post(self, action: str) -> None:
+        """Take no new tasks, or take them again."""
+        self.model.draining = action == 'drain'
+
+
+class StartsHandler(WorkerHandler):
+    """Shows what was started."""
+
+    def get(self) -> None:
+        """Answer the starts, from ``since`` on."""
+        since = int(self.get_query_argument('since', '0'))
+        self.finish_json(self.model.executions.since(since))
+
+
+class FaultsHandler(WorkerHandler):
+    """Switches faults."""
+
+    def post(self) -> None:
+        """Put the posted faults in force."""
+        asked = self.read_json(worker_settings.Faults)
+        self.model.fails_everything = asked.fail_everything
+        self.finish_json(asked)
--- /dev/null
+++ b/libs/standins/src/jackdawlatch/standins/worker_model.py
@@ -0,0 +1,151 @@
+"""What a worker does, on a clock that is handed in."""
+
+import dataclasses
+
+from returns import result
+
+from jackdawlatch.model import clocks, hosts
+from jackdawlatch.platform import tasks, workers
+from jackdawlatch.standins import (
+    commands,
+    executions,
+    running,
+    snapshots,
+    task_table,
+)
+
+Report = result.Result[tasks.TaskReport, workers.Gone]
+Start = result.Result[workers.Started, workers.NotStarted]
+
+
+@dataclasses.dataclass(frozen=True)
+class Machine:
+    """One worker; its usage is at least ``lag_s`` old."""
+
+    host: str
+    capacity: hosts.Capacity
+    lag_s: float = 0
+
+
+class WorkerModel:
+    """Tasks under leases on one host.
+
+    ``fails_everything`` makes each task fail as soon as it starts.
+    """
+
+    def __init__(
+        self,
+        machine: Machine,
+        clock: clocks.Clock,
+        written: executions.Executions,
+    ) -> None:
+        self.machine = machine
+        self.executions = written
+        self._clock = clock
+        self.forget()
+
+    def forget(self) -> None:
+        """Lose every task and come up with empty memory."""
+        self.draining = False
+        self.fails_everything = False
+        self._table = task_table.TaskTable(
+            self.machine.capacity, self._clock, self._write_end
+        )
+        self._snapshots = snapshots.Snapshots(self._table)
+
+    def advance(self) -> None:
+        """Bring every task up to the present."""
+        self._table.advance()
+
+    def start(self, task: tasks.Task) -> Start:
+        """Start a task, unless it was started before or does not fit."""
+        self.advance()
+        if self._table.get(task.id):
+            return result.Success(workers.Started.BEFORE)
+        if self.draining:
+            return result.Failure(workers.Draining(message=self.machine.host))
+        if not self._table.fits(task):
+            return result.Failure(workers.DoesNotFit(message=self.machine.host))
+        self._begin(task)
+        self._snapshots.take()
+        return result.Success(workers.Started.NOW)
+
+    def renew(self, renewal: tasks.Renewal) -> tasks.Unknown:
+        """Extend the leases of running tasks."""
+        self.advance()
+        for task_id in renewal.ids:
+            task = self._table.get(task_id)
+            if task and task.runs:
+                task.expiry_s = self._table.now_s + renewal.lease_s
+        known = {one.task.id for one in self._table.everyone()}
+        return tasks.Unknown(
+            unknown=tuple(one for one in renewal.ids if one not in known)
+        )
+
+    def usage(self) -> tasks.Usage:
+        """Return the usage as it was known ``lag_s`` ago."""
+        self.advance()
+        return self._snapshots.of_age(self.machine.lag_s)
+
+    def checkpoint(self, task_id: str) -> Report:
+        """Stop a task, keeping its progress in a token."""
+        return self._end(task_id, tasks.TaskState.CHECKPOINTED).bind(
+            _checkpointed
+        )
+
+    def stop(self, task_id: str) -> Report:
+        """Stop a task; one that has ended stays as it is."""
+        return self._end(task_id, tasks.TaskState.STOPPED)
+
+    def throttle(self, task_id: str, fraction: float) -> Report:
+        """Limit a running task to a part of its processors."""
+        self.advance()
+        task = self._table.get(task_id)
+        if task is None or not task.runs:
+            return _gone(task_id)
+        task.fraction = fraction
+        self._snapshots.take()
+        return result.Success(task.report())
+
+    def _end(self, task_id: str, state: tasks.TaskState) -> Report:
+        self.advance()
+        task = self._table.get(task_id)
+        if task is None:
+            return _gone(task_id)
+        if task.runs:
+            self._table.end(task, state)
+            self._snapshots.take()
+        return result.Success(task.report())
+
+    def _begin(self, task: tasks.Task) -> None:
+        execution = self.executions.begin(
+            executions.Execution(
+                host=self.machine.host,
+                number=0,
+                id=task.id,
+                start_s=self._clock.wall_s(),
+            )
+        )
+        begun = running.Running(
+            task=task,
+            command=commands.parse(task.command),
+            execution=execution,
+            expiry_s=self._table.now_s + task.lease_s,
+            progress=float(task.checkpoint or 0),
+        )
+        self._table.add(begun)
+        if self.fails_everything and begun.runs:
+            self._table.end(begun, tasks.TaskState.FAILED, 'broken worker')
+
+    def _write_end(self, task: running.Running) -> None:
+        self.executions.end(task.execution, task.ended_s, task.state)
+
+
+def _gone(task_id: str) -> result.Failure[workers.Gone]:
+    return result.Failure(workers.Gone(message=task_id))
+
+
+def _checkpointed(report: tasks.TaskReport) -> Report:
+    if report.state is tasks.TaskState.CHECKPOINTED:
+        return result.Success(report)
+    return _gone(report.id)
