--- a/libs/standins/tests/test_standins_worker.py
+++ b/libs/standins/tests/test_standins_worker.py
@@ -118,6 +118,17 @@
     assert model.usage().tasks[1].state is tasks.TaskState.DONE
 
 
+def test_throttled_task_is_done_later() -> None:
+    clock = clocks.ManualClock()
+    model = _model(clock)
+    model.start(_task('a:1', command='run=2', lease_s=100)).unwrap()
+    model.throttle('a:1', 0.5).unwrap()
+    clock.advance(3)
+    assert model.usage().tasks[0].state is tasks.TaskState.RUNNING
+    clock.advance(1)
+    assert model.usage().tasks[0].state is tasks.TaskState.DONE
+
+
 def test_throttled_task_makes_room() -> None:
     model = _model(clocks.ManualClock())
     model.start(_task('a:1', processors=4)).unwrap()
