--- a/libs/admission/src/jackdawlatch/admission/lines.py
+++ b/libs/admission/src/jackdawlatch/admission/lines.py
@@ -2,18 +2,14 @@
 
 import collections
 import dataclasses
-import heapq
 import itertools
 from collections.abc import Iterator
 
-from jackdawlatch.admission import tickets
+from jackdawlatch.admission import deadlines, tickets
 from jackdawlatch.model import work
 
 Line = collections.OrderedDict[str, tickets.Ticket]
 
-# Stale deadlines are swept once they outnumber the waiting tickets.
-SWEEP_MINIMUM = 64
-
 
 @dataclasses.dataclass(frozen=True)
 class Place:
@@ -30,7 +26,7 @@
         self._lines_by_kind: dict[work.Kind, Line] = {}
         self._places_by_id: dict[str, Place] = {}
         self._numbers = itertools.count()
-        self._deadlines: list[tuple[float, str]] = []
+        self._deadlines = deadlines.Deadlines()
 
     def __len__(self) -> int:
         """Return how many tickets wait in all."""
@@ -63,7 +59,7 @@
         self._places_by_id[ticket.id] = Place(
             kind=ticket.kind, number=next(self._numbers)
         )
-        heapq.heappush(self._deadlines, (ticket.deadline_s, ticket.id))
+        self._deadlines.add(ticket)
 
     def first(self, kind: work.Kind) -> tickets.Ticket:
         """Return the oldest ticket of a kind that has one waiting."""
@@ -82,20 +78,12 @@
         ticket = line.pop(ticket_id)
         if not line:
             self._lines_by_kind.pop(place.kind)
-        self._sweep()
+        self._deadlines.sweep(self._places_by_id)
         return ticket
 
     def expired(self, now_s: float) -> Iterator[tickets.Ticket]:
         """Take out every ticket whose deadline has come."""
-        while self._deadlines and self._deadlines[0][0] <= now_s:
-            _, ticket_id = heapq.heappop(self._deadlines)
+        for ticket_id in self._deadlines.passed(now_s):
             ticket = self.remove(ticket_id)
             if ticket is not None:
                 yield ticket
-
-    def _sweep(self) -> None:
-        stale = len(self._deadlines) - len(self._places_by_id)
-        if stale < max(SWEEP_MINIMUM, len(self._places_by_id)):
-            return
-        self._deadlines = [(ticket.deadline_s, ticket.id) for ticket in self]
-        heapq.heapify(self._deadlines)
