--- a/libs/admission/src/jackdawlatch/admission/broker.py
+++ b/libs/admission/src/jackdawlatch/admission/broker.py
@@ -89,7 +89,7 @@
         if grant is not None:
             answered = outcome is tickets.Outcome.ANSWERED
             self._free(grant, now_s, typical=answered)
-            self.runners.learn(grant.host, outcome, now_s)
+            self.runners.learn(grant, outcome, now_s)
 
     def resync(
         self, entry: str, reported: Iterable[tickets.Grant], now_s: float
--- a/libs/admission/src/jackdawlatch/admission/runners.py
+++ b/libs/admission/src/jackdawlatch/admission/runners.py
@@ -44,16 +44,19 @@
         key = '/'.join((ticket.kind.service, ticket.kind.team))
         return self._balancer.choose(fresh or candidates, key).host
 
-    def learn(self, host: str, outcome: tickets.Outcome, now_s: float) -> None:
-        """Take note of how a request to a host ended."""
+    def learn(
+        self, grant: tickets.Grant, outcome: tickets.Outcome, now_s: float
+    ) -> None:
+        """Take note of how a request to a runner ended."""
+        host, sent_s = grant.host, grant.granted_s
         match outcome:
             case tickets.Outcome.ANSWERED:
                 self.slots.resume(host)
-                self.health.record(host, True, now_s)
+                self.health.record(host, True, sent_s, now_s)
             case tickets.Outcome.FAILED:
-                self.health.record(host, False, now_s)
+                self.health.record(host, False, sent_s, now_s)
             case tickets.Outcome.REFUSED:
-                self.health.record(host, False, now_s)
+                self.health.record(host, False, sent_s, now_s)
                 self._leaving.mark(host, leaving.Sign.REFUSED, now_s)
             case tickets.Outcome.LEAVING:
                 self._leaving.mark(host, leaving.Sign.ANSWERED, now_s)
--- a/libs/routing/src/jackdawlatch/routing/health.py
+++ b/libs/routing/src/jackdawlatch/routing/health.py
@@ -16,13 +16,15 @@
     """What is known of one runner.
 
     An ejected runner is probed by one request at a time, not before
-    ``probe_at_s``; a probe that fails doubles ``ejection_s``.
+    ``probe_at_s``; a probe that fails doubles ``ejection_s``.  Only requests
+    sent at ``judged_s`` or later judge it.
     """
 
     success: float = 1
     ejected: bool = False
     ejection_s: float = 0
     probe_at_s: float = 0
+    judged_s: float = 0
 
 
 class Health:
@@ -77,12 +79,19 @@
     def probing(self, host: str, now_s: float) -> None:
         """Take note that a probe was sent to an ejected host."""
         # A probe whose outcome gets lost does not keep the host out forever.
-        self._records_by_host[host].probe_at_s = now_s + PROBE_TIMEOUT_S
+        record = self._records_by_host[host]
+        record.probe_at_s = now_s + PROBE_TIMEOUT_S
+        record.judged_s = now_s
 
-    def record(self, host: str, succeeded: bool, now_s: float) -> None:
-        """Take note of the outcome of a request."""
+    def record(
+        self, host: str, succeeded: bool, sent_s: float, now_s: float
+    ) -> None:
+        """Take note of the outcome of a request that was sent at ``sent_s``.
+
+        What was under way when a runner was ejected is not its probe.
+        """
         record = self._records_by_host.get(host)
-        if record is None:
+        if record is None or sent_s < record.judged_s:
             return
         record.success += SAMPLE_WEIGHT * (succeeded - record.success)
         if record.ejected:
@@ -108,6 +117,7 @@
             MAX_EJECTION_S, max(FIRST_EJECTION_S, 2 * record.ejection_s)
         )
         record.probe_at_s = now_s + record.ejection_s
+        record.judged_s = record.probe_at_s
 
     def _readmit_beyond_limit(self) -> None:
         for host in sorted(self.ejected, key=self.success, reverse=True):
