--- /dev/null
+++ b/libs/steward/src/jackdawlatch/steward/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that keeps pools within their availability budget."""
