Start a deployment as processes, and write its settings as examples

Cause: the demo and the soak need many processes that are killed, paused and stopped one by one, and nothing may be left behind. Each process is ended by its own id when the context is left, paused ones after they were let run on.

A rack may have processes of its own, so that it can be lost whole.

--- /dev/null
+++ b/libs/standins/src/jackdawlatch/standins/deployments.py
@@ -0,0 +1,159 @@
+"""The settings of every process of a deployment on one machine."""
+
+import dataclasses
+import pathlib
+from collections.abc import Mapping
+
+from jackdawlatch.command import settings as command_settings
+from jackdawlatch.entry import settings as entry_settings
+from jackdawlatch.settings import daemons
+from jackdawlatch.standins import (
+    back_ends,
+    hostlist,
+    inventory,
+    ports,
+    profiles,
+    serving,
+)
+
+SEEDS = 3
+
+
+@dataclasses.dataclass(frozen=True)
+class Place:
+    """The entry host with a number: its zone, and what its daemons share."""
+
+    number: int
+    zone: str
+    peer: str
+    seeds: tuple[str, ...]
+    store_url: str
+    one_way_ms: float
+    strict: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Deployment:
+    """Everything that is started, by the name of its process."""
+
+    profile: profiles.Profile
+    store: back_ends.Store
+    hosts: hostlist.Settings
+    racks: tuple[inventory.Rack, ...]
+    entries_by_name: Mapping[str, entry_settings.Entry]
+    stewards_by_name: Mapping[str, daemons.Daemon]
+    placers_by_name: Mapping[str, daemons.Daemon]
+    operator: command_settings.Operator
+
+    @property
+    def runners(self) -> back_ends.Runners:
+        """The runners of all racks, for one process."""
+        return back_ends.Runners(
+            runners=tuple(
+                one for rack in self.racks for one in rack.runners.runners
+            )
+        )
+
+    @property
+    def workers(self) -> back_ends.Workers:
+        """The workers of all racks, for one process."""
+        return back_ends.Workers(
+            workers=tuple(
+                one for rack in self.racks for one in rack.workers.workers
+            )
+        )
+
+
+def build(
+    profile: profiles.Profile,
+    free: ports.Ports,
+    executions: pathlib.Path | None = None,
+) -> Deployment:
+    """Return the settings of all processes, at ports from ``free``.
+
+    Where runs are written down below ``executions``, a violated invariant
+    is an error in every daemon.
+    """
+    store = back_ends.Store(port=free.take())
+    control = _url(free.take())
+    racks = inventory.racks(profile, free, control, executions)
+    places = _places(profile, _url(store.port), free, executions is not None)
+    entries = [_entry(place, free) for place in places]
+    return Deployment(
+        profile=profile,
+        store=store,
+        hosts=hostlist.Settings(
+            port=int(control.rpartition(':')[2]),
+            hosts=tuple(host for rack in racks for host in rack.members),
+        ),
+        racks=racks,
+        entries_by_name={one.id: one for one in entries},
+        stewards_by_name=_daemons('steward', places, free),
+        placers_by_name=_daemons('placer', places, free),
+        operator=command_settings.Operator(
+            store_addresses=(_url(store.port),),
+            operations_addresses=tuple(
+                one.operations_address for one in entries
+            ),
+        ),
+    )
+
+
+def _places(
+    profile: profiles.Profile, store_url: str, free: ports.Ports, strict: bool
+) -> tuple[Place, ...]:
+    peers = tuple(_address(free) for _ in range(profile.entries))
+    return tuple(
+        Place(
+            number=number + 1,
+            zone=profile.zones[number % len(profile.zones)],
+            peer=peer,
+            seeds=peers[:SEEDS],
+            store_url=store_url,
+            one_way_ms=profile.one_way_ms,
+            strict=strict,
+        )
+        for number, peer in enumerate(peers)
+    )
+
+
+def _entry(place: Place, free: ports.Ports) -> entry_settings.Entry:
+    return entry_settings.Entry(
+        id=f'entry-{place.number}',
+        zone=place.zone,
+        peer_address=place.peer,
+        operations_address=_address(free),
+        http_address=_address(free),
+        store_addresses=(place.store_url,),
+        seed_addresses=place.seeds,
+        peer_delay_ms=place.one_way_ms,
+        strict_invariants=place.strict,
+    )
+
+
+def _daemons(
+    role: str, places: tuple[Place, ...], free: ports.Ports
+) -> dict[str, daemons.Daemon]:
+    settings = (_daemon(f'{role}-{one.number}', one, free) for one in places)
+    return {one.id: one for one in settings}
+
+
+def _daemon(name: str, place: Place, free: ports.Ports) -> daemons.Daemon:
+    return daemons.Daemon(
+        id=name,
+        zone=place.zone,
+        peer_address=_address(free),
+        operations_address=_address(free),
+        store_addresses=(place.store_url,),
+        seed_addresses=place.seeds,
+        peer_delay_ms=place.one_way_ms,
+        strict_invariants=place.strict,
+    )
+
+
+def _address(free: ports.Ports) -> str:
+    return f'{serving.LOOPBACK}:{free.take()}'
+
+
+def _url(port: int) -> str:
+    return f'http://{serving.LOOPBACK}:{port}'
--- /dev/null
+++ b/libs/standins/src/jackdawlatch/standins/driver.py
@@ -0,0 +1,137 @@
+"""Starts a deployment as processes, and acts on them one by one."""
+
+import asyncio
+import signal
+from collections.abc import Iterable
+from typing import ClassVar
+
+import msgspec
+from returns import result
+
+from jackdawlatch.model import failures, records
+from jackdawlatch.platform import exchange
+from jackdawlatch.standins import (
+    deployments,
+    examples,
+    launch_plan,
+    processes,
+    serving,
+    waiting,
+)
+
+READY_S = 30.0
+PROBE_S = 1.0
+KILL_S = 5.0
+
+
+class NotReady(failures.Problem, frozen=True, kw_only=True):
+    """A process did not become ready in time."""
+
+    code: ClassVar[str] = 'process-not-ready'
+
+
+class Driver:
+    """The processes of one deployment, by the names of their settings."""
+
+    def __init__(
+        self,
+        deployment: deployments.Deployment,
+        running: processes.Processes,
+        by_rack: bool = False,
+    ) -> None:
+        self.deployment = deployment
+        self.processes = running
+        self._client = exchange.Client()
+        self._launches_by_name = {
+            launch.name: launch
+            for launch in launch_plan.launches(deployment, by_rack)
+        }
+        for launch in self._launches_by_name.values():
+            examples.write_json(
+                running.directory / f'{launch.name}.json', launch.settings
+            )
+
+    def names(self, role: str) -> tuple[str, ...]:
+        """Return the names of the processes of a role, in order."""
+        return tuple(
+            name
+            for name in self._launches_by_name
+            if name.partition('-')[0] == role
+        )
+
+    async def start(
+        self, names: Iterable[str], timeout_s: float = READY_S
+    ) -> result.Result[None, NotReady]:
+        """Start processes and wait until all of them are ready."""
+        started = tuple(names)
+        for name in started:
+            launch = self._launches_by_name[name]
+            settings = str(self.processes.directory / f'{name}.json')
+            self.processes.start(
+                name, (*launch.program, '--settings', settings)
+            )
+        readiness = await asyncio.gather(
+            *(self._is_ready(one, timeout_s) for one in started)
+        )
+        if all(readiness):
+            return result.Success(None)
+        late = started[readiness.index(False)]
+        return result.Failure(
+            NotReady(
+                message=f'{late} is not ready',
+                hint=self.processes[late].errors(),
+            )
+        )
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+        self.processes[name].signal(signal.SIGKILL)
+        self.processes[name].wait(KILL_S)
+
+    def pause(self, name: str) -> None:
+        """Stop a process from running on."""
+        self.processes[name].signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a paused process run on."""
+        self.processes[name].signal(signal.SIGCONT)
+
+    async def stop(self, name: str, timeout_s: float) -> bool:
+        """Ask a process to stop; return whether it ended in time."""
+        process = self.processes[name]
+        process.signal(signal.SIGTERM)
+
+        async def ended() -> bool:
+            return process.exit_status is not None
+
+        return await waiting.until(ended, timeout_s)
+
+    async def switch(self, url: str, faults: records.Record) -> bool:
+        """Post faults to a stand-in; return whether it took them."""
+        sent = await self._client.send(
+            exchange.Outgoing(
+                url, method='POST', body=msgspec.json.encode(faults)
+            )
+        )
+        return _is_ok(sent)
+
+    def close(self) -> None:
+        """Close the connections of the probes."""
+        self._client.close()
+
+    async def _is_ready(self, name: str, timeout_s: float) -> bool:
+        probe = exchange.Outgoing(
+            self._launches_by_name[name].probe, timeout_s=PROBE_S
+        )
+
+        async def answers() -> bool:
+            return _is_ok(await self._client.send(probe))
+
+        return await waiting.until(answers, timeout_s)
+
+
+def _is_ok(
+    answered: result.Result[exchange.Reply, exchange.Failed],
+) -> bool:
+    status = answered.map(lambda reply: reply.status).value_or(0)
+    return status == serving.OK_STATUS
--- /dev/null
+++ b/libs/standins/src/jackdawlatch/standins/processes.py
@@ -0,0 +1,134 @@
+"""Operating system processes that a test or the demo starts and ends."""
+
+import contextlib
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterator, Sequence
+from typing import Self
+
+STOP_S = 15.0
+POLL_S = 0.02
+TAIL_BYTES = 4000
+
+
+class Process:
+    """One running program, ended by its process id and nothing else."""
+
+    def __init__(
+        self, name: str, arguments: Sequence[str], directory: pathlib.Path
+    ) -> None:
+        self.name = name
+        self.paused = False
+        self._errors = directory / f'{name}.stderr'
+        with self._errors.open('ab') as errors:
+            # A session of its own keeps a terminal's interrupt from it, so
+            # that the driver alone decides in which order processes end.
+            self._popen = subprocess.Popen(
+                [sys.executable, '-m', *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=errors,
+                stderr=errors,
+                cwd=directory,
+                start_new_session=True,
+            )
+
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self._popen.pid
+
+    @property
+    def exit_status(self) -> int | None:
+        """The exit status, negative for a signal, None while it runs."""
+        return self._popen.poll()
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal, unless the process has ended."""
+        if self.exit_status is None:
+            self._popen.send_signal(number)
+        if number is signal.SIGSTOP:
+            self.paused = True
+        elif number is signal.SIGCONT:
+            self.paused = False
+
+    def wait(self, timeout_s: float) -> bool:
+        """Return whether the process has ended within a time."""
+        try:
+            self._popen.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            return False
+        return True
+
+    def errors(self) -> str:
+        """Return the end of what it wrote to its standard streams."""
+        content = self._errors.read_bytes()
+        return content[-TAIL_BYTES:].decode(errors='replace')
+
+
+class Processes:
+    """The processes of one run; leaving the context ends them all."""
+
+    def __init__(self, directory: pathlib.Path) -> None:
+        self.directory = directory
+        self._processes_by_name: dict[str, Process] = {}
+
+    def __enter__(self) -> Self:
+        """Return the processes."""
+        return self
+
+    def __exit__(self, *_error: object) -> None:
+        """End every process that is left."""
+        self.close()
+
+    def __getitem__(self, name: str) -> Process:
+        """Return the process that was last started under a name."""
+        return self._processes_by_name[name]
+
+    def __iter__(self) -> Iterator[Process]:
+        """Iterate over all processes, in the order of their start."""
+        return iter(tuple(self._processes_by_name.values()))
+
+    def start(self, name: str, arguments: Sequence[str]) -> Process:
+        """Start ``python -m`` with arguments, in place of an ended one."""
+        process = Process(name, arguments, self.directory)
+        self._processes_by_name[name] = process
+        return process
+
+    def failed(self) -> tuple[Process, ...]:
+        """Return the processes that ended with an error of their own."""
+        return tuple(
+            process
+            for process in self
+            if process.exit_status is not None and process.exit_status > 0
+        )
+
+    def close(self) -> None:
+        """Stop all, latest first; kill what has not ended in time."""
+        left = list(reversed(tuple(self)))
+        for process in left:
+            # A paused process would not notice that it is to stop.
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGTERM)
+        deadline_s = time.monotonic() + STOP_S
+        for process in left:
+            process.wait(max(POLL_S, deadline_s - time.monotonic()))
+        for process in left:
+            process.signal(signal.SIGKILL)
+            process.wait(STOP_S)
+
+
+@contextlib.contextmanager
+def interruptible() -> Iterator[None]:
+    """Turn SIGTERM into an exception, so that contexts are left properly."""
+    before = signal.signal(signal.SIGTERM, _interrupt)
+    try:
+        yield
+    finally:
+        signal.signal(signal.SIGTERM, before)
+
+
+def _interrupt(_number: int, _frame: object) -> None:
+    raise KeyboardInterrupt
--- /dev/null
+++ b/libs/standins/src/jackdawlatch/standins/programs.py
@@ -0,0 +1,71 @@
+"""Runs stand-ins in a process of their own until it is stopped."""
+
+import asyncio
+import signal
+from collections.abc import Callable, Iterable
+from typing import TextIO, TypeVar
+
+from returns import result
+
+from jackdawlatch.model import records
+from jackdawlatch.node import launching
+from jackdawlatch.settings import loading
+from jackdawlatch.standins import (
+    back_ends,
+    hostlist,
+    keyvalue_server,
+    runner,
+    serving,
+    worker,
+)
+
+Settings = TypeVar('Settings', bound=records.Record)
+Servers = Iterable[serving.Server]
+
+
+def store(settings: back_ends.Store) -> Servers:
+    """Serve the key-value service."""
+    return (keyvalue_server.Server(settings.port),)
+
+
+def hosts(settings: hostlist.Settings) -> Servers:
+    """Serve the host list."""
+    return (hostlist.Server(settings),)
+
+
+def runners(settings: back_ends.Runners) -> Servers:
+    """Serve runners."""
+    return tuple(runner.Server(one) for one in settings.runners)
+
+
+def workers(settings: back_ends.Workers) -> Servers:
+    """Serve workers."""
+    return tuple(worker.Server(one) for one in settings.workers)
+
+
+def run(
+    build: Callable[[Settings], Servers],
+    settings_type: type[Settings],
+    path: str,
+    stderr: TextIO,
+) -> launching.ExitStatus:
+    """Serve with the settings of a file until SIGTERM or SIGINT."""
+    loaded = loading.load(path, settings_type)
+    if isinstance(loaded, result.Failure):
+        stderr.write(f'jackdawlatch-standin: {loaded.failure().line()}\n')
+        return launching.ExitStatus.USAGE
+    asyncio.run(_serve(build, loaded.unwrap()))
+    return launching.ExitStatus.OK
+
+
+async def _serve(
+    build: Callable[[Settings], Servers], settings: Settings
+) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    servers = build(settings)
+    await stopping.wait()
+    for server in servers:
+        await server.close()
