Add hosts and maintenance waves to the command line

Cause: operators could edit presets, but neither drain a host nor run a wave. Ruled out: edits through a steward (the budget is checked in the same write by whoever makes it).

--- a/libs/command/src/jackdawlatch/command/fleet.py
+++ b/libs/command/src/jackdawlatch/command/fleet.py
@@ -1,13 +1,12 @@
-"""Commands on hosts and maintenance waves."""
+"""Commands on hosts."""
 
 import dataclasses
+from collections.abc import Callable
 
 from returns import result
 
-from jackdawlatch.command import operation, session
-from jackdawlatch.model import failures, hosts
-from jackdawlatch.node import documents
-from jackdawlatch.store import editing
+from jackdawlatch.command import operation, session, shards
+from jackdawlatch.model import hosts
 
 HOST_COLUMNS = 16
 POOL_COLUMNS = 14
@@ -21,7 +20,7 @@
 
     async def run(self, opened: session.Session) -> operation.Reported:
         """Read the membership."""
-        found = await membership(opened)
+        found = await shards.membership(opened)
         if isinstance(found, result.Failure):
             return found
         value = found.unwrap()
@@ -38,25 +37,39 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class ListWaves(operation.Operation):
-    """Lists waves and how far they are."""
+class MoveHost(operation.Operation):
+    """Drains a host and moves it to another pool."""
+
+    host: str
+    pool: str
 
     async def run(self, opened: session.Session) -> operation.Reported:
-        """Read the membership."""
-        found = await membership(opened)
-        if isinstance(found, result.Failure):
-            return found
-        waves = found.unwrap().waves_by_id
-        lines = tuple(wave_line(wave) for _, wave in sorted(waves.items()))
-        return result.Success(operation.Report(waves, lines))
+        """Write the move, if the budget allows."""
+        moved = await shards.operators_of(opened).move(self.host, self.pool)
+        return moved.map(_host_report(self.host))
 
 
-async def membership(
-    opened: session.Session,
-) -> result.Result[hosts.Membership, failures.Problem]:
-    """Return the present membership of the settings' shard."""
-    key = f'{documents.MEMBERSHIP_PREFIX}{opened.settings.shard}'
-    return await editing.Editor(opened.store, key, hosts.Membership()).read()
+@dataclasses.dataclass(frozen=True)
+class DrainHost(operation.Operation):
+    """Drains and reboots a host."""
+
+    host: str
+
+    async def run(self, opened: session.Session) -> operation.Reported:
+        """Write the drain, if the budget allows."""
+        drained = await shards.operators_of(opened).drain(self.host)
+        return drained.map(_host_report(self.host))
+
+
+def _host_report(
+    host: str,
+) -> Callable[[hosts.Membership], operation.Report]:
+    def report(value: hosts.Membership) -> operation.Report:
+        assignment = value.assignments_by_host[host]
+        line = host_line(host, assignment, value)
+        return operation.Report(assignment, (line,))
+
+    return report
 
 
 def host_line(
@@ -75,10 +88,3 @@
         assignment.next_pool,
     )
     return ' '.join(columns).rstrip()
-
-
-def wave_line(wave: hosts.Wave) -> str:
-    """Return a wave as one line of text."""
-    state = f'halted: {wave.reason}' if wave.halted else 'running'
-    total = len(wave.done) + len(wave.remaining)
-    return f'{wave.id} pool={wave.pool} {len(wave.done)}/{total} {state}'
--- a/libs/command/src/jackdawlatch/command/status.py
+++ b/libs/command/src/jackdawlatch/command/status.py
@@ -9,7 +9,8 @@
 class ExitStatus(enum.IntEnum):
     """What the exit status tells a script.
 
-    ``CONFLICT``: somebody else's edit came first, nothing was changed.
+    ``CONFLICT``: the present state does not allow it, be it that somebody
+    else's edit came first or that a budget is spent; nothing was changed.
     ``UNKNOWN``: the edit may or may not be in force.  ``UNAVAILABLE``:
     nothing was changed, since the store or the daemons can't be reached.
     """
@@ -27,6 +28,9 @@
         'settings-invalid': ExitStatus.USAGE,
         'invalid': ExitStatus.USAGE,
         'refused': ExitStatus.USAGE,
+        'budget-exceeded': ExitStatus.CONFLICT,
+        'zone-busy': ExitStatus.CONFLICT,
+        'wrong-phase': ExitStatus.CONFLICT,
         'file-invalid': ExitStatus.USAGE,
         'store-conflict': ExitStatus.CONFLICT,
         'conflicting-edit': ExitStatus.CONFLICT,
--- a/libs/command/tests/test_command_core.py
+++ b/libs/command/tests/test_command_core.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from jackdawlatch.command import core, status
-from jackdawlatch.model import presets
+from jackdawlatch.model import hosts, presets, records
+from jackdawlatch.node import documents
 from jackdawlatch.standins import keyvalue_faults, keyvalue_server
 from jackdawlatch.testing import functions
 
@@ -114,6 +115,53 @@
     assert ended.status is status.ExitStatus.OK
 
 
+async def test_drains_stay_within_the_budget(shell: Shell) -> None:
+    await shell.lines(
+        [
+            f'pool put {shell.file("pool.json", presets.Pool(name="desk"))}',
+            'preset edit ordinary pools_by_name.desk={"hosts":2}',
+        ]
+    )
+    _join(shell.server, 'desk', ('h1', 'h2'))
+    await shell.lines(['host drain h1'])
+    ended = await shell.run('host', 'drain', 'h2')
+    assert ended.status is status.ExitStatus.CONFLICT
+    assert 'budget-exceeded' in ended.stderr
+    listed = await shell.run('host', 'list', '--pool', 'desk')
+    assert [line.split()[2] for line in listed.stdout.splitlines()] == [
+        'draining',
+        'active',
+    ]
+
+
+async def test_wave_is_started_halted_and_resumed(shell: Shell) -> None:
+    await shell.lines(
+        [
+            f'pool put {shell.file("pool.json", presets.Pool(name="desk"))}',
+            'preset edit ordinary pools_by_name.desk={"hosts":2}',
+        ]
+    )
+    _join(shell.server, 'desk', ('h1', 'h2'))
+    await shell.lines(['wave start w1 --pool desk', 'wave halt w1'])
+    assert 'halted' in (await shell.run('wave', 'list')).stdout
+    await shell.lines(['wave resume w1'])
+    assert 'running' in (await shell.run('wave', 'list')).stdout
+
+
+def _join(
+    server: keyvalue_server.Server, pool: str, names: Sequence[str]
+) -> None:
+    active = hosts.Assignment(pool=pool, phase=hosts.Phase.ACTIVE)
+    membership = hosts.Membership(
+        assignments_by_host=dict.fromkeys(names, active),
+        hosts_by_id={
+            name: hosts.Host(id=name, zone='z1', rack='r1') for name in names
+        },
+    )
+    key = f'{documents.MEMBERSHIP_PREFIX}main'
+    server.service.content.put(key, records.encode(membership), 0, '')
+
+
 async def test_usage_errors_are_one_line_with_a_hint(shell: Shell) -> None:
     for line in ('preset frob', 'preset show', 'status'):
         ended = await shell.bare(*line.split())
