Give up half-open streams between processes; count their bytes

Cause: a peer that was cut off never closes its stream, and each call on it ran into its timeout until TCP gave up, minutes later. Ruled out: closing at each timed-out call (it would end the other calls of a peer that is only slow); TCP keepalive (its shortest useful setting is slower than the 7 s in which a configuration must be in force). Conclusion: a stream that was silent for 5 s while a call timed out is closed.

--- a/libs/node/src/jackdawlatch/node/daemon.py
+++ b/libs/node/src/jackdawlatch/node/daemon.py
@@ -61,6 +61,10 @@
         self, settings: daemons.Daemon, role: str, store: keyvalue.Store
     ) -> None:
         self.parts = parts.build(settings, role, store)
+        traffic = self.parts.endpoint.traffic
+        meters = self.parts.meters
+        meters.gauge('peer_sent_bytes', lambda: traffic.sent_bytes)
+        meters.gauge('peer_received_bytes', lambda: traffic.received_bytes)
         self.journal = journal.Journal(self.parts)
         self.stopping = asyncio.Event()
         self.explain: context.Explain = _explain_nothing
--- a/libs/peers/src/jackdawlatch/peers/endpoint.py
+++ b/libs/peers/src/jackdawlatch/peers/endpoint.py
@@ -25,9 +25,8 @@
 
     def __init__(self, clock: stamps.HybridClock, delay_s: float = 0) -> None:
         super().__init__()
-        self._clock = clock
-        self._delay_s = delay_s
-        self._handlers_by_name: dict[str, link.Handler] = {}
+        self.traffic = link.Traffic()
+        self._shared = link.Shared(clock, {}, self.traffic, delay_s)
         self._links_by_address: dict[str, link.Link] = {}
         self._incoming: set[link.Link] = set()
 
@@ -41,7 +40,7 @@
         async def serve(body: Any) -> records.Record:  # noqa: WPS430 closes over both arguments.
             return await handler(msgspec.convert(body, message_type))
 
-        self._handlers_by_name[message_type.__name__] = serve
+        self._shared.handlers_by_name[message_type.__name__] = serve
 
     async def call(
         self,
@@ -66,9 +65,7 @@
         self, stream: iostream.IOStream, address: Any
     ) -> None:
         """Serve one incoming stream until it ends."""
-        served = link.Link(
-            stream, self._clock, self._handlers_by_name, self._delay_s
-        )
+        served = link.Link(stream, self._shared)
         self._incoming.add(served)
         try:
             await served.run()
@@ -102,9 +99,7 @@
         if known and not known.closed:
             stream.close()
             return known
-        opened = link.Link(
-            stream, self._clock, self._handlers_by_name, self._delay_s
-        )
+        opened = link.Link(stream, self._shared)
         self._links_by_address[address] = opened
         opened.start()
         return opened
--- a/libs/peers/src/jackdawlatch/peers/link.py
+++ b/libs/peers/src/jackdawlatch/peers/link.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import itertools
-from collections.abc import Awaitable, Callable, Mapping
+import time
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import msgspec
@@ -14,6 +16,9 @@
 from jackdawlatch.peers import frames, stamps
 
 READ_BYTES = 65_536
+# A stream on which nothing came for so long while a call waited is taken for
+# half open: the other side was cut off and will never close it.
+SILENCE_S = 5
 
 Handler = Callable[[Any], Awaitable[records.Record]]
 Outcome = result.Result[Any, frames.CallFailure]
@@ -27,20 +32,34 @@
     return stream
 
 
+@dataclasses.dataclass
+class Traffic:
+    """How many bytes were sent and received on all streams."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Shared:
+    """What all streams of a process share.
+
+    ``delay_s`` is added before each outgoing frame.
+    """
+
+    clock: stamps.HybridClock
+    handlers_by_name: dict[str, Handler]
+    traffic: Traffic
+    delay_s: float = 0
+
+
 class Link:
     """Matches replies to calls by exchange number, never by order."""
 
-    def __init__(
-        self,
-        stream: iostream.IOStream,
-        clock: stamps.HybridClock,
-        handlers_by_name: Mapping[str, Handler],
-        delay_s: float = 0,
-    ) -> None:
+    def __init__(self, stream: iostream.IOStream, shared: Shared) -> None:
         self._stream = stream
-        self._clock = clock
-        self._handlers_by_name = handlers_by_name
-        self._delay_s = delay_s
+        self._shared = shared
+        self._received_s = time.monotonic()
         self._numbers = itertools.count()
         self._waiting_by_exchange: dict[int, asyncio.Future[Outcome]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -78,6 +97,7 @@
                 await self._send(frames.FrameType.CALL, exchange, message)
                 return await waiting
         except TimeoutError:
+            self._close_if_silent()
             return _lost(f'no reply within {timeout_s} s')
         except iostream.StreamClosedError:
             return _lost('the stream was closed')
@@ -86,14 +106,19 @@
 
     async def _read(self, unpacker: Any) -> None:
         while True:
-            unpacker.feed(
-                await self._stream.read_bytes(READ_BYTES, partial=True)
-            )
+            received = await self._stream.read_bytes(READ_BYTES, partial=True)
+            self._shared.traffic.received_bytes += len(received)
+            self._received_s = time.monotonic()
+            unpacker.feed(received)
             for content in unpacker:
                 self._receive(frames.decode(content))
 
+    def _close_if_silent(self) -> None:
+        if time.monotonic() - self._received_s > SILENCE_S:
+            self._stream.close()
+
     def _receive(self, frame: frames.Frame) -> None:
-        self._clock.observe(frame.stamp)
+        self._shared.clock.observe(frame.stamp)
         if frame.type is frames.FrameType.CALL:
             self._spawn(self._serve(frame))
             return
@@ -107,7 +132,7 @@
             _settle(waiting, result.Failure(refused))
 
     async def _serve(self, frame: frames.Frame) -> None:
-        handler = self._handlers_by_name.get(frame.name)
+        handler = self._shared.handlers_by_name.get(frame.name)
         kind = frames.FrameType.REPLY
         try:
             if handler is None:
@@ -125,16 +150,18 @@
         exchange: int,
         record: records.Record,
     ) -> None:
-        if self._delay_s:
-            await asyncio.sleep(self._delay_s)
+        if self._shared.delay_s:
+            await asyncio.sleep(self._shared.delay_s)
         frame = frames.Frame(
             kind,
             exchange,
             type(record).__name__,
-            self._clock.now(),
+            self._shared.clock.now(),
             frames.body_of(record),
         )
-        await self._stream.write(frames.encode(frame))
+        encoded = frames.encode(frame)
+        self._shared.traffic.sent_bytes += len(encoded)
+        await self._stream.write(encoded)
 
     def _spawn(self, work: Any) -> None:
         task = asyncio.ensure_future(work)
--- a/libs/peers/tests/test_peers_endpoint.py
+++ b/libs/peers/tests/test_peers_endpoint.py
@@ -1,11 +1,12 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator
+from unittest import mock
 
 from tornado import testing as tornado_testing
 
 from jackdawlatch.model import clocks, records
-from jackdawlatch.peers import endpoint, frames, stamps
+from jackdawlatch.peers import endpoint, frames, link, stamps
 from jackdawlatch.testing import functions
 
 
@@ -62,6 +63,19 @@
     assert isinstance(reply.failure(), frames.Unanswered)
 
 
+async def test_half_open_stream_is_given_up(pair: Pair) -> None:
+    with mock.patch.object(link, 'SILENCE_S', 0.1):
+        # A listener that accepts and never reads stands for a cut peer.
+        deaf, port = tornado_testing.bind_unused_port()
+        address = f'127.0.0.1:{port}'
+        for _ in range(2):
+            reply = await pair.client.call(address, Echo(text='x'), Echo, 0.2)
+            assert isinstance(reply.failure(), frames.Unanswered)
+        deaf.close()
+        reply = await pair.client.call(address, Echo(text='x'), Echo, 0.2)
+        assert isinstance(reply.failure(), frames.Unreachable)
+
+
 async def test_unknown_message_is_refused(pair: Pair) -> None:
     unknown = frames.Refused(message='not served')
     reply = await pair.client.call(pair.address, unknown, Echo, 1)
