--- a/libs/entry/src/jackdawlatch/entry/fleet.py
+++ b/libs/entry/src/jackdawlatch/entry/fleet.py
@@ -1,12 +1,14 @@
 """The runners of each service, from the accepted documents."""
 
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 from jackdawlatch.model import hosts, presets
 from jackdawlatch.node import documents
 from jackdawlatch.routing import leaving
 
+Placed = tuple[hosts.Assignment, hosts.Host]
+
 
 @dataclasses.dataclass(frozen=True)
 class Runner:
@@ -31,6 +33,7 @@
         self._signs = signs
         self._runners_by_service: dict[str, dict[str, Runner]] = {}
         self._active: frozenset[str] = frozenset()
+        # Jobs are measured against every host of a pool, out of service or not.
         self.capacities_by_pool: dict[str, tuple[hosts.Capacity, ...]] = {}
         known.listen(self._refresh)
         self._refresh('')
@@ -62,29 +65,31 @@
         return runner
 
     def _refresh(self, _key: str) -> None:
-        pools: dict[str, list[hosts.Host]] = {}
-        departing: list[str] = []
+        known = tuple(self._placed())
+        self._signs.list_hosts(
+            host.id
+            for assignment, host in known
+            if not _takes_work(assignment, host)
+        )
+        self.capacities_by_pool = {
+            pool: tuple(host.capacity for host in members)
+            for pool, members in _by_pool(known).items()
+        }
+        serving = [placed for placed in known if _takes_work(*placed)]
+        self._keep(_by_pool(serving))
+
+    def _placed(self) -> Iterator[Placed]:
         for membership in self._documents.memberships():
             for host, assignment in membership.assignments_by_host.items():
                 described = membership.hosts_by_id.get(host)
-                if described is None:
-                    continue
-                if _takes_work(assignment, described):
-                    pools.setdefault(assignment.pool, []).append(described)
-                else:
-                    departing.append(host)
-        self._signs.list_hosts(departing)
-        self._keep(pools)
+                if described is not None:
+                    yield assignment, described
 
     def _keep(self, pools: Mapping[str, list[hosts.Host]]) -> None:
         self._runners_by_service = {
             name: _runners(service, pools.get(service.pool, []))
             for name, service in self.services.items()
         }
-        self.capacities_by_pool = {
-            pool: tuple(each.capacity for each in members)
-            for pool, members in pools.items()
-        }
         active = frozenset(
             each.id for members in pools.values() for each in members
         )
@@ -99,6 +104,13 @@
     return active and host.liveness is hosts.Liveness.LIVE
 
 
+def _by_pool(known: Iterable[Placed]) -> dict[str, list[hosts.Host]]:
+    members_by_pool: dict[str, list[hosts.Host]] = {}
+    for assignment, host in known:
+        members_by_pool.setdefault(assignment.pool, []).append(host)
+    return members_by_pool
+
+
 def _runners(
     service: presets.Service, members: list[hosts.Host]
 ) -> dict[str, Runner]:
--- a/libs/entry/src/jackdawlatch/entry/front.py
+++ b/libs/entry/src/jackdawlatch/entry/front.py
@@ -1,7 +1,8 @@
 """Takes callers' requests in, and counts them until they are answered."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import contextlib
+from collections.abc import Awaitable, Callable, Iterator
 
 from returns import result
 
@@ -31,11 +32,21 @@
         self._plain = plain
         self._keyed = keyed
         self._tasks: set[asyncio.Task[outcomes.Outcome]] = set()
+        self._others = 0
 
     @property
     def in_flight(self) -> int:
         """How many requests are not answered yet."""
-        return len(self._tasks)
+        return len(self._tasks) + self._others
+
+    @contextlib.contextmanager
+    def counting(self) -> Iterator[None]:
+        """Count what runs inside as a request in flight."""
+        self._others += 1
+        try:
+            yield
+        finally:
+            self._others -= 1
 
     def parse(self, received: requests.Received) -> requests.Parsed:
         """Return the checked request."""
--- a/libs/entry/src/jackdawlatch/entry/root.py
+++ b/libs/entry/src/jackdawlatch/entry/root.py
@@ -8,19 +8,18 @@
 from tornado import httpserver
 
 from jackdawlatch.entry import (
-    brokerage,
-    departures,
-    dispatch,
     fleet,
     front,
+    job_handlers,
+    jobs,
     keyed_parts,
+    sending_parts,
     server,
-    slots,
 )
 from jackdawlatch.entry import settings as entry_settings
 from jackdawlatch.entry import surroundings as surroundings_of_entry
-from jackdawlatch.model import clocks
 from jackdawlatch.node import daemon
+from jackdawlatch.placement import book
 from jackdawlatch.platform import http_runners, runners
 from jackdawlatch.routing import leaving
 from jackdawlatch.store import keyvalue
@@ -54,22 +53,26 @@
             invariants=parts.invariants,
             ring=parts.ring,
         )
-        self.brokerage = brokerage.Brokerage(self.around)
-        self.slots = slots.BrokeredSlots(self.around, self.brokerage)
-        self.dispatcher = dispatch.Dispatcher(
+        self.sending = sending_parts.build(
             self.around,
-            self.slots,
-            own_runners or http_runners.HttpRunners(clocks.SystemClock()),
-            departures.Departures(self.around),
+            own_runners or http_runners.HttpRunners(parts.clock),
         )
         self.keyed = keyed_parts.build(
-            self.around, store, settings, self.dispatcher.run
+            self.around, store, settings, self.sending.dispatcher.run
         )
         self.front = front.Front(
-            self.around, self.dispatcher.run, self.keyed.forwarder.run
+            self.around, self.sending.dispatcher.run, self.keyed.forwarder.run
         )
+        self.jobs = jobs.Jobs(
+            self.around.fleet,
+            book.Book(store, book.Options(settings.shard), parts.clock),
+        )
+        context = {
+            'desk': self.front,
+            'body_limit_bytes': settings.body_limit_bytes,
+        }
         self.server: httpserver.HTTPServer = server.serve(
-            self.front, settings.body_limit_bytes
+            context, job_handlers.rules(self.jobs, context)
         )
         parts.documents.listen(self._refresh)
 
@@ -90,9 +93,9 @@
             )
         self.node.details = self._details
         self.node.spawn(self.keyed.ownership.run())
-        self.node.spawn(self.slots.run())
-        self.node.spawn(self.brokerage.brokers.run())
-        self.node.spawn(self.brokerage.shares.run())
+        self.node.spawn(self.sending.slots.run())
+        self.node.spawn(self.sending.brokerage.brokers.run())
+        self.node.spawn(self.sending.brokerage.shares.run())
         return result.Success(None)
 
     async def run(self) -> None:
@@ -100,7 +103,7 @@
         await self.node.run(self._drain)
 
     async def _drain(self) -> None:
-        self.brokerage.retiring = True
+        self.sending.brokerage.retiring = True
         self.keyed.ownership.retiring = True
         # The balancer goes on sending here until it has seen the stop.
         await asyncio.sleep(self.settings.drain_delay_s)
@@ -124,12 +127,12 @@
         return self.front.in_flight + self.keyed.in_flight
 
     def _refresh(self, _key: str) -> None:
-        self.brokerage.refresh()
+        self.sending.brokerage.refresh()
 
     def _details(self) -> dict[str, Any]:
         return {
             'in_flight': self._in_flight(),
-            'waiting': self.slots.waiting,
-            'brokered_services': list(self.brokerage.brokers.services),
-            'static_services': list(self.brokerage.shares.services),
+            'waiting': self.sending.slots.waiting,
+            'brokered_services': list(self.sending.brokerage.brokers.services),
+            'static_services': list(self.sending.brokerage.shares.services),
         }
--- a/libs/entry/src/jackdawlatch/entry/server.py
+++ b/libs/entry/src/jackdawlatch/entry/server.py
@@ -146,12 +146,12 @@
 
 
 def serve(
-    desk: front.Front,
-    body_limit_bytes: int,
-    more: Sequence[Any] = (),
+    context: dict[str, Any], more: Sequence[Any] = ()
 ) -> httpserver.HTTPServer:
-    """Return a server for callers that listens nowhere yet."""
-    context = {'desk': desk, 'body_limit_bytes': body_limit_bytes}
+    """Return a server for callers that listens nowhere yet.
+
+    ``context`` is what ``CallerHandler`` takes; ``more`` are more routes.
+    """
     application = web.Application(
         [
             ('/services/.*', ServiceHandler, context),
