--- a/libs/admission/tests/test_admission_broker.py
+++ b/libs/admission/tests/test_admission_broker.py
@@ -6,7 +6,7 @@
 from returns import result
 
 from jackdawlatch.admission import broker, tickets
-from jackdawlatch.model import presets, work
+from jackdawlatch.model import presets, records, work
 from jackdawlatch.testing import functions
 
 SETTINGS = stateful.Settings(
@@ -111,15 +111,28 @@
         """Check that no slot is lost for good."""
         while self.running:
             self.finish(0, lost=True)
-        self.now_s += broker.LINGER_S + broker.RESYNC_GRACE_S
-        for name, each in itertools.product(ENTRIES, self.brokers):
-            each.resync(name, (), self.now_s)
-            self.entries_by_id[name].broker = each
+        # By now every ticket has expired, and no grant is on its way.
+        self.now_s += 60
         for each in self.brokers:
             each.turn(self.now_s)
-            self.now_s += 40
+            for name in ENTRIES:
+                each.resync(name, (), self.now_s)
             self._check_recovered(each)
 
+    def _check_recovered(self, one: broker.Broker) -> None:
+        assert not len(one.held)
+        assert not len(one.policy.lines)
+        for name in ENTRIES * 2:
+            ticket = tickets.Ticket(
+                id=str(next(self.numbers)),
+                kind=KINDS[0],
+                deadline_s=self.now_s + 60,
+                entry=name,
+            )
+            assert isinstance(one.ask(ticket, self.now_s), result.Success)
+        granted = one.turn(self.now_s).grants
+        assert len(granted) == SLOTS * len(HOSTS)
+
     def _receive(self, giver: broker.Broker, grant: tickets.Grant) -> None:
         entry = self.entries_by_id[grant.ticket.entry]
         ticket_id = grant.ticket.id
@@ -136,26 +149,13 @@
         self.running.append(grant)
         entry.held_by_id[ticket_id] = grant
 
-    def _check_recovered(self, one: broker.Broker) -> None:
-        for grant in one.held:
-            one.release(grant.ticket.id, tickets.Outcome.UNUSED, self.now_s)
-        one.turn(self.now_s)
-        assert not len(one.held)
-        assert not len(one.policy.lines)
-        for name in ENTRIES * 2:
-            ticket = tickets.Ticket(
-                id=str(next(self.numbers)),
-                kind=KINDS[0],
-                deadline_s=self.now_s + 60,
-                entry=name,
-            )
-            assert isinstance(one.ask(ticket, self.now_s), result.Success)
-        granted = one.turn(self.now_s).grants
-        assert len(granted) == SLOTS * len(HOSTS)
-
     def _resync(self, name: str) -> None:
         entry = self.entries_by_id[name]
         entry.broker.resync(name, entry.held_by_id.values(), self.now_s)
+        known = {grant.ticket.id: grant for grant in entry.broker.held}
+        for ticket_id, grant in entry.held_by_id.items():
+            assert known[ticket_id] == grant
+            assert ticket_id not in entry.broker.policy.lines
 
 
 def _new_broker() -> broker.Broker:
@@ -182,20 +182,71 @@
 
 
 def test_asking_again_sends_the_same_grant() -> None:
-    one = broker.Broker(PRESET, random.Random(1))
-    one.replace_runners({'runner-1': 1})
-    ticket = tickets.Ticket(id='a', kind=KINDS[0], deadline_s=9, entry='e')
-    one.ask(ticket, 0)
+    one = _small_broker()
+    for _ in range(2):
+        assert one.ask(_ticket('a'), 0) == result.Success(None)
     first = one.turn(0).grants
-    one.ask(ticket, 1)
+    one.ask(_ticket('a'), 1)
     assert one.turn(1).grants == first
 
 
-def test_preset_change_keeps_tickets_and_held_slots() -> None:
+def test_slots_of_a_lost_entry_are_freed_in_time() -> None:
+    one = _small_broker()
+    one.policy.times.observe(KINDS[0], 60)
+    for name in ('a', 'b'):
+        one.ask(_ticket(name), 0)
+    one.ask(_ticket('c', entry='other'), 0)
+    one.turn(0)
+    one.drop_entry('e', 0)
+    assert not one.turn(broker.LINGER_S / 2).grants
+    granted = one.turn(broker.LINGER_S).grants
+    assert [grant.ticket.id for grant in granted] == ['c']
+
+
+def test_entry_that_comes_back_keeps_its_slots() -> None:
+    one = _small_broker()
+    one.policy.times.observe(KINDS[0], 60)
+    one.ask(_ticket('a'), 0)
+    granted = one.turn(0).grants
+    one.drop_entry('e', 0)
+    one.resync('e', granted, 1)
+    one.turn(5)
+    assert tuple(one.held) == granted
+
+
+def test_grant_on_its_way_outlasts_a_resync() -> None:
+    one = _small_broker()
+    one.ask(_ticket('a'), 0)
+    granted = one.turn(0).grants
+    one.resync('e', (), broker.RESYNC_GRACE_S / 2)
+    assert tuple(one.held) == granted
+    one.resync('e', (), broker.RESYNC_GRACE_S)
+    assert not len(one.held)
+
+
+def test_reported_slot_needs_no_second_grant() -> None:
+    one = _small_broker()
+    one.ask(_ticket('a'), 0)
+    reported = tickets.Grant(ticket=_ticket('a'), host='runner-1', granted_s=0)
+    one.resync('e', (reported,), 0)
+    assert not one.turn(0).grants
+    assert one.policy.held_by_kind[KINDS[0]] == 1
+
+
+def _small_broker() -> broker.Broker:
     one = broker.Broker(PRESET, random.Random(1))
     one.replace_runners({'runner-1': 1})
+    return one
+
+
+def _ticket(name: str, entry: str = 'e') -> tickets.Ticket:
+    return tickets.Ticket(id=name, kind=KINDS[0], deadline_s=999, entry=entry)
+
+
+def test_preset_change_keeps_tickets_and_held_slots() -> None:
+    one = _small_broker()
     for name in ('a', 'b'):
-        one.ask(tickets.Ticket(id=name, kind=KINDS[0], deadline_s=9), 0)
+        one.ask(_ticket(name), 0)
     one.turn(0)
     one.set_preset(presets.Preset(name='peak', admission='strict'))
     one.release('a', tickets.Outcome.ANSWERED, 1)
@@ -233,12 +284,7 @@
     one = broker.Broker(PRESET, random.Random(1))
     one.replace_runners({'runner-1': 1, 'runner-2': 1})
     for name in ('a', 'b'):
-        one.ask(
-            tickets.Ticket(
-                id=name, kind=KINDS[0], deadline_s=9, avoid=('runner-1',)
-            ),
-            0,
-        )
+        one.ask(records.replace(_ticket(name), avoid=('runner-1',)), 0)
     granted = one.turn(0).grants
     assert [grant.host for grant in granted] == ['runner-2', 'runner-1']
 
