Lay the placer: record, tell, renew, read, finish

Renewals are not written down: a successor allows for those of a leader that lost the store (lease end = sight + 900 s + lease) unless the host is listed dead, which costs no store write while jobs run. Extending not_before_s in the book before each renewal was ruled out: it costs a write per bucket and period, and would stop running work in an outage. Not run yet against workers; tests follow.

--- a/libs/placement/src/jackdawlatch/placement/rooms.py
+++ b/libs/placement/src/jackdawlatch/placement/rooms.py
@@ -22,16 +22,19 @@
         self.starts = 0
         self.reserved_for = ''
         self._used = sizes.NOTHING
+        self._held = sizes.NOTHING
         self._coming = sizes.NOTHING
         for task in tasks:
             self._used = sizes.add(self._used, task.size)
+            self._held = sizes.add(self._held, task.held)
             if task.leaving:
                 self._coming = sizes.add(self._coming, task.size)
 
     @property
     def free(self) -> hosts.Capacity:
         """Return what may still be given away."""
-        return sizes.subtract(self.machine.capacity, self._used)
+        taken = sizes.most(self._used, self._held)
+        return sizes.subtract(self.machine.capacity, taken)
 
     @property
     def free_soon(self) -> hosts.Capacity:
@@ -76,6 +79,7 @@
         """Use some of the room."""
         self.starts += 1
         self._used = sizes.add(self._used, size)
+        self._held = sizes.add(self._held, size)
 
     def expect(self, task: situation.Task, freed: hosts.Capacity) -> None:
         """Take note that a task is about to make way."""
--- a/libs/placement/src/jackdawlatch/placement/situation.py
+++ b/libs/placement/src/jackdawlatch/placement/situation.py
@@ -12,7 +12,8 @@
 class Task:
     """One attempt of a job that a worker has, or is about to get.
 
-    ``size`` is what it is counted for.  ``ready`` says that the worker has
+    ``size`` is what it is counted for, ``held`` what its worker was asked to
+    hold for it.  ``ready`` says that the worker has
     confirmed it, ``leaving`` that it is being stopped or checkpointed.
     """
 
@@ -21,6 +22,7 @@
     ready: bool = True
     leaving: bool = False
     fraction: float = 1
+    held: hosts.Capacity = sizes.NOTHING
 
     @property
     def settled(self) -> bool:
--- a/libs/placement/src/jackdawlatch/placement/sizes.py
+++ b/libs/placement/src/jackdawlatch/placement/sizes.py
@@ -25,6 +25,24 @@
     )
 
 
+def least(one: hosts.Capacity, other: hosts.Capacity) -> hosts.Capacity:
+    """Return the smaller of each resource."""
+    return hosts.Capacity(
+        processors=min(one.processors, other.processors),
+        memory_mb=min(one.memory_mb, other.memory_mb),
+        accelerators=min(one.accelerators, other.accelerators),
+    )
+
+
+def most(one: hosts.Capacity, other: hosts.Capacity) -> hosts.Capacity:
+    """Return the larger of each resource."""
+    return hosts.Capacity(
+        processors=max(one.processors, other.processors),
+        memory_mb=max(one.memory_mb, other.memory_mb),
+        accelerators=max(one.accelerators, other.accelerators),
+    )
+
+
 def share(size: hosts.Capacity, total: hosts.Capacity) -> float:
     """Return the dominant share: the largest fraction of a resource."""
     return max(
--- a/libs/placement/src/jackdawlatch/placement/usage.py
+++ b/libs/placement/src/jackdawlatch/placement/usage.py
@@ -1,79 +1,102 @@
 """What tasks really use, learned from readings that lag.
 
 Declared sizes are off by up to ten times either way.  What a task is counted
-for is what it was seen to use, plus a margin; until it has been seen, what
-it declared times the ratio learned from earlier jobs of its service and
-team.  So a host's own starts count from the moment they are decided.
+for is what it was seen to use; until it has been seen, what it declared
+times the ratio learned from earlier jobs of its service and team, and a
+margin that grows with how far those were apart.  So a host's own starts count from the moment they are decided.
 """
 
 import dataclasses
+import math
 
-from jackdawlatch.model import hosts, work
+from jackdawlatch.model import hosts, records, work
 
-MARGIN = 1.1
 MIN_RATIO = 0.1
 MAX_RATIO = 10.0
 LEARNING_RATE = 0.1
 # A peak that was not seen again loses this part of itself each reading.
 PEAK_DECAY = 0.05
+# So many standard deviations are added until a task has been seen.
+SPREADS = 0.5
+# Running out of memory is final for a job that is not idempotent.
+MEMORY_SPREADS_ONCE = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
 class Ratio:
-    """Observed over declared size, averaged over earlier jobs."""
+    """Observed over declared, with its variance, both moving averages."""
 
-    processors: float = 1
-    memory: float = 1
+    mean: float = 1
+    variance: float = 0
     samples: int = 0
 
+    def after(self, observed: float, declared: float) -> 'Ratio':
+        """Return the ratio after another job was seen."""
+        if declared <= 0:
+            return self
+        sample = min(MAX_RATIO, max(MIN_RATIO, observed / declared))
+        # The first readings count most, so that a start from nothing adapts.
+        rate = max(LEARNING_RATE, 1 / (self.samples + 1))
+        gap = sample - self.mean
+        return Ratio(
+            mean=self.mean + rate * gap,
+            variance=(1 - rate) * (self.variance + rate * gap * gap),
+            samples=self.samples + 1,
+        )
+
+    def high(self, spreads: float) -> float:
+        """Return the mean and so many standard deviations."""
+        return self.mean + spreads * math.sqrt(self.variance)
+
+
+@dataclasses.dataclass(frozen=True)
+class Ratios:
+    """The ratios of one service and team."""
+
+    processors: Ratio = Ratio()
+    memory: Ratio = Ratio()
+
 
 class Estimator:
     """Estimates the sizes of jobs; its memory may be lost at any time."""
 
     def __init__(self) -> None:
-        self._ratios_by_group: dict[tuple[str, str], Ratio] = {}
+        self._ratios_by_group: dict[tuple[str, str], Ratios] = {}
 
     def learn(self, job: work.Job, observed: hosts.Capacity) -> None:
         """Take note of what a job was seen to use."""
-        group = _group(job)
-        known = self._ratios_by_group.get(group, Ratio())
-        # The first readings count most, so that a start from nothing adapts.
-        rate = max(LEARNING_RATE, 1 / (known.samples + 1))
-        self._ratios_by_group[group] = Ratio(
-            processors=_nearer(
-                known.processors,
-                _ratio(observed.processors, job.declared.processors),
-                rate,
-            ),
-            memory=_nearer(
-                known.memory,
-                _ratio(observed.memory_mb, job.declared.memory_mb),
-                rate,
-            ),
-            samples=known.samples + 1,
+        known = self._ratios(job)
+        declared = job.declared
+        self._ratios_by_group[_group(job)] = Ratios(
+            known.processors.after(observed.processors, declared.processors),
+            known.memory.after(observed.memory_mb, declared.memory_mb),
         )
 
     def expected(self, job: work.Job) -> hosts.Capacity:
         """Return what a job that was not seen yet is counted for."""
-        ratio = self._ratios_by_group.get(_group(job), Ratio())
-        margin = MARGIN if ratio.samples else 1
-        return hosts.Capacity(
-            processors=job.declared.processors * ratio.processors * margin,
-            memory_mb=job.declared.memory_mb * ratio.memory * margin,
-            accelerators=job.declared.accelerators,
+        spreads = SPREADS if job.idempotent else MEMORY_SPREADS_ONCE
+        ratios = self._ratios(job)
+        return _times(
+            job.declared,
+            ratios.processors.high(SPREADS),
+            ratios.memory.high(spreads),
         )
 
+    def likely(self, job: work.Job) -> hosts.Capacity:
+        """Return what a worker is asked to hold for a job."""
+        ratios = self._ratios(job)
+        return _times(job.declared, ratios.processors.mean, ratios.memory.mean)
+
+    def _ratios(self, job: work.Job) -> Ratios:
+        return self._ratios_by_group.get(_group(job), Ratios())
+
 
 def counted(job: work.Job, peak: hosts.Capacity) -> hosts.Capacity:
     """Return what a task that was seen is counted for.
 
     Accelerators are held whole, as declared.
     """
-    return hosts.Capacity(
-        processors=peak.processors * MARGIN,
-        memory_mb=peak.memory_mb * MARGIN,
-        accelerators=job.declared.accelerators,
-    )
+    return records.replace(peak, accelerators=job.declared.accelerators)
 
 
 def peak_of(
@@ -94,11 +117,11 @@
     return (job.kind.service, job.kind.team)
 
 
-def _ratio(observed: float, declared: float) -> float:
-    if declared <= 0:
-        return 1
-    return min(MAX_RATIO, max(MIN_RATIO, observed / declared))
-
-
-def _nearer(known: float, sample: float, rate: float) -> float:
-    return known + (sample - known) * rate
+def _times(
+    declared: hosts.Capacity, processors: float, memory: float
+) -> hosts.Capacity:
+    return hosts.Capacity(
+        processors=declared.processors * processors,
+        memory_mb=declared.memory_mb * memory,
+        accelerators=declared.accelerators,
+    )
--- /dev/null
+++ b/libs/placer/src/jackdawlatch/placer/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that puts jobs on workers under leases."""
--- /dev/null
+++ b/libs/placer/src/jackdawlatch/placer/authorities.py
@@ -0,0 +1,66 @@
+"""Leadership of a shard, as the permission to act."""
+
+from jackdawlatch.model import clocks
+from jackdawlatch.node import leadership
+from jackdawlatch.placement import attempts
+from jackdawlatch.placer import tools
+
+# A lease that was lost is not believed in for this part of its time to live
+# before another process can have it; a shorter gap is no new term.
+UNTRUSTED_FRACTION = 1 - leadership.TRUSTED_FRACTION
+
+
+class LeaderAuthority(tools.Authority):
+    """Permits by the leadership of one process.
+
+    While the store is away nobody can be known to lead, and running tasks
+    must not stop for that.  So the last leader goes on renewing leases, for
+    as long as its successors allow for.
+    """
+
+    def __init__(
+        self,
+        candidacy: leadership.Leadership,
+        leaders: leadership.Leaders,
+        holder: str,
+        clock: clocks.Clock,
+        ttl_s: float,
+    ) -> None:
+        self._candidacy = candidacy
+        self._leaders = leaders
+        self._holder = holder
+        self._clock = clock
+        self._led_s: float = 0
+        self._led = False
+        self._longest_gap_s = ttl_s * UNTRUSTED_FRACTION
+        self.term = 0
+
+    def leads(self) -> bool:
+        """Whether the lease on the shard is surely held.
+
+        ``term`` grows whenever another process may have led in between.
+        """
+        held = self._candidacy.held
+        if held:
+            now_s = self._clock.monotonic_s()
+            if not self._led or now_s - self._led_s > self._longest_gap_s:
+                self.term += 1
+            self._led_s = now_s
+        self._led = held
+        return held
+
+    def superseded(self) -> bool:
+        """Whether another process is known to lead."""
+        return self._leaders.holder(self._candidacy.key) not in {
+            '',
+            self._holder,
+        }
+
+    def may_renew(self) -> bool:
+        """Whether no successor can have given the tasks up."""
+        if self.leads():
+            return True
+        if not self.term or self.superseded():
+            return False
+        since_s = self._clock.monotonic_s() - self._led_s
+        return since_s < attempts.UNRECORDED_S
--- /dev/null
+++ b/libs/placer/src/jackdawlatch/placer/trackers.py
@@ -0,0 +1,111 @@
+"""The attempts that the leader looks after in one term."""
+
+import collections
+from collections.abc import Iterator, Mapping
+
+from jackdawlatch.model import clocks, work
+from jackdawlatch.placement import attempts, endings, judging, usage
+
+CLAIM_S = 5
+
+
+class Tracker:
+    """Finds attempts in the book and keeps what is learned of them."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self.estimator = usage.Estimator()
+        self.by_job: dict[str, attempts.Attempt] = {}
+        # The watch may bring a record before its writer is told of it.
+        self.recording: set[str] = set()
+        self._clock = clock
+        self._claims_by_job: dict[str, tuple[str, float]] = {}
+        self._unsent_by_job: dict[str, work.Job] = {}
+
+    def clear(self) -> None:
+        """Forget everything, at the start or the end of a term."""
+        self.by_job.clear()
+        self._claims_by_job.clear()
+        self._unsent_by_job.clear()
+
+    def own(self, job: work.Job, recorded_s: float) -> attempts.Attempt:
+        """Look after an attempt that this process has just recorded."""
+        attempt = attempts.Attempt(
+            job, attempts.Origin.OWN, recorded_s, recorded_s
+        )
+        self.by_job[job.id] = attempt
+        self._claims_by_job.pop(job.id, None)
+        return attempt
+
+    def doubt(self, asked: work.Job) -> None:
+        """Remember a record that may have been written, and was not sent."""
+        self._unsent_by_job[asked.id] = asked
+
+    def follow(self, live_by_id: Mapping[str, work.Job]) -> None:
+        """Look after what the book holds, and after nothing else."""
+        for job_id in self.by_job.keys() - live_by_id.keys():
+            self.by_job.pop(job_id)
+        for job_id, job in live_by_id.items():
+            known = self.by_job.get(job_id)
+            if known and known.job.attempt == job.attempt:
+                known.job = job
+            elif job_id not in self.recording:
+                self.by_job[job_id] = self._inherit(job)
+
+    def by_host(self) -> dict[str, list[attempts.Attempt]]:
+        """Return the attempts by the host they were recorded for."""
+        grouped: dict[str, list[attempts.Attempt]] = collections.defaultdict(
+            list
+        )
+        for attempt in self.by_job.values():
+            grouped[attempt.job.host].append(attempt)
+        return grouped
+
+    def endings(
+        self, dead_hosts: frozenset[str]
+    ) -> Iterator[tuple[attempts.Attempt, endings.Ended]]:
+        """Return the attempts that have surely ended."""
+        now_s = self._clock.monotonic_s()
+        for attempt in self.by_job.values():
+            end = judging.judge(attempt, now_s, attempt.job.host in dead_hosts)
+            if end:
+                yield attempt, end
+
+    def claim(self, job_id: str, host: str) -> None:
+        """Hold room on a host for a job, for a short time."""
+        until_s = self._clock.monotonic_s() + CLAIM_S
+        self._claims_by_job[job_id] = (host, until_s)
+
+    def claims_by_job(self) -> dict[str, str]:
+        """Return the claims that still hold."""
+        now_s = self._clock.monotonic_s()
+        self._claims_by_job = {
+            job_id: claim
+            for job_id, claim in self._claims_by_job.items()
+            if claim[1] > now_s
+        }
+        return {
+            job_id: host for job_id, (host, _) in self._claims_by_job.items()
+        }
+
+    def _inherit(self, job: work.Job) -> attempts.Attempt:
+        now_s = self._clock.monotonic_s()
+        attempt = attempts.Attempt(job, attempts.Origin.INHERITED, now_s, now_s)
+        if self._is_unsent(job):
+            attempt.end = endings.Ended(
+                attempt=job.attempt,
+                ending=endings.Ending.NEVER_STARTED,
+                reason='its record was confirmed too late',
+            )
+        return attempt
+
+    def _is_unsent(self, job: work.Job) -> bool:
+        """Whether this process recorded the attempt and never sent it.
+
+        Nobody else starts an inherited job that is not idempotent, and the
+        end of its lease tells one record from another.
+        """
+        asked = self._unsent_by_job.pop(job.id, None)
+        if asked is None or job.idempotent:
+            return False
+        same = (asked.host, asked.attempt) == (job.host, job.attempt)
+        return same and asked.not_before_s == job.not_before_s
