--- a/libs/entry/tests/test_entry_path.py
+++ b/libs/entry/tests/test_entry_path.py
@@ -13,7 +13,9 @@
     answers = await asyncio.gather(
         *(
             fleet.ask(
-                entry, f'/services/desk/x?ms={number}', X_Request_Id=f'r{number}'
+                entry,
+                f'/services/desk/x?ms={number}',
+                X_Request_Id=f'r{number}',
             )
             for number in range(40)
         )
@@ -35,7 +37,11 @@
         )
     )
     assert {entry_fleets.outcome(answer) for answer in answers} == {'answered'}
-    assert [each.around.roster.own.id for each in entries if each.slots.brokers.services] != []
+    assert [
+        each.around.roster.own.id
+        for each in entries
+        if each.slots.brokers.services
+    ] != []
     assert not any(each.slots.shares.services for each in entries)
 
 
--- a/libs/placer/src/jackdawlatch/placer/daemon.py
+++ b/libs/placer/src/jackdawlatch/placer/daemon.py
@@ -24,7 +24,6 @@
 RENEW_S = 5
 USAGE_S = 0.5
 WATCH_S = 2
-RETRY_S = 0.2
 
 
 class Placer:
@@ -46,7 +45,7 @@
         self._store = store
         self._starter = starters.Starter(own)
         self._recorder = recorders.Recorder(own, self._starter)
-        self._keeper = leases.Keeper(own)
+        self.keeper = leases.Keeper(own)
         self._mover = movers.Mover(own)
         self._finisher = finishers.Finisher(own)
         self._revision = 0
@@ -54,16 +53,23 @@
         self._wake = asyncio.Event()
 
     async def follow(self) -> None:
-        """Follow the book while leading; forget it when superseded."""
+        """Follow the book while leading."""
         while True:
-            leads = self._authority.leads()
-            if leads and self._term == self._authority.term:
-                await self._watch()
-            elif leads:
-                await self._begin_term()
-            else:
+            if not await self.sync(WATCH_S):
                 await asyncio.sleep(IDLE_S)
 
+    async def sync(self, timeout_s: float) -> bool:
+        """Take in what changed in the book, waiting for at most a time.
+
+        Returns whether it could: not while another process leads, nor while
+        the store is away.
+        """
+        if not self._authority.leads():
+            return False
+        if self._term == self._authority.term:
+            return await self._watch(timeout_s)
+        return await self._begin_term()
+
     async def place(self) -> None:
         """Plan and carry out, at each change and at least each round."""
         while True:
@@ -74,11 +80,11 @@
 
     async def keep(self) -> None:
         """Renew the leases of all tasks again and again."""
-        await _repeat(self._keeper.renew, RENEW_S)
+        await _repeat(self.keeper.renew, RENEW_S)
 
     async def read(self) -> None:
         """Read usage again and again."""
-        await _repeat(self._keeper.read_usage, USAGE_S)
+        await _repeat(self.keeper.read_usage, USAGE_S)
 
     async def drain(self) -> None:
         """Wait until no start is under way."""
@@ -126,12 +132,11 @@
         elif isinstance(decision, decisions.Claim):
             self._own.tracker.claim(decision.job_id, decision.host)
 
-    async def _begin_term(self) -> None:
+    async def _begin_term(self) -> bool:
         term = self._authority.term
         scanned = await self._store.scan(self._prefix)
         if isinstance(scanned, result.Failure):
-            await asyncio.sleep(RETRY_S)
-            return
+            return False
         changes = scanned.unwrap()
         # What was learned in an earlier term may be out of date.
         self._own.tracker.clear()
@@ -140,17 +145,18 @@
         self._revision = changes.revision
         self._term = term
         self._wake.set()
+        return True
 
-    async def _watch(self) -> None:
-        seen = await self._store.watch(self._prefix, self._revision, WATCH_S)
+    async def _watch(self, timeout_s: float) -> bool:
+        seen = await self._store.watch(self._prefix, self._revision, timeout_s)
         if isinstance(seen, result.Failure):
-            await asyncio.sleep(RETRY_S)
-            return
+            return False
         changes = seen.unwrap()
         self._own.view.take(changes.entries)
         self._revision = changes.revision
         if changes.entries:
             self._wake.set()
+        return True
 
 
 async def _repeat(step: Callable[[], Awaitable[None]], period_s: float) -> None:
