--- a/libs/placement/src/jackdawlatch/placement/preempt.py
+++ b/libs/placement/src/jackdawlatch/placement/preempt.py
@@ -115,7 +115,7 @@
         if not self._ledger.allows(job.kind.team, size):
             yield decisions.Wait(job.id, NO_QUOTA)
             return
-        avoid = self._seen.failing_hosts(job.id)
+        avoid = self._rooms.avoidable(self._seen.failing_hosts(job.id))
         room = self._rooms.find(job, size, avoid)
         if room is not None:
             self._charge(job, size, room)
--- a/libs/placement/src/jackdawlatch/placement/queue.py
+++ b/libs/placement/src/jackdawlatch/placement/queue.py
@@ -41,7 +41,8 @@
         if not ledger.allows(job.kind.team, job.declared):
             yield decisions.Wait(job.id, 'the quota of its team is used up')
             continue
-        room = free.find(job, job.declared, seen.failing_hosts(job.id))
+        avoid = free.avoidable(seen.failing_hosts(job.id))
+        room = free.find(job, job.declared, avoid)
         if room is None:
             yield decisions.Wait(job.id, 'no host has room')
             continue
--- a/libs/placement/src/jackdawlatch/placement/rooms.py
+++ b/libs/placement/src/jackdawlatch/placement/rooms.py
@@ -106,6 +106,11 @@
         for room in self._open:
             self.total = sizes.add(self.total, room.machine.capacity)
 
+    def avoidable(self, failing: frozenset[str]) -> frozenset[str]:
+        """Return the hosts that a job avoids: none, if no other is open."""
+        others = any(room.machine.id not in failing for room in self._open)
+        return failing if others else frozenset()
+
     def find(
         self, job: work.Job, size: hosts.Capacity, avoid: frozenset[str]
     ) -> Room | None:
--- a/libs/placement/src/jackdawlatch/placement/workers.py
+++ b/libs/placement/src/jackdawlatch/placement/workers.py
@@ -12,10 +12,11 @@
 FAILURES_TO_BAR = 3
 FIRST_BAR_S = 10
 LONGEST_BAR_S = 300
+FORGIVE_S = 60
 # A kind that fails on so many workers, and nowhere succeeds, is itself bad.
 HOSTS_TO_BLAME_KIND = 3
 HOSTS_TO_BLAME_JOB = 3
-MAX_ATTEMPTS = 20
+MAX_ATTEMPTS = 10
 FIRST_RETRY_S = 0.5
 LONGEST_RETRY_S = 60
 
@@ -51,7 +52,7 @@
         """Take note that a worker finished a job."""
         self._records_by_host[host] = Record(succeeded=True)
         self._failing_hosts_by_kind.pop(job.kind, None)
-        self.forget(job.id)
+        self._failing_hosts_by_job.pop(job.id, None)
 
     def failed(self, host: str, job: work.Job, now_s: float) -> None:
         """Take note that a job failed on a worker."""
@@ -82,13 +83,17 @@
         many = len(sound) >= HOSTS_TO_BLAME_JOB
         return many or job.attempt >= MAX_ATTEMPTS
 
-    def forget(self, job_id: str) -> None:
-        """Forget a job that has ended, and whom it failed on."""
+    def blame(self, job_id: str) -> None:
+        """Clear the workers on which a job failed that was at fault."""
         for host in self._failing_hosts_by_job.pop(job_id, ()):
             record = self._records_by_host.get(host)
-            if record and not self._suspect(host):
+            if record:
                 record.failed_jobs.discard(job_id)
 
+    def forget(self, job_id: str) -> None:
+        """Forget where a job failed that has ended."""
+        self._failing_hosts_by_job.pop(job_id, None)
+
     def failing_hosts(self, job_id: str) -> frozenset[str]:
         """Return the workers on which a job failed."""
         return frozenset(self._failing_hosts_by_job.get(job_id, ()))
@@ -117,6 +122,9 @@
             return Trust.UNPROVEN
         if record.barred_until_s > now_s:
             return Trust.BARRED
+        if 0 < record.barred_until_s < now_s - FORGIVE_S:
+            # Nothing came by to probe it with.
+            record.failed_jobs.clear()
         if self._suspect(host):
             return Trust.PROBING
         return Trust.PROVEN if record.succeeded else Trust.UNPROVEN
--- a/libs/placer/src/jackdawlatch/placer/explaining.py
+++ b/libs/placer/src/jackdawlatch/placer/explaining.py
@@ -40,7 +40,7 @@
             context.Explanation(
                 subject=subject,
                 answer=answer or 'the job is not queued or running here',
-                events=happened,
+                evidence=happened,
             ),
         )
 
--- a/libs/placer/src/jackdawlatch/placer/finishers.py
+++ b/libs/placer/src/jackdawlatch/placer/finishers.py
@@ -85,6 +85,8 @@
         self._own.note(f'attempt-{ending}', job, end.reason)
         if job.state is work.JobState.DONE:
             self._own.health.succeeded(job.host, job)
+        if end.at_fault:
+            self._own.health.blame(job.id)
         if job.state is not work.JobState.QUEUED:
             self._own.health.forget(job.id)
             self._note_state(job)
