--- a/libs/entry/src/jackdawlatch/entry/root.py
+++ b/libs/entry/src/jackdawlatch/entry/root.py
@@ -63,16 +63,16 @@
         self.front = front.Front(
             self.around, self.sending.dispatcher.run, self.keyed.forwarder.run
         )
-        self.jobs = jobs.Jobs(
-            self.around.fleet,
-            book.Book(store, book.Options(settings.shard), parts.clock),
-        )
-        context = {
-            'desk': self.front,
-            'body_limit_bytes': settings.body_limit_bytes,
-        }
         self.server: httpserver.HTTPServer = server.serve(
-            context, job_handlers.rules(self.jobs, context)
+            server.Context(
+                desk=self.front,
+                jobs=jobs.Jobs(
+                    self.around.fleet,
+                    book.Book(store, book.Options(settings.shard), parts.clock),
+                ),
+                body_limit_bytes=settings.body_limit_bytes,
+            ),
+            job_handlers.ROUTES,
         )
         parts.documents.listen(self._refresh)
 
--- a/libs/entry/tests/test_entry_path.py
+++ b/libs/entry/tests/test_entry_path.py
@@ -37,12 +37,9 @@
         )
     )
     assert {entry_fleets.outcome(answer) for answer in answers} == {'answered'}
-    assert [
-        each.around.roster.own.id
-        for each in entries
-        if each.sending.brokerage.brokers.services
-    ] != []
-    assert not any(each.sending.brokerage.shares.services for each in entries)
+    brokerages = [each.sending.brokerage for each in entries]
+    assert sum(bool(each.brokers.services) for each in brokerages) == 1
+    assert not any(each.shares.services for each in brokerages)
 
 
 load_tests = functions.loader(__name__, {'fleet': entry_fleets.fleet})
