--- a/libs/entry/tests/test_entry_path.py
+++ b/libs/entry/tests/test_entry_path.py
@@ -40,9 +40,9 @@
     assert [
         each.around.roster.own.id
         for each in entries
-        if each.slots.brokers.services
+        if each.sending.brokerage.brokers.services
     ] != []
-    assert not any(each.slots.shares.services for each in entries)
+    assert not any(each.sending.brokerage.shares.services for each in entries)
 
 
 load_tests = functions.loader(__name__, {'fleet': entry_fleets.fleet})
