--- a/libs/platform/src/jackdawlatch/platform/exchange.py
+++ b/libs/platform/src/jackdawlatch/platform/exchange.py
@@ -6,6 +6,7 @@
 keeps reused connections and sends once.
 """
 
+import asyncio
 import dataclasses
 from collections.abc import Callable
 from typing import Any, ClassVar, TypeVar
@@ -80,10 +81,13 @@
     async def send(self, outgoing: Outgoing) -> result.Result[Reply, Failed]:
         """Send a request and wait for its whole answer."""
         guard = _Guard(outgoing.resend)
+        fetching = self._http.fetch(
+            _request(outgoing, guard.prepare), raise_error=False
+        )
+        # A caller that is cancelled leaves the transfer to its timeout.
+        fetching.add_done_callback(asyncio.Future.exception)
         try:
-            response = await self._http.fetch(
-                _request(outgoing, guard.prepare), raise_error=False
-            )
+            response = await asyncio.shield(fetching)
         except httpclient.HTTPClientError as error:
             return result.Failure(guard.judge(error))
         return result.Success(
--- /dev/null
+++ b/libs/standins/src/jackdawlatch/standins/bench.py
@@ -0,0 +1,105 @@
+"""A running deployment with a caller and an operator, for demo and soak."""
+
+import contextlib
+import pathlib
+import random
+import tempfile
+from collections.abc import Iterator
+from typing import ClassVar
+
+from returns import result
+
+from jackdawlatch.model import failures
+from jackdawlatch.standins import (
+    callers,
+    deployments,
+    driver,
+    operators,
+    pools,
+    ports,
+    processes,
+    profiles,
+)
+from jackdawlatch.store import remote
+
+FILLED_S = 30.0
+DAEMON_ROLES = ('entry', 'steward', 'placer')
+
+
+class NotStarted(failures.Problem, frozen=True, kw_only=True):
+    """The deployment did not come up."""
+
+    code: ClassVar[str] = 'deployment-not-started'
+
+
+class Bench:
+    """One deployment as processes below a directory."""
+
+    def __init__(
+        self,
+        profile: profiles.Profile,
+        running: processes.Processes,
+        rng: random.Random,
+        by_rack: bool = False,
+    ) -> None:
+        self.profile = profile
+        self.rng = rng
+        self.directory = running.directory
+        self.deployment = deployments.build(
+            profile, ports.Ports(random.Random()), self.directory
+        )
+        self.driver = driver.Driver(self.deployment, running, by_rack)
+        self.caller = callers.Caller(
+            tuple(
+                f'http://{entry.http_address}'
+                for entry in self.deployment.entries_by_name.values()
+            ),
+            rng,
+        )
+        self.operator = operators.Operator(
+            self.directory, self.deployment.operator
+        )
+        self.store = remote.RemoteStore(
+            self.deployment.operator.store_addresses
+        )
+
+    async def start(self) -> result.Result[None, failures.Problem]:
+        """Start the platform, apply the configuration, start the daemons."""
+        platform = self.driver.names('store', 'hosts', 'runners', 'workers')
+        up = await self.driver.start(platform)
+        if isinstance(up, result.Failure):
+            return up
+        first = profiles.configuration(self.profile)
+        applied = await self.operator.apply(first)
+        if not applied.succeeded:
+            return result.Failure(NotStarted(message=applied.stderr))
+        up = await self.driver.start(self.daemon_names)
+        if isinstance(up, result.Failure):
+            return up
+        if await pools.fill(self.store, FILLED_S):
+            return result.Success(None)
+        return result.Failure(NotStarted(message='the pools are not filled'))
+
+    @property
+    def daemon_names(self) -> tuple[str, ...]:
+        """The names of all processes of the product."""
+        return self.driver.names(*DAEMON_ROLES)
+
+    def close(self) -> None:
+        """Close the connections; the processes are ended by their context."""
+        self.caller.close()
+        self.driver.close()
+        self.store.close()
+
+
+@contextlib.contextmanager
+def opened(
+    profile: profiles.Profile, rng: random.Random, by_rack: bool = False
+) -> Iterator[Bench]:
+    """Return a bench in a temporary directory; end it all on leaving."""
+    with (
+        tempfile.TemporaryDirectory(prefix='jackdawlatch-') as directory,
+        processes.Processes(pathlib.Path(directory)) as running,
+        contextlib.closing(Bench(profile, running, rng, by_rack)) as bench,
+    ):
+        yield bench
--- a/libs/standins/src/jackdawlatch/standins/core.py
+++ b/libs/standins/src/jackdawlatch/standins/core.py
@@ -7,7 +7,14 @@
 import cyclopts
 
 from jackdawlatch.node import launching
-from jackdawlatch.standins import back_ends, examples, hostlist, programs
+from jackdawlatch.standins import (
+    back_ends,
+    demo,
+    examples,
+    hostlist,
+    profiles,
+    programs,
+)
 
 Status = launching.ExitStatus
 
@@ -59,6 +66,18 @@
             programs.workers, back_ends.Workers, settings, stderr
         )
 
+    @app.command(name='demo')
+    def run_demo(
+        *, deployment: str = profiles.BROLLY_ADFER.name, seed: int = 1
+    ) -> Status:
+        """Run a deployment and check what it does, within a minute."""
+        profile = profiles.PROFILES_BY_NAME.get(deployment)
+        if profile is None:
+            known = ', '.join(profiles.PROFILES_BY_NAME)
+            stderr.write(f'jackdawlatch-standin: deployments: {known}\n')
+            return Status.USAGE
+        return demo.run(profile, seed, stdout)
+
     @app.command(name='examples')
     def write_examples(directory: pathlib.Path, /) -> Status:
         """Write the settings of both deployments below a directory."""
--- /dev/null
+++ b/libs/standins/src/jackdawlatch/standins/demo.py
@@ -0,0 +1,70 @@
+"""Runs one deployment and shows what it does, each step with its check."""
+
+import random
+import time
+from collections.abc import Sequence
+from typing import TextIO
+
+from returns import result
+
+from jackdawlatch.node import launching
+from jackdawlatch.standins import (
+    bench,
+    interrupts,
+    job_steps,
+    operating_steps,
+    profiles,
+    serving_steps,
+    steps,
+)
+
+STEPS: Sequence[steps.Step] = (
+    serving_steps.Lookup(),
+    serving_steps.Dispatch(),
+    job_steps.Job(),
+    operating_steps.PresetChange(),
+    serving_steps.GracefulStop(),
+    job_steps.KilledEntries(),
+    operating_steps.Invariants(),
+    operating_steps.TimeLine(),
+)
+
+
+def run(
+    profile: profiles.Profile, seed: int, stdout: TextIO
+) -> launching.ExitStatus:
+    """Run the demo to its end; leaves no process behind."""
+    failures = interrupts.run(_demonstrate(profile, seed, stdout))
+    if failures:
+        return launching.ExitStatus.FAILED
+    return launching.ExitStatus.OK
+
+
+async def _demonstrate(
+    profile: profiles.Profile, seed: int, stdout: TextIO
+) -> int:
+    with bench.opened(profile, random.Random(seed)) as opened:
+        return await _show(opened, stdout)
+
+
+async def _show(on: bench.Bench, stdout: TextIO) -> int:
+    begun_s = time.monotonic()
+    started = await on.start()
+    if isinstance(started, result.Failure):
+        stdout.write(f'FAILED start: {started.failure().line()}\n')
+        return 1
+    took_s = time.monotonic() - begun_s
+    stdout.write(f'ok     start: {on.profile.name}, {took_s:.1f} s\n')
+    failures = 0
+    for step in STEPS:
+        checked = await step.run(on)
+        failures += int(isinstance(checked, result.Failure))
+        stdout.write(f'{_line(step, checked)}\n')
+        stdout.flush()
+    return failures
+
+
+def _line(step: steps.Step, checked: steps.Checked) -> str:
+    if isinstance(checked, result.Success):
+        return f'ok     {step.name}: {checked.unwrap()}'
+    return f'FAILED {step.name}: {checked.failure().line()}'
--- a/libs/standins/src/jackdawlatch/standins/driver.py
+++ b/libs/standins/src/jackdawlatch/standins/driver.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from jackdawlatch.model import failures, records
+from jackdawlatch.node import daemon
 from jackdawlatch.platform import exchange
 from jackdawlatch.standins import (
     deployments,
@@ -51,12 +52,12 @@
                 running.directory / f'{launch.name}.json', launch.settings
             )
 
-    def names(self, role: str) -> tuple[str, ...]:
-        """Return the names of the processes of a role, in order."""
+    def names(self, *roles: str) -> tuple[str, ...]:
+        """Return the names of the processes of some roles, in order."""
         return tuple(
             name
             for name in self._launches_by_name
-            if name.partition('-')[0] == role
+            if name.partition('-')[0] in roles
         )
 
     async def start(
@@ -115,6 +116,17 @@
         )
         return _is_ok(sent)
 
+    async def status(self, name: str) -> daemon.Status | None:
+        """Return what a daemon says of itself, None when it says nothing."""
+        probe = self._launches_by_name[name].probe
+        answered = await self._client.send(
+            exchange.Outgoing(
+                probe.replace('/readyz', '/status'), timeout_s=PROBE_S
+            )
+        )
+        read = answered.bind(lambda reply: reply.json(daemon.Status))
+        return read.value_or(None)
+
     def close(self) -> None:
         """Close the connections of the probes."""
         self._client.close()
--- /dev/null
+++ b/libs/standins/src/jackdawlatch/standins/operating_steps.py
@@ -0,0 +1,79 @@
+"""Steps of the demo with the operators' command line."""
+
+import asyncio
+import time
+
+from returns import result
+
+from jackdawlatch.standins import bench, steps, waiting
+
+ROLL_OUT_S = 7.0
+LINES = 40
+
+
+class PresetChange(steps.Step):
+    """A preset that is put in force is applied by every process in time."""
+
+    name = 'preset change'
+
+    async def run(self, on: bench.Bench) -> steps.Checked:
+        """Put the peak preset in force and ask every daemon."""
+        asked_s = time.monotonic()
+        used = await on.operator.run('preset', 'use', 'peak')
+        if not used.succeeded:
+            return steps.failed(f'the edit failed: {used.stderr}')
+
+        async def is_everywhere() -> bool:
+            statuses = await asyncio.gather(
+                *(on.driver.status(name) for name in on.daemon_names)
+            )
+            return all(
+                status is not None and status.in_force == 'peak'
+                for status in statuses
+            )
+
+        applied = await waiting.until(is_everywhere, ROLL_OUT_S)
+        took_s = time.monotonic() - asked_s
+        if not applied:
+            return steps.failed(f'not everywhere after {took_s:.1f} s')
+        count = len(on.daemon_names)
+        return result.Success(
+            f'{count} processes, {took_s:.2f} s after it was asked'
+        )
+
+
+class Invariants(steps.Step):
+    """No process has counted a violated invariant or ended by itself."""
+
+    name = 'invariants'
+
+    async def run(self, on: bench.Bench) -> steps.Checked:
+        """Ask every daemon, and look at every process."""
+        failed = on.driver.processes.failed()
+        if failed:
+            return steps.failed(
+                f'{failed[0].name} ended by itself', failed[0].errors()
+            )
+        statuses = await asyncio.gather(
+            *(on.driver.status(name) for name in on.daemon_names)
+        )
+        for name, status in zip(on.daemon_names, statuses, strict=True):
+            if status is None or status.invariant_violations:
+                return steps.failed(f'{name}: {status}')
+        return result.Success(f'{len(statuses)} processes, no violation')
+
+
+class TimeLine(steps.Step):
+    """The events of all processes are merged in one order."""
+
+    name = 'time line'
+
+    async def run(self, on: bench.Bench) -> steps.Checked:
+        """Print the merged time line."""
+        shown = await on.operator.run('timeline', '--limit', str(LINES))
+        if not shown.succeeded:
+            return steps.failed(f'no time line: {shown.stderr}')
+        moments = [line.split(' ')[0] for line in shown.stdout.splitlines()]
+        if not moments or moments != sorted(moments):
+            return steps.failed('the events are not in order')
+        return result.Success(f'{len(moments)} events\n{shown.stdout}')
--- /dev/null
+++ b/libs/standins/src/jackdawlatch/standins/oracle.py
@@ -0,0 +1,100 @@
+"""Compares what really ran with what callers were told."""
+
+import dataclasses
+import itertools
+import pathlib
+from collections.abc import Iterable, Iterator
+
+from jackdawlatch.standins import callers, executions
+
+IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
+
+
+@dataclasses.dataclass(frozen=True)
+class Violation:
+    """Something that must never happen, with what it happened to."""
+
+    rule: str
+    subject: str
+    detail: str = ''
+
+    def line(self) -> str:
+        """Return it as one line of text."""
+        return f'{self.rule}: {self.subject} {self.detail}'.rstrip()
+
+
+def requests_run(directory: pathlib.Path) -> tuple[executions.Execution, ...]:
+    """Return every run of a request on every runner."""
+    return _read(directory, '*.runs')
+
+
+def tasks_run(directory: pathlib.Path) -> tuple[executions.Execution, ...]:
+    """Return every start of a task on every worker."""
+    return _read(directory, '*.starts')
+
+
+class Judge:
+    """Holds what callers were told against the runs of the runners."""
+
+    def __init__(
+        self,
+        told: Iterable[callers.Told],
+        runs: Iterable[executions.Execution],
+    ) -> None:
+        self._told = tuple(told)
+        self._runs_by_id = _grouped(runs, 'id')
+        self._runs_by_key = _grouped(runs, 'key')
+
+    def violations(self) -> tuple[Violation, ...]:
+        """Return everything that must never happen, and did."""
+        return (
+            *itertools.chain.from_iterable(map(self._answer, self._told)),
+            *self._keys_run_twice(),
+            *self._keys_not_run(),
+        )
+
+    def _answer(self, told: callers.Told) -> Iterator[Violation]:
+        subject = told.asked.id
+        runs = len(self._runs_by_id.get(subject, ()))
+        answered = told.outcome is callers.Outcome.ANSWERED
+        if answered and not told.is_own:
+            yield Violation('not its own whole answer', subject, repr(told))
+        if told.outcome is callers.Outcome.NOT_RUN and runs:
+            yield Violation('told as not run, and has run', subject)
+        if told.asked.method not in IDEMPOTENT_METHODS and runs > 1:
+            yield Violation('ran more than once', subject, f'{runs} times')
+
+    def _keys_run_twice(self) -> Iterator[Violation]:
+        for key, runs in self._runs_by_key.items():
+            if key and len(runs) > 1:
+                places = ', '.join(f'{run.host} as {run.id}' for run in runs)
+                yield Violation('a key ran twice', key, places)
+
+    def _keys_not_run(self) -> Iterator[Violation]:
+        outcomes_by_key: dict[str, set[callers.Outcome]] = {}
+        for one in self._told:
+            outcomes = outcomes_by_key.setdefault(one.asked.key, set())
+            outcomes.add(one.outcome)
+        for key, outcomes in outcomes_by_key.items():
+            only_not_run = outcomes == {callers.Outcome.NOT_RUN}
+            if key and only_not_run and key in self._runs_by_key:
+                yield Violation('a key told as not run has run', key)
+
+
+def _grouped(
+    runs: Iterable[executions.Execution], field: str
+) -> dict[str, list[executions.Execution]]:
+    grouped: dict[str, list[executions.Execution]] = {}
+    for run in runs:
+        grouped.setdefault(getattr(run, field), []).append(run)
+    return grouped
+
+
+def _read(
+    directory: pathlib.Path, pattern: str
+) -> tuple[executions.Execution, ...]:
+    return tuple(
+        execution
+        for path in sorted(directory.glob(pattern))
+        for execution in executions.read(path)
+    )
--- /dev/null
+++ b/libs/standins/src/jackdawlatch/standins/pools.py
@@ -0,0 +1,44 @@
+"""What the platform's store says of pools and presets, for checks."""
+
+import collections
+
+from jackdawlatch.model import hosts, presets, records
+from jackdawlatch.standins import waiting
+from jackdawlatch.store import keyvalue
+
+CONFIG_KEY = 'fleet/config'
+MEMBERSHIP_KEY = 'fleet/membership/main'
+
+
+async def configuration(store: keyvalue.Store) -> presets.Configuration:
+    """Return the configuration, empty when it can't be read."""
+    found = (await store.get(CONFIG_KEY)).value_or(None)
+    if found is None:
+        return presets.Configuration()
+    return records.decode(found.value, presets.Configuration)
+
+
+async def membership(store: keyvalue.Store) -> hosts.Membership:
+    """Return the membership, empty when it can't be read."""
+    found = (await store.get(MEMBERSHIP_KEY)).value_or(None)
+    if found is None:
+        return hosts.Membership()
+    return records.decode(found.value, hosts.Membership)
+
+
+async def fill(store: keyvalue.Store, timeout_s: float) -> bool:
+    """Wait until each pool has the hosts that its preset wants."""
+    return await waiting.until(lambda: are_filled(store), timeout_s)
+
+
+async def are_filled(store: keyvalue.Store) -> bool:
+    """Return whether each pool has the hosts that its preset wants."""
+    wanted = (await configuration(store)).preset.pools_by_name
+    active = collections.Counter(
+        assignment.pool
+        for assignment in (await membership(store)).assignments_by_host.values()
+        if assignment.phase is hosts.Phase.ACTIVE
+    )
+    return bool(wanted) and all(
+        active[pool] >= target.hosts for pool, target in wanted.items()
+    )
--- a/libs/standins/src/jackdawlatch/standins/processes.py
+++ b/libs/standins/src/jackdawlatch/standins/processes.py
@@ -1,6 +1,5 @@
 """Operating system processes that a test or the demo starts and ends."""
 
-import contextlib
 import pathlib
 import signal
 import subprocess
@@ -12,6 +11,7 @@
 STOP_S = 15.0
 POLL_S = 0.02
 TAIL_BYTES = 4000
+INTERRUPTS = (signal.SIGINT, signal.SIGTERM)
 
 
 class Process:
@@ -107,6 +107,14 @@
 
     def close(self) -> None:
         """Stop all, latest first; kill what has not ended in time."""
+        # An impatient second interrupt must not leave processes behind.
+        before = signal.pthread_sigmask(signal.SIG_BLOCK, INTERRUPTS)
+        try:
+            self._end_all()
+        finally:
+            signal.pthread_sigmask(signal.SIG_SETMASK, before)
+
+    def _end_all(self) -> None:
         left = list(reversed(tuple(self)))
         for process in left:
             # A paused process would not notice that it is to stop.
@@ -118,17 +126,3 @@
         for process in left:
             process.signal(signal.SIGKILL)
             process.wait(STOP_S)
-
-
-@contextlib.contextmanager
-def interruptible() -> Iterator[None]:
-    """Turn SIGTERM into an exception, so that contexts are left properly."""
-    before = signal.signal(signal.SIGTERM, _interrupt)
-    try:
-        yield
-    finally:
-        signal.signal(signal.SIGTERM, before)
-
-
-def _interrupt(_number: int, _frame: object) -> None:
-    raise KeyboardInterrupt
--- /dev/null
+++ b/libs/standins/tests/test_standins_oracle.py
@@ -0,0 +1,92 @@
+import itertools
+
+import msgspec
+from tornado import httputil
+
+from jackdawlatch.platform import exchange
+from jackdawlatch.standins import callers, executions, oracle, runner
+from jackdawlatch.testing import functions
+
+PATH = '/services/lookup/x'
+
+
+def _told(
+    request_id: str,
+    outcome: callers.Outcome,
+    method: str = 'POST',
+    key: str = '',
+    answered_id: str = '',
+) -> callers.Told:
+    asked = callers.Asked(
+        entry='http://e', path=PATH, id=request_id, method=method, key=key
+    )
+    receipt = runner.Receipt(
+        host='h1',
+        number=0,
+        id=answered_id or request_id,
+        key=key,
+        method=method,
+        path='/x',
+        body_bytes=0,
+    )
+    body = msgspec.json.encode(receipt)
+    reply = exchange.Reply(200, body, httputil.HTTPHeaders())
+    return callers.Told(asked, outcome, 200, body, reply)
+
+
+def _run(
+    request_id: str, key: str = '', number: int = 0
+) -> executions.Execution:
+    return executions.Execution(
+        host='h1', number=number, id=request_id, key=key, start_s=1
+    )
+
+
+def _rules(
+    told: list[callers.Told], runs: list[executions.Execution]
+) -> list[str]:
+    return [one.rule for one in oracle.Judge(told, runs).violations()]
+
+
+def test_truthful_answers_pass() -> None:
+    told = [
+        _told('a', callers.Outcome.ANSWERED),
+        _told('b', callers.Outcome.NOT_RUN),
+        _told('c', callers.Outcome.UNKNOWN),
+        _told('d', callers.Outcome.ANSWERED, key='k', answered_id='e'),
+        _told('e', callers.Outcome.NOT_RUN, key='k'),
+    ]
+    runs = [_run('a'), _run('c'), _run('f', key='k')]
+    assert not _rules(told, runs)
+
+
+def test_each_lie_is_found() -> None:
+    lies = {
+        'not its own whole answer': (
+            [_told('a', callers.Outcome.ANSWERED, answered_id='b')],
+            [],
+        ),
+        'told as not run, and has run': (
+            [_told('a', callers.Outcome.NOT_RUN)],
+            [_run('a')],
+        ),
+        'ran more than once': (
+            [_told('a', callers.Outcome.UNKNOWN)],
+            [_run('a'), _run('a', number=1)],
+        ),
+        'a key ran twice': ([], [_run('a', 'k'), _run('b', 'k', 1)]),
+        'a key told as not run has run': (
+            [_told('a', callers.Outcome.NOT_RUN, key='k')],
+            [_run('b', 'k')],
+        ),
+    }
+    found = [_rules(told, runs) for told, runs in lies.values()]
+    assert list(itertools.chain(*found)) == list(lies)
+
+
+def test_idempotent_request_may_run_again() -> None:
+    told = [_told('a', callers.Outcome.ANSWERED, method='GET')]
+    assert not _rules(told, [_run('a'), _run('a', number=1)])
+
+
+load_tests = functions.loader(__name__)
