Write the soak: seeded faults, and an oracle of runs and answers

Disruptions come one or two at a time, each with random numbers of its own, and lock the process they act on. An answer that was cut counts against an entry unless it was killed or paused then; callers go by readiness, as behind a balancer.

A client of exchanges now closes when its last transfer has ended; closing it earlier let tornado's timer print an error at the end of the first run.

--- a/libs/platform/src/jackdawlatch/platform/exchange.py
+++ b/libs/platform/src/jackdawlatch/platform/exchange.py
@@ -77,6 +77,8 @@
         self._http = curl_httpclient.CurlAsyncHTTPClient(
             force_instance=True, max_clients=max_concurrent
         )
+        self._closing = False
+        self._in_flight: set[asyncio.Future[httpclient.HTTPResponse]] = set()
 
     async def send(self, outgoing: Outgoing) -> result.Result[Reply, Failed]:
         """Send a request and wait for its whole answer."""
@@ -85,7 +87,8 @@
             _request(outgoing, guard.prepare), raise_error=False
         )
         # A caller that is cancelled leaves the transfer to its timeout.
-        fetching.add_done_callback(asyncio.Future.exception)
+        fetching.add_done_callback(self._finish)
+        self._in_flight.add(fetching)
         try:
             response = await asyncio.shield(fetching)
         except httpclient.HTTPClientError as error:
@@ -95,8 +98,20 @@
         )
 
     def close(self) -> None:
-        """Close every connection; exchanges in flight must have ended."""
-        self._http.close()
+        """Close every connection once no exchange is in flight."""
+        self._closing = True
+        if not self._in_flight:
+            self._http.close()
+
+    def _finish(
+        self, fetching: asyncio.Future[httpclient.HTTPResponse]
+    ) -> None:
+        # Whoever was cancelled does not look at the outcome.
+        fetching.exception()
+        self._in_flight.discard(fetching)
+        if self._closing and not self._in_flight:
+            # libcurl still works on the transfer that calls back.
+            asyncio.get_running_loop().call_soon(self._http.close)
 
 
 class _Guard:
--- /dev/null
+++ b/libs/standins/src/jackdawlatch/standins/balancing.py
@@ -0,0 +1,52 @@
+"""The platform's balancer: sends callers to entries that are ready."""
+
+import asyncio
+
+from jackdawlatch.platform import exchange
+from jackdawlatch.standins import bench, serving
+
+PERIOD_S = 0.2
+PROBE_S = 0.5
+
+
+class Balancer:
+    """Follows the readiness of every entry."""
+
+    def __init__(self, on: bench.Bench) -> None:
+        self._caller = on.caller
+        self._probes_by_entry = {
+            f'http://{entry.http_address}': (
+                f'http://{entry.operations_address}/readyz'
+            )
+            for entry in on.deployment.entries_by_name.values()
+        }
+        self._client = exchange.Client()
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            entries = tuple(self._probes_by_entry)
+            ready = await asyncio.gather(
+                *(self._is_ready(entry) for entry in entries)
+            )
+            self._caller.live = tuple(
+                entry
+                for entry, is_ready in zip(entries, ready, strict=True)
+                if is_ready
+            )
+            await asyncio.sleep(PERIOD_S)
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._client.close()
+
+    async def _is_ready(self, entry: str) -> bool:
+        answered = await self._client.send(
+            exchange.Outgoing(
+                self._probes_by_entry[entry],
+                timeout_s=PROBE_S,
+                connect_timeout_s=PROBE_S,
+            )
+        )
+        status = answered.map(lambda reply: reply.status).value_or(0)
+        return status == serving.OK_STATUS
--- a/libs/standins/src/jackdawlatch/standins/callers.py
+++ b/libs/standins/src/jackdawlatch/standins/callers.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import random
+import time
 from collections.abc import Sequence
 
 from returns import result
@@ -40,14 +41,27 @@
 
 @dataclasses.dataclass(frozen=True)
 class Told:
-    """The answer to one request, as its caller saw it."""
+    """The answer to one request, as its caller saw it.
+
+    Times are seconds since the epoch.
+    """
 
     asked: Asked
     outcome: Outcome
-    status: int = 0
-    body: bytes = b''
+    sent_s: float = 0
+    told_s: float = 0
     reply: exchange.Reply | None = None
 
+    @property
+    def status(self) -> int:
+        """The status, 0 without an answer."""
+        return self.reply.status if self.reply else 0
+
+    @property
+    def body(self) -> bytes:
+        """The body, empty without an answer."""
+        return self.reply.body if self.reply else b''
+
     @property
     def receipt(self) -> runner.Receipt | None:
         """What the runner said of the request, if its answer was whole."""
@@ -71,32 +85,46 @@
 
 
 class Caller:
-    """Sends requests to entries, once each."""
+    """Sends requests to entries, once each; ``live`` may be narrowed."""
 
     def __init__(self, entries: Sequence[str], rng: random.Random) -> None:
         self.entries = tuple(entries)
+        self.live = self.entries
         self._rng = rng
         self._client = exchange.Client(max_concurrent=MAX_CONCURRENT)
 
     def any_entry(self) -> str:
         """Return the base URL of an entry, as a balancer chooses it."""
-        return self._rng.choice(self.entries)
+        return self._rng.choice(self.live or self.entries)
 
     async def ask(self, asked: Asked) -> Told:
         """Send a request and note the outcome."""
+        sent_s = time.time()
         answered = await self._client.send(_outgoing(asked))
-        if isinstance(answered, result.Failure):
-            sent = isinstance(answered.failure(), exchange.Unanswered)
-            return Told(asked, Outcome.NO_ANSWER if sent else Outcome.NOT_RUN)
-        reply = answered.unwrap()
-        named = reply.headers.get(OUTCOME_HEADER, Outcome.NO_ANSWER)
-        return Told(asked, Outcome(named), reply.status, reply.body, reply)
+        reply = answered.value_or(None)
+        return Told(
+            asked=asked,
+            outcome=_outcome(answered),
+            sent_s=sent_s,
+            told_s=time.time(),
+            reply=reply,
+        )
 
     def close(self) -> None:
         """Close every connection."""
         self._client.close()
 
 
+def _outcome(
+    answered: result.Result[exchange.Reply, exchange.Failed],
+) -> Outcome:
+    if isinstance(answered, result.Failure):
+        sent = isinstance(answered.failure(), exchange.Unanswered)
+        return Outcome.NO_ANSWER if sent else Outcome.NOT_RUN
+    named = answered.unwrap().headers.get(OUTCOME_HEADER)
+    return Outcome(named) if named else Outcome.NO_ANSWER
+
+
 def _outgoing(asked: Asked) -> exchange.Outgoing:
     key = (('Idempotency-Key', asked.key),) if asked.key else ()
     return exchange.Outgoing(
--- a/libs/standins/src/jackdawlatch/standins/core.py
+++ b/libs/standins/src/jackdawlatch/standins/core.py
@@ -2,7 +2,7 @@
 
 import pathlib
 from collections.abc import Sequence
-from typing import TextIO
+from typing import Literal, TextIO
 
 import cyclopts
 
@@ -14,9 +14,12 @@
     hostlist,
     profiles,
     programs,
+    soak,
 )
 
 Status = launching.ExitStatus
+Deployment = Literal['brolly-adfer', 'prairie-slate']
+SOAK_S = 60.0
 
 
 def main(arguments: Sequence[str], stdout: TextIO, stderr: TextIO) -> Status:
@@ -66,17 +69,24 @@
             programs.workers, back_ends.Workers, settings, stderr
         )
 
+    @app.command(name='soak')
+    def run_soak(
+        *,
+        deployment: Deployment = 'brolly-adfer',
+        seed: int = 1,
+        seconds: float = SOAK_S,
+    ) -> Status:
+        """Run a deployment under faults and judge what it did."""
+        return soak.run(
+            profiles.PROFILES_BY_NAME[deployment], seed, seconds, stdout
+        )
+
     @app.command(name='demo')
     def run_demo(
-        *, deployment: str = profiles.BROLLY_ADFER.name, seed: int = 1
+        *, deployment: Deployment = 'brolly-adfer', seed: int = 1
     ) -> Status:
         """Run a deployment and check what it does, within a minute."""
-        profile = profiles.PROFILES_BY_NAME.get(deployment)
-        if profile is None:
-            known = ', '.join(profiles.PROFILES_BY_NAME)
-            stderr.write(f'jackdawlatch-standin: deployments: {known}\n')
-            return Status.USAGE
-        return demo.run(profile, seed, stdout)
+        return demo.run(profiles.PROFILES_BY_NAME[deployment], seed, stdout)
 
     @app.command(name='examples')
     def write_examples(directory: pathlib.Path, /) -> Status:
--- /dev/null
+++ b/libs/standins/src/jackdawlatch/standins/disruptions.py
@@ -0,0 +1,160 @@
+"""What goes wrong in a soak: one seeded disruption after another."""
+
+import abc
+import asyncio
+import random
+import types
+from collections.abc import Mapping
+
+from jackdawlatch.standins import bench, keyvalue_faults, outages, serving
+
+PAUSED_S = 9.0
+SHORT_S = 3.0
+LONG_S = 8.0
+REBOOT_S = 2.0
+STOP_S = 25.0
+MAX_SLOW_MS = 400
+MAX_WAVES = 1_000_000
+
+
+class Disruption(abc.ABC):
+    """Something that goes wrong, and is mended before it returns."""
+
+    @abc.abstractmethod
+    async def run(
+        self, on: bench.Bench, rng: random.Random, noted: outages.Outages
+    ) -> str:
+        """Disrupt; return to whom it was done."""
+
+
+class KilledDaemon(Disruption):
+    """A daemon is killed and started anew with empty memory."""
+
+    async def run(
+        self, on: bench.Bench, rng: random.Random, noted: outages.Outages
+    ) -> str:
+        """Kill one daemon."""
+        name = rng.choice(on.daemon_names)
+        async with on.driver.lock(name), noted.of(name):
+            on.driver.kill(name)
+            await asyncio.sleep(rng.uniform(0, SHORT_S))
+            await on.driver.start((name,))
+        return name
+
+
+class PausedDaemon(Disruption):
+    """A daemon is paused for longer than its lease, and wakes."""
+
+    async def run(
+        self, on: bench.Bench, rng: random.Random, noted: outages.Outages
+    ) -> str:
+        """Pause one daemon."""
+        name = rng.choice(on.daemon_names)
+        async with on.driver.lock(name), noted.of(name):
+            on.driver.pause(name)
+            await asyncio.sleep(PAUSED_S)
+            on.driver.resume(name)
+        return name
+
+
+class StoreOutage(Disruption):
+    """The store is down, in one of several ways."""
+
+    async def run(
+        self, on: bench.Bench, rng: random.Random, noted: outages.Outages
+    ) -> str:
+        """Take the store away for a while."""
+        outage = rng.choice(
+            tuple(
+                one
+                for one in keyvalue_faults.Outage
+                if one is not keyvalue_faults.Outage.NONE
+            )
+        )
+        await _store(on, keyvalue_faults.Faults(outage=outage))
+        await asyncio.sleep(rng.uniform(SHORT_S, LONG_S))
+        await _store(on, keyvalue_faults.Faults())
+        return outage.value
+
+
+class DegradedStore(Disruption):
+    """The store is slow, and some of its replies are lost."""
+
+    async def run(
+        self, on: bench.Bench, rng: random.Random, noted: outages.Outages
+    ) -> str:
+        """Degrade the store for a while."""
+        faults = keyvalue_faults.Faults(
+            slow_ms=rng.randint(0, MAX_SLOW_MS),
+            lose_probability=rng.choice((0, 0.1, 0.5)),
+            seed=rng.randint(0, MAX_SLOW_MS),
+        )
+        await _store(on, faults)
+        await asyncio.sleep(rng.uniform(SHORT_S, LONG_S))
+        await _store(on, keyvalue_faults.Faults())
+        return f'{faults.slow_ms} ms, {faults.lose_probability} lost'
+
+
+class LostRack(Disruption):
+    """All runners and workers of one rack are killed, and come back."""
+
+    async def run(
+        self, on: bench.Bench, rng: random.Random, noted: outages.Outages
+    ) -> str:
+        """Kill the processes of one rack."""
+        rack = rng.choice(on.deployment.racks).name
+        names = (f'runners-{rack}', f'workers-{rack}')
+        # Both locks are always taken in the same order.
+        async with on.driver.lock(names[0]), on.driver.lock(names[1]):
+            for name in names:
+                on.driver.kill(name)
+            await asyncio.sleep(rng.uniform(0, LONG_S))
+            await on.driver.start(names)
+        return rack
+
+
+class RollingReplacement(Disruption):
+    """Every entry in turn is stopped gracefully and started anew."""
+
+    async def run(
+        self, on: bench.Bench, rng: random.Random, noted: outages.Outages
+    ) -> str:
+        """Replace all entries."""
+        names = on.driver.names('entry')
+        for name in names:
+            async with on.driver.lock(name):
+                if not await on.driver.stop(name, STOP_S):
+                    return f'{name} did not stop'
+                await on.driver.start((name,))
+        return ', '.join(names)
+
+
+class Wave(Disruption):
+    """Operators start a maintenance wave over one pool."""
+
+    async def run(
+        self, on: bench.Bench, rng: random.Random, noted: outages.Outages
+    ) -> str:
+        """Start a wave, and leave it to the stewards."""
+        pool = rng.choice(on.profile.services)
+        name = f'wave-{rng.randint(0, MAX_WAVES)}'
+        ran = await on.operator.run('wave', 'start', name, '--pool', pool)
+        return f'{name} over {pool}: {ran.exit_status}'
+
+
+async def _store(on: bench.Bench, faults: keyvalue_faults.Faults) -> None:
+    url = f'http://{serving.LOOPBACK}:{on.deployment.store.port}/-/faults'
+    await on.driver.switch(url, faults)
+
+
+DISRUPTIONS_BY_NAME: Mapping[str, Disruption] = types.MappingProxyType(
+    {
+        'killed daemon': KilledDaemon(),
+        'paused daemon': PausedDaemon(),
+        'store outage': StoreOutage(),
+        'degraded store': DegradedStore(),
+        'lost rack': LostRack(),
+        'rolling replacement': RollingReplacement(),
+        'wave': Wave(),
+    }
+)
--- a/libs/standins/src/jackdawlatch/standins/driver.py
+++ b/libs/standins/src/jackdawlatch/standins/driver.py
@@ -1,6 +1,7 @@
 """Starts a deployment as processes, and acts on them one by one."""
 
 import asyncio
+import collections
 import signal
 from collections.abc import Iterable
 from typing import ClassVar
@@ -43,6 +44,9 @@
         self.deployment = deployment
         self.processes = running
         self._client = exchange.Client()
+        self._locks_by_name: collections.defaultdict[str, asyncio.Lock] = (
+            collections.defaultdict(asyncio.Lock)
+        )
         self._launches_by_name = {
             launch.name: launch
             for launch in launch_plan.launches(deployment, by_rack)
@@ -84,6 +88,10 @@
             )
         )
 
+    def lock(self, name: str) -> asyncio.Lock:
+        """Return the lock of whoever stops and starts a process."""
+        return self._locks_by_name[name]
+
     def kill(self, name: str) -> None:
         """End a process at once."""
         self.processes[name].signal(signal.SIGKILL)
--- a/libs/standins/src/jackdawlatch/standins/processes.py
+++ b/libs/standins/src/jackdawlatch/standins/processes.py
@@ -92,7 +92,13 @@
         return iter(tuple(self._processes_by_name.values()))
 
     def start(self, name: str, arguments: Sequence[str]) -> Process:
-        """Start ``python -m`` with arguments, in place of an ended one."""
+        """Start ``python -m`` with arguments, in place of an ended one.
+
+        Raises ``ValueError`` while the last one of that name still runs.
+        """
+        before = self._processes_by_name.get(name)
+        if before and before.exit_status is None:
+            raise ValueError(f'{name} still runs')
         process = Process(name, arguments, self.directory)
         self._processes_by_name[name] = process
         return process
--- /dev/null
+++ b/libs/standins/src/jackdawlatch/standins/soak.py
@@ -0,0 +1,91 @@
+"""A long randomised run of real processes under faults."""
+
+import asyncio
+import random
+import time
+from typing import TextIO
+
+from returns import result
+
+from jackdawlatch.node import launching
+from jackdawlatch.standins import (
+    bench,
+    crowd,
+    disruptions,
+    interrupts,
+    outages,
+    profiles,
+    verdict,
+)
+
+MAX_TOGETHER = 2
+MAX_PAUSE_S = 3.0
+
+
+def run(
+    profile: profiles.Profile, seed: int, seconds: float, stdout: TextIO
+) -> launching.ExitStatus:
+    """Run a soak to its end; leaves no process behind."""
+    found = interrupts.run(_soak(profile, seed, seconds, stdout))
+    if found:
+        return launching.ExitStatus.FAILED
+    return launching.ExitStatus.OK
+
+
+async def _soak(
+    profile: profiles.Profile, seed: int, seconds: float, stdout: TextIO
+) -> int:
+    rng = random.Random(f'{seed} schedule')
+    with bench.opened(profile, rng, by_rack=True) as on:
+        started = await on.start()
+        if isinstance(started, result.Failure):
+            stdout.write(f'FAILED start: {started.failure().line()}\n')
+            return 1
+        whole = crowd.Crowd(on, seed)
+        async with whole.at_work():
+            schedule = Schedule(on, rng, whole.outages, stdout)
+            await schedule.run(seconds)
+        judged = verdict.Verdict(on, whole)
+        violations = await judged.violations()
+        lines = [*judged.summary(), *(one.line() for one in violations)]
+        stdout.writelines(f'{line}\n' for line in lines)
+        stdout.write(f'seed {seed}: {len(violations)} violations\n')
+        return len(violations)
+
+
+class Schedule:
+    """Disruptions one after another, at times two at once."""
+
+    def __init__(
+        self,
+        on: bench.Bench,
+        rng: random.Random,
+        noted: outages.Outages,
+        stdout: TextIO,
+    ) -> None:
+        self._on = on
+        self._rng = rng
+        self._noted = noted
+        self._stdout = stdout
+        self._begun_s = time.monotonic()
+
+    async def run(self, seconds: float) -> None:
+        """Disrupt until the time is over; all is mended on return."""
+        names = tuple(disruptions.DISRUPTIONS_BY_NAME)
+        while time.monotonic() < self._begun_s + seconds:
+            count = self._rng.randint(1, MAX_TOGETHER)
+            chosen = self._rng.sample(names, count)
+            await asyncio.gather(*(self._disrupt(name) for name in chosen))
+            await asyncio.sleep(self._rng.uniform(0, MAX_PAUSE_S))
+
+    async def _disrupt(self, name: str) -> None:
+        # Each has its own numbers, whatever runs beside it.
+        rng = random.Random(self._rng.random())
+        begun_s = time.monotonic() - self._begun_s
+        disruption = disruptions.DISRUPTIONS_BY_NAME[name]
+        done = await disruption.run(self._on, rng, self._noted)
+        ended_s = time.monotonic() - self._begun_s
+        self._stdout.write(
+            f'{begun_s:7.1f} to {ended_s:5.1f} s  {name}: {done}\n'
+        )
+        self._stdout.flush()
--- a/libs/standins/tests/test_standins_oracle.py
+++ b/libs/standins/tests/test_standins_oracle.py
@@ -31,7 +31,7 @@
     )
     body = msgspec.json.encode(receipt)
     reply = exchange.Reply(200, body, httputil.HTTPHeaders())
-    return callers.Told(asked, outcome, 200, body, reply)
+    return callers.Told(asked, outcome, reply=reply)
 
 
 def _run(
