--- a/libs/platform/src/jackdawlatch/platform/exchange.py
+++ b/libs/platform/src/jackdawlatch/platform/exchange.py
@@ -6,6 +6,7 @@
 keeps reused connections and sends once.
 """
 
+import asyncio
 import dataclasses
 from collections.abc import Callable
 from typing import Any, ClassVar, TypeVar
@@ -76,14 +77,20 @@
         self._http = curl_httpclient.CurlAsyncHTTPClient(
             force_instance=True, max_clients=max_concurrent
         )
+        self._closing = False
+        self._in_flight: set[asyncio.Future[httpclient.HTTPResponse]] = set()
 
     async def send(self, outgoing: Outgoing) -> result.Result[Reply, Failed]:
         """Send a request and wait for its whole answer."""
         guard = _Guard(outgoing.resend)
+        fetching = self._http.fetch(
+            _request(outgoing, guard.prepare), raise_error=False
+        )
+        # A caller that is cancelled leaves the transfer to its timeout.
+        fetching.add_done_callback(self._finish)
+        self._in_flight.add(fetching)
         try:
-            response = await self._http.fetch(
-                _request(outgoing, guard.prepare), raise_error=False
-            )
+            response = await asyncio.shield(fetching)
         except httpclient.HTTPClientError as error:
             return result.Failure(guard.judge(error))
         return result.Success(
@@ -91,8 +98,20 @@
         )
 
     def close(self) -> None:
-        """Close every connection; exchanges in flight must have ended."""
-        self._http.close()
+        """Close every connection once no exchange is in flight."""
+        self._closing = True
+        if not self._in_flight:
+            self._http.close()
+
+    def _finish(
+        self, fetching: asyncio.Future[httpclient.HTTPResponse]
+    ) -> None:
+        # Whoever was cancelled does not look at the outcome.
+        fetching.exception()
+        self._in_flight.discard(fetching)
+        if self._closing and not self._in_flight:
+            # libcurl still works on the transfer that calls back.
+            asyncio.get_running_loop().call_soon(self._http.close)
 
 
 class _Guard:
--- a/libs/standins/src/jackdawlatch/standins/processes.py
+++ b/libs/standins/src/jackdawlatch/standins/processes.py
@@ -1,6 +1,5 @@
 """Operating system processes that a test or the demo starts and ends."""
 
-import contextlib
 import pathlib
 import signal
 import subprocess
@@ -12,6 +11,7 @@
 STOP_S = 15.0
 POLL_S = 0.02
 TAIL_BYTES = 4000
+INTERRUPTS = (signal.SIGINT, signal.SIGTERM)
 
 
 class Process:
@@ -92,7 +92,13 @@
         return iter(tuple(self._processes_by_name.values()))
 
     def start(self, name: str, arguments: Sequence[str]) -> Process:
-        """Start ``python -m`` with arguments, in place of an ended one."""
+        """Start ``python -m`` with arguments, in place of an ended one.
+
+        Raises ``ValueError`` while the last one of that name still runs.
+        """
+        before = self._processes_by_name.get(name)
+        if before and before.exit_status is None:
+            raise ValueError(f'{name} still runs')
         process = Process(name, arguments, self.directory)
         self._processes_by_name[name] = process
         return process
@@ -107,6 +113,14 @@
 
     def close(self) -> None:
         """Stop all, latest first; kill what has not ended in time."""
+        # An impatient second interrupt must not leave processes behind.
+        before = signal.pthread_sigmask(signal.SIG_BLOCK, INTERRUPTS)
+        try:
+            self._end_all()
+        finally:
+            signal.pthread_sigmask(signal.SIG_SETMASK, before)
+
+    def _end_all(self) -> None:
         left = list(reversed(tuple(self)))
         for process in left:
             # A paused process would not notice that it is to stop.
@@ -118,17 +132,3 @@
         for process in left:
             process.signal(signal.SIGKILL)
             process.wait(STOP_S)
-
-
-@contextlib.contextmanager
-def interruptible() -> Iterator[None]:
-    """Turn SIGTERM into an exception, so that contexts are left properly."""
-    before = signal.signal(signal.SIGTERM, _interrupt)
-    try:
-        yield
-    finally:
-        signal.signal(signal.SIGTERM, before)
-
-
-def _interrupt(_number: int, _frame: object) -> None:
-    raise KeyboardInterrupt
