--- a/libs/model/src/jackdawlatch/model/records.py
+++ b/libs/model/src/jackdawlatch/model/records.py
@@ -1,9 +1,14 @@
 """Base class of every record that is stored or sent."""
 
+import zlib
 from typing import Any, TypeVar
 
 import msgspec
 
+PACK_FROM_BYTES = 2048
+PACK_LEVEL = 1
+PACK_MAGIC = b'\x78'
+
 
 class Record(msgspec.Struct, frozen=True, kw_only=True):
     """A frozen data class that msgspec can encode and check.
@@ -43,9 +48,30 @@
     return msgspec.msgpack.encode(record)
 
 
+def pack(record: Record) -> bytes:
+    """Return the stored form of a record, compressed if it is large."""
+    plain = encode(record)
+    if len(plain) < PACK_FROM_BYTES:
+        return plain
+    return zlib.compress(plain, PACK_LEVEL)
+
+
 def decode(content: bytes, record_type: type[RecordType]) -> RecordType:
-    """Return a checked record from its stored form.
+    """Return a checked record from its stored form, packed or not.
 
-    Raises ``msgspec.ValidationError`` when it does not fit.
+    Raises ``msgspec.DecodeError`` when it does not fit.
     """
-    return msgspec.msgpack.decode(content, type=record_type)
+    plain = _unpack(content) if _is_packed(content) else content
+    return msgspec.msgpack.decode(plain, type=record_type)
+
+
+def _unpack(content: bytes) -> bytes:
+    try:
+        return zlib.decompress(content)
+    except zlib.error as error:
+        raise msgspec.DecodeError(str(error)) from error
+
+
+def _is_packed(content: bytes) -> bool:
+    # A record is a msgpack map, whose first byte is 0x80 or above.
+    return content.startswith(PACK_MAGIC)
--- a/libs/store/src/jackdawlatch/store/editing.py
+++ b/libs/store/src/jackdawlatch/store/editing.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
-import msgspec
 from returns import result
 
 from jackdawlatch.model import failures, records
@@ -141,7 +140,7 @@
             return await self._confirm()
         revision = self._known.revision if self._known else keyvalue.ABSENT
         written = await self._store.put(
-            self._key, records.encode(final), revision
+            self._key, records.pack(final), revision
         )
         if isinstance(written, result.Success):
             self._known = written.unwrap()
@@ -172,7 +171,7 @@
     def _decoded(self, entry: keyvalue.Entry | None) -> Value:
         if entry is None:
             return self._initial
-        return msgspec.msgpack.decode(entry.value, type=type(self._initial))
+        return records.decode(entry.value, type(self._initial))
 
 
 def _carry(outcome: Edited[Value], final: Value) -> Edited[Value]:
