Hand brokers and buckets over when an entry stops

Cause: gossip went on naming a stopping entry, so that brokers went back and forth and slots stayed counted twice. Ruled out: waiting for the roster, which lags. Conclusion: a stopping entry says so itself, a new broker first asks what is held, and an entry takes leave of its former broker.

--- a/libs/entry/src/jackdawlatch/entry/brokerage.py
+++ b/libs/entry/src/jackdawlatch/entry/brokerage.py
@@ -15,7 +15,6 @@
 from jackdawlatch.peers import frames
 from jackdawlatch.routing import rendezvous
 
-ENTRY_ROLE = 'entry'
 BROKER_TIMEOUT_S = 0.5
 COLLECT_TIMEOUT_S = 0.25
 
@@ -34,10 +33,10 @@
     """
 
     def __init__(self, around: surroundings.Surroundings) -> None:
-        self.retiring = False
         self.deliver: Deliver = _drop
         self.held: Held = _hold_none
         self._around = around
+        self._partings: set[asyncio.Task[None]] = set()
         self.brokers = brokers.Brokers(
             around, around.fleet.slots_by_host, self._collect, self._push
         )
@@ -50,7 +49,7 @@
 
     def owner(self, service: str) -> rosters.Peer:
         """Return the entry that serves the broker of a service."""
-        entries_by_id = self._entries()
+        entries_by_id = self._around.members.registered()
         chosen = rendezvous.owner(f'slots/{service}', entries_by_id)
         return entries_by_id.get(chosen or '', self._around.roster.own)
 
@@ -64,32 +63,31 @@
             owner.peer_address, update, slot_messages.News, BROKER_TIMEOUT_S
         )
 
+    def part(self, former: rosters.Peer, update: slot_messages.Update) -> None:
+        """Tell a former broker that this entry uses another one."""
+        parting = asyncio.create_task(self._part(former, update))
+        self._partings.add(parting)
+        parting.add_done_callback(self._partings.discard)
+
     def refresh(self) -> None:
         """Apply a change of the documents."""
         self.brokers.refresh()
         self.shares.refresh()
 
-    def _entries(self) -> dict[str, rosters.Peer]:
-        own = self._around.roster.own
-        entries_by_id = {
-            peer.id: peer
-            for peer in self._around.roster.everyone()
-            if peer.role == ENTRY_ROLE
-        }
-        if self.retiring and len(entries_by_id) > 1:
-            entries_by_id.pop(own.id, None)
-        return entries_by_id
-
     def _static_slots(self, service: str) -> Mapping[str, int]:
         return limits.static_slots(
             self._around.fleet.slots_by_host(service),
-            tuple(self._entries()),
+            tuple(self._around.members.registered()),
             self._around.roster.own.id,
         )
 
+    async def _part(
+        self, former: rosters.Peer, update: slot_messages.Update
+    ) -> None:
+        await self.tell(former, update)
+
     async def _collect(self, service: str) -> list[slot_messages.Update]:
         """Return what every entry holds of a service, if it answers."""
-        own = self._around.roster.own
         message = slot_messages.Collect(service=service)
         replies = await asyncio.gather(
             *(
@@ -99,8 +97,7 @@
                     slot_messages.Update,
                     COLLECT_TIMEOUT_S,
                 )
-                for peer in self._entries().values()
-                if peer.id != own.id
+                for peer in self._around.members.others()
             )
         )
         return [
--- a/libs/entry/src/jackdawlatch/entry/brokers.py
+++ b/libs/entry/src/jackdawlatch/entry/brokers.py
@@ -51,6 +51,9 @@
             answer = self.broker.ask(ticket, now_s)
             if isinstance(answer, result.Failure):
                 refused[ticket.id] = outcomes.tell(answer)
+        if update.farewell:
+            self.heard_s_by_entry.pop(update.entry)
+            self.addresses_by_entry.pop(update.entry)
         return refused
 
     def drop_silent(self, now_s: float) -> None:
@@ -113,14 +116,15 @@
         """Say whether some entry uses this process's broker of a service."""
         return service in self._served_by_service
 
-    @property
-    def services(self) -> tuple[str, ...]:
-        """The services that some entry uses this process's broker of."""
-        return tuple(self._served_by_service)
+    def services(self) -> list[str]:
+        """Return the services that this process serves a broker of."""
+        return sorted(self._served_by_service)
 
     async def update(self, update: slot_messages.Update) -> slot_messages.News:
         """Serve what an entry tells; the reply is its own news."""
         now_s = self._clock.monotonic_s()
+        if update.farewell and not self.serves(update.service):
+            return slot_messages.News(service=update.service)
         served = self._served(update.service)
         refused = served.take(update, now_s)
         news = self._turn(update.service, served, now_s)
@@ -180,25 +184,7 @@
     ) -> dict[str, slot_messages.News]:
         if not served.warm:
             return {}
-        turn = served.broker.turn(now_s)
-        news_by_entry: dict[str, slot_messages.News] = {}
-        for grant in turn.grants:
-            entry = grant.ticket.entry
-            known = news_by_entry.get(
-                entry, slot_messages.News(service=service)
-            )
-            given = slot_messages.Given(ticket=grant.ticket.id, host=grant.host)
-            news_by_entry[entry] = records.replace(
-                known, given=(*known.given, given)
-            )
-        for ticket in turn.dropped:
-            known = news_by_entry.get(
-                ticket.entry, slot_messages.News(service=service)
-            )
-            news_by_entry[ticket.entry] = records.replace(
-                known, dropped=(*known.dropped, ticket.id)
-            )
-        return news_by_entry
+        return _news(service, served.broker.turn(now_s))
 
     def _send(
         self, served: Served, news_by_entry: Mapping[str, slot_messages.News]
@@ -215,5 +201,25 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _news(service: str, turn: broker.Turn) -> dict[str, slot_messages.News]:
+    """Return what each entry is to be told."""
+    given: dict[str, list[slot_messages.Given]] = {}
+    dropped: dict[str, list[str]] = {}
+    for grant in turn.grants:
+        given.setdefault(grant.ticket.entry, []).append(
+            slot_messages.Given(ticket=grant.ticket.id, host=grant.host)
+        )
+    for ticket in turn.dropped:
+        dropped.setdefault(ticket.entry, []).append(ticket.id)
+    return {
+        entry: slot_messages.News(
+            service=service,
+            given=tuple(given.get(entry, ())),
+            dropped=tuple(dropped.get(entry, ())),
+        )
+        for entry in (*given, *dropped)
+    }
+
+
 def _on_clock(ticket: tickets.Ticket, now_s: float) -> tickets.Ticket:
     return records.replace(ticket, deadline_s=now_s + ticket.deadline_s)
--- a/libs/entry/src/jackdawlatch/entry/departures.py
+++ b/libs/entry/src/jackdawlatch/entry/departures.py
@@ -7,7 +7,6 @@
 from jackdawlatch.routing import leaving
 from jackdawlatch.telemetry import events
 
-ENTRY_ROLE = 'entry'
 TELL_TIMEOUT_S = 1
 
 
@@ -41,9 +40,8 @@
         )
         remaining_s = self._around.signs.signs(now_s).get(host, 0)
         message = TargetLeaving(host=host, remaining_s=remaining_s)
-        for peer in self._around.roster.by_role(ENTRY_ROLE):
-            if peer.id != self._around.roster.own.id:
-                self._tell(peer.peer_address, message)
+        for peer in self._around.members.others():
+            self._tell(peer.peer_address, message)
 
     def _tell(self, address: str, message: TargetLeaving) -> None:
         telling = asyncio.ensure_future(self._call(address, message))
--- a/libs/entry/src/jackdawlatch/entry/slot_lines.py
+++ b/libs/entry/src/jackdawlatch/entry/slot_lines.py
@@ -24,14 +24,14 @@
 class Line:
     """Tickets that wait, grants that are held, and what is yet to be told.
 
-    ``broker`` is the id of the peer that was last told all, empty while the
-    entry gives out its static share.
+    ``broker`` is the peer that was last told all, none while the entry gives
+    out its static share.
     """
 
     def __init__(
         self, service: str, own: roster.Peer, clock: clocks.Clock
     ) -> None:
-        self.broker = ''
+        self.broker: roster.Peer | None = None
         self.flushing = False
         self.waiting_by_id: dict[str, Waiting] = {}
         self.held_by_id: dict[str, tickets.Grant] = {}
@@ -85,6 +85,16 @@
             reports=self._reports(),
         )
 
+    def farewell(self) -> slot_messages.Update:
+        """Return what makes a former broker forget this entry."""
+        return slot_messages.Update(
+            service=self._service,
+            entry=self._own.id,
+            address=self._own.peer_address,
+            cancels=(*self.waiting_by_id, *self.held_by_id),
+            farewell=True,
+        )
+
     def take(self, news: slot_messages.News) -> None:
         """Take in what a broker says."""
         for given in news.given:
--- a/libs/entry/src/jackdawlatch/entry/slot_messages.py
+++ b/libs/entry/src/jackdawlatch/entry/slot_messages.py
@@ -28,7 +28,7 @@
 
     The deadlines of ``asks`` are the seconds that are left.  With
     ``whole`` set, ``asks`` and ``reports`` are all that the entry waits for
-    and holds.
+    and holds.  With ``farewell`` set, it has gone over to another broker.
     """
 
     service: str
@@ -39,6 +39,7 @@
     cancels: tuple[str, ...] = ()
     reports: tuple[Report, ...] = ()
     whole: bool = False
+    farewell: bool = False
 
 
 class Collect(records.Record, frozen=True, kw_only=True):
--- a/libs/entry/tests/entry_processes.py
+++ b/libs/entry/tests/entry_processes.py
@@ -63,6 +63,7 @@
         around = parts.Surroundings(
             fleet=None,
             roster=None,
+            members=None,
             signs=None,
             endpoint=None,
             clock=world.clock,
--- a/libs/entry/tests/test_entry_failures.py
+++ b/libs/entry/tests/test_entry_failures.py
@@ -50,7 +50,7 @@
         *(fleet.ask(entry) for entry in others for _ in range(10))
     )
     assert {entry_fleets.outcome(answer) for answer in answers} == {'answered'}
-    assert all(entry.sending.brokerage.shares.services for entry in others)
+    assert all(entry.sending.brokerage.shares.services() for entry in others)
 
 
 async def test_leaving_target_gets_no_new_work(
--- a/libs/entry/tests/test_entry_path.py
+++ b/libs/entry/tests/test_entry_path.py
@@ -38,8 +38,8 @@
     )
     assert {entry_fleets.outcome(answer) for answer in answers} == {'answered'}
     brokerages = [each.sending.brokerage for each in entries]
-    assert sum(bool(each.brokers.services) for each in brokerages) == 1
-    assert not any(each.shares.services for each in brokerages)
+    assert sum(bool(each.brokers.services()) for each in brokerages) == 1
+    assert not any(each.shares.services() for each in brokerages)
 
 
 load_tests = functions.loader(__name__, {'fleet': entry_fleets.fleet})
--- a/libs/standins/src/jackdawlatch/standins/core.py
+++ b/libs/standins/src/jackdawlatch/standins/core.py
@@ -2,14 +2,24 @@
 
 import pathlib
 from collections.abc import Sequence
-from typing import TextIO
+from typing import Literal, TextIO
 
 import cyclopts
 
 from jackdawlatch.node import launching
-from jackdawlatch.standins import back_ends, examples, hostlist, programs
+from jackdawlatch.standins import (
+    back_ends,
+    demo,
+    examples,
+    hostlist,
+    profiles,
+    programs,
+    soak,
+)
 
 Status = launching.ExitStatus
+Deployment = Literal['brolly-adfer', 'prairie-slate']
+SOAK_S = 60.0
 
 
 def main(arguments: Sequence[str], stdout: TextIO, stderr: TextIO) -> Status:
@@ -59,6 +69,25 @@
             programs.workers, back_ends.Workers, settings, stderr
         )
 
+    @app.command(name='soak')
+    def run_soak(
+        *,
+        deployment: Deployment = 'brolly-adfer',
+        seed: int = 1,
+        seconds: float = SOAK_S,
+    ) -> Status:
+        """Run a deployment under faults and judge what it did."""
+        return soak.run(
+            profiles.PROFILES_BY_NAME[deployment], seed, seconds, stdout
+        )
+
+    @app.command(name='demo')
+    def run_demo(
+        *, deployment: Deployment = 'brolly-adfer', seed: int = 1
+    ) -> Status:
+        """Run a deployment and check what it does, within a minute."""
+        return demo.run(profiles.PROFILES_BY_NAME[deployment], seed, stdout)
+
     @app.command(name='examples')
     def write_examples(directory: pathlib.Path, /) -> Status:
         """Write the settings of both deployments below a directory."""
--- a/libs/standins/src/jackdawlatch/standins/driver.py
+++ b/libs/standins/src/jackdawlatch/standins/driver.py
@@ -1,6 +1,7 @@
 """Starts a deployment as processes, and acts on them one by one."""
 
 import asyncio
+import collections
 import signal
 from collections.abc import Iterable
 from typing import ClassVar
@@ -9,6 +10,7 @@
 from returns import result
 
 from jackdawlatch.model import failures, records
+from jackdawlatch.node import daemon
 from jackdawlatch.platform import exchange
 from jackdawlatch.standins import (
     deployments,
@@ -42,6 +44,9 @@
         self.deployment = deployment
         self.processes = running
         self._client = exchange.Client()
+        self._locks_by_name: collections.defaultdict[str, asyncio.Lock] = (
+            collections.defaultdict(asyncio.Lock)
+        )
         self._launches_by_name = {
             launch.name: launch
             for launch in launch_plan.launches(deployment, by_rack)
@@ -51,12 +56,12 @@
                 running.directory / f'{launch.name}.json', launch.settings
             )
 
-    def names(self, role: str) -> tuple[str, ...]:
-        """Return the names of the processes of a role, in order."""
+    def names(self, *roles: str) -> tuple[str, ...]:
+        """Return the names of the processes of some roles, in order."""
         return tuple(
             name
             for name in self._launches_by_name
-            if name.partition('-')[0] == role
+            if name.partition('-')[0] in roles
         )
 
     async def start(
@@ -83,6 +88,10 @@
             )
         )
 
+    def lock(self, name: str) -> asyncio.Lock:
+        """Return the lock of whoever stops and starts a process."""
+        return self._locks_by_name[name]
+
     def kill(self, name: str) -> None:
         """End a process at once."""
         self.processes[name].signal(signal.SIGKILL)
@@ -115,6 +124,17 @@
         )
         return _is_ok(sent)
 
+    async def status(self, name: str) -> daemon.Status | None:
+        """Return what a daemon says of itself, None when it says nothing."""
+        probe = self._launches_by_name[name].probe
+        answered = await self._client.send(
+            exchange.Outgoing(
+                probe.replace('/readyz', '/status'), timeout_s=PROBE_S
+            )
+        )
+        read = answered.bind(lambda reply: reply.json(daemon.Status))
+        return read.value_or(None)
+
     def close(self) -> None:
         """Close the connections of the probes."""
         self._client.close()
