Judge in the soak what work a leaving target still gets

Cause: nothing compared the times at which a runner began to leave and at which work still came to it. Runners now write down each refusal while they leave, with the time since when.

--- a/libs/standins/src/jackdawlatch/standins/disruptions.py
+++ b/libs/standins/src/jackdawlatch/standins/disruptions.py
@@ -6,7 +6,7 @@
 import types
 from collections.abc import Mapping
 
-from jackdawlatch.standins import bench, keyvalue_faults, outages, serving
+from jackdawlatch.standins import bench, keyvalue_faults, outages, switches
 
 PAUSED_S = 9.0
 SHORT_S = 3.0
@@ -71,9 +71,9 @@
                 if one is not keyvalue_faults.Outage.NONE
             )
         )
-        await _store(on, keyvalue_faults.Faults(outage=outage))
+        await switches.store(on, keyvalue_faults.Faults(outage=outage))
         await asyncio.sleep(rng.uniform(SHORT_S, LONG_S))
-        await _store(on, keyvalue_faults.Faults())
+        await switches.store(on, keyvalue_faults.Faults())
         return outage.value
 
 
@@ -89,9 +89,9 @@
             lose_probability=rng.choice((0, 0.1, 0.5)),
             seed=rng.randint(0, MAX_SLOW_MS),
         )
-        await _store(on, faults)
+        await switches.store(on, faults)
         await asyncio.sleep(rng.uniform(SHORT_S, LONG_S))
-        await _store(on, keyvalue_faults.Faults())
+        await switches.store(on, keyvalue_faults.Faults())
         return f'{faults.slow_ms} ms, {faults.lose_probability} lost'
 
 
@@ -113,6 +113,20 @@
         return rack
 
 
+class LeavingTarget(Disruption):
+    """A runner begins to leave, and the list of hosts tells of it late."""
+
+    async def run(
+        self, on: bench.Bench, rng: random.Random, noted: outages.Outages
+    ) -> str:
+        """Let one host leave for a while."""
+        host = rng.choice(on.deployment.hosts.hosts)
+        await switches.leave(on, host, leaving=True)
+        await asyncio.sleep(rng.uniform(SHORT_S, LONG_S))
+        await switches.leave(on, host, leaving=False)
+        return host.id
+
+
 class RollingReplacement(Disruption):
     """Every entry in turn is stopped gracefully and started anew."""
 
@@ -142,11 +156,6 @@
         return f'{name} over {pool}: {ran.exit_status}'
 
 
-async def _store(on: bench.Bench, faults: keyvalue_faults.Faults) -> None:
-    url = f'http://{serving.LOOPBACK}:{on.deployment.store.port}/-/faults'
-    await on.driver.switch(url, faults)
-
-
 DISRUPTIONS_BY_NAME: Mapping[str, Disruption] = types.MappingProxyType(
     {
         'killed daemon': KilledDaemon(),
@@ -154,6 +163,7 @@
         'store outage': StoreOutage(),
         'degraded store': DegradedStore(),
         'lost rack': LostRack(),
+        'leaving target': LeavingTarget(),
         'rolling replacement': RollingReplacement(),
         'wave': Wave(),
     }
--- a/libs/standins/src/jackdawlatch/standins/executions.py
+++ b/libs/standins/src/jackdawlatch/standins/executions.py
@@ -1,11 +1,9 @@
 """What runners and workers really ran, written down for an oracle."""
 
 import pathlib
-from typing import BinaryIO
-
-import msgspec
 
 from jackdawlatch.model import records
+from jackdawlatch.standins import lines
 
 
 class Execution(records.Record, frozen=True, kw_only=True):
@@ -27,54 +25,50 @@
     outcome: str = ''
 
 
+class Refusal(records.Record, frozen=True, kw_only=True):
+    """Work that was refused since its target was leaving.
+
+    Times are seconds since the epoch.
+    """
+
+    host: str
+    id: str
+    leaving_since_s: float
+    at_s: float
+
+
 class Executions:
     """Remembers every run, and appends it to a file if one is given.
 
-    The file has one JSON record a line, written at the start of a run and
-    once more at its end, so that it outlives a killed process.
+    A run is written at its start and once more at its end.
     """
 
     def __init__(self, path: str = '') -> None:
-        self._file: BinaryIO | None = None
-        if path:
-            self._file = pathlib.Path(path).open('ab', buffering=0)
+        self._lines = lines.Lines(path)
         self._executions: list[Execution] = []
 
     def begin(self, execution: Execution) -> Execution:
         """Write a run down before it starts; returns it with its number."""
         numbered = records.replace(execution, number=len(self._executions))
         self._executions.append(numbered)
-        self._append(numbered)
+        self._lines.append(numbered)
         return numbered
 
     def end(self, execution: Execution, end_s: float, outcome: str) -> None:
         """Write down how a run ended."""
         ended = records.replace(execution, end_s=end_s, outcome=outcome)
         self._executions[execution.number] = ended
-        self._append(ended)
+        self._lines.append(ended)
 
     def since(self, number: int) -> tuple[Execution, ...]:
         """Return the runs from a number on."""
         return tuple(self._executions[number:])
 
-    def close(self) -> None:
-        """Close the file."""
-        if self._file:
-            self._file.close()
-
-    def _append(self, execution: Execution) -> None:
-        if self._file:
-            line = msgspec.json.encode(execution)
-            self._file.write(b'%b\n' % line)
-
 
 def read(path: pathlib.Path) -> tuple[Execution, ...]:
     """Return the runs of a file, each as it was last written."""
-    if not path.exists():
-        return ()
     runs_by_start: dict[tuple[int, float], Execution] = {}
-    for line in path.read_bytes().splitlines():
-        execution = msgspec.json.decode(line, type=Execution)
+    for execution in lines.read(path, Execution):
         place = (execution.number, execution.start_s)
         runs_by_start[place] = execution
     return tuple(runs_by_start.values())
--- a/libs/standins/src/jackdawlatch/standins/oracle.py
+++ b/libs/standins/src/jackdawlatch/standins/oracle.py
@@ -5,8 +5,10 @@
 import pathlib
 from collections.abc import Iterable, Iterator
 
-from jackdawlatch.standins import callers, executions
+from jackdawlatch.standins import callers, executions, lines
 
+LEAVING_S = 2.0
+LISTED_S = 7.0
 IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
 
 
@@ -28,6 +30,24 @@
     return _read(directory, '*.runs')
 
 
+def late_work(directory: pathlib.Path) -> Iterator[Violation]:
+    """Yield work that came to a target long after it began to leave.
+
+    Nobody can know before the list tells or the target refuses something,
+    so the time counts from the first refusal, and is bounded in any case.
+    """
+    for path in sorted(directory.glob('*.runs.refused')):
+        first_s_by_drain: dict[float, float] = {}
+        for refusal in lines.read(path, executions.Refusal):
+            since_s = refusal.leaving_since_s
+            first_s = first_s_by_drain.setdefault(since_s, refusal.at_s)
+            known_s = refusal.at_s - first_s
+            left_s = refusal.at_s - since_s
+            if known_s > LEAVING_S or left_s > LISTED_S:
+                detail = f'{refusal.host} {left_s:.1f} s, known {known_s:.1f} s'
+                yield Violation('a leaving target got work', refusal.id, detail)
+
+
 def tasks_run(directory: pathlib.Path) -> tuple[executions.Execution, ...]:
     """Return every start of a task on every worker."""
     return _read(directory, '*.starts')
--- a/libs/standins/src/jackdawlatch/standins/runner.py
+++ b/libs/standins/src/jackdawlatch/standins/runner.py
@@ -70,6 +70,7 @@
         await asyncio.sleep(delay_s)
         not_run = self.runner.not_run
         if not_run:
+            self.runner.refuse(self.request.headers.get('X-Request-Id', ''))
             self.set_status(NOT_RUN_STATUS)
             self.set_header('X-Not-Run', not_run)
             self.finish()
@@ -151,7 +152,7 @@
 
     def post(self, action: str) -> None:
         """Take no new work, or take it again; work in flight goes on."""
-        self.runner.leaving = action == 'drain'
+        self.runner.leave(action == 'drain')
         self.finish_json(self.runner.state)
 
 
--- a/libs/standins/src/jackdawlatch/standins/runner_state.py
+++ b/libs/standins/src/jackdawlatch/standins/runner_state.py
@@ -7,9 +7,10 @@
 import msgspec
 
 from jackdawlatch.model import records
-from jackdawlatch.standins import executions
+from jackdawlatch.standins import executions, lines
 
 MAX_MS = 600_000
+REFUSED = '.refused'
 MAX_COUNT = 4096
 MAX_PORT = 65_535
 
@@ -59,6 +60,10 @@
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
         self.executions = executions.Executions(settings.executions_path)
+        self.leaving = False
+        self._leaving_since_s: float = 0
+        path = settings.executions_path
+        self._refusals = lines.Lines(path and f'{path}{REFUSED}')
         self.forget()
 
     @property
@@ -77,6 +82,24 @@
             return 'leaving'
         return 'busy' if len(self.running) >= self.settings.slots else ''
 
+    def leave(self, leaving: bool) -> None:
+        """Start or end a drain; a drain that lasts goes on."""
+        if leaving and not self.leaving:
+            self._leaving_since_s = time.time()
+        self.leaving = leaving
+
+    def refuse(self, request_id: str) -> None:
+        """Write down that a request came while the runner was leaving."""
+        if self.leaving:
+            self._refusals.append(
+                executions.Refusal(
+                    host=self.settings.host,
+                    id=request_id,
+                    leaving_since_s=self._leaving_since_s,
+                    at_s=time.time(),
+                )
+            )
+
     def begin(self, execution: executions.Execution) -> executions.Execution:
         """Take a slot and write the run down."""
         begun = self.executions.begin(execution)
@@ -93,3 +116,4 @@
         self.faults = Faults()
         self.running: set[int] = set()
         self.leaving = False
+        self._leaving_since_s = 0
--- a/libs/standins/src/jackdawlatch/standins/traffic.py
+++ b/libs/standins/src/jackdawlatch/standins/traffic.py
@@ -7,7 +7,7 @@
 
 from jackdawlatch.standins import bench, callers, job_steps
 
-CALLERS = 8
+CALLERS = 24
 PAUSE_S = 0.05
 MAX_MS = 200
 COPIES = 3
--- a/libs/standins/src/jackdawlatch/standins/verdict.py
+++ b/libs/standins/src/jackdawlatch/standins/verdict.py
@@ -35,6 +35,7 @@
         runs = oracle.requests_run(self._on.directory)
         found.extend(self._crowd.observer.violations)
         found.extend(oracle.Judge(self._heard.told, runs).violations())
+        found.extend(oracle.late_work(self._on.directory))
         found.extend(self._cut_answers())
         found.extend(self._jobs.violations())
         found.extend(self._ended_processes())
--- a/libs/standins/tests/test_standins_oracle.py
+++ b/libs/standins/tests/test_standins_oracle.py
@@ -1,10 +1,20 @@
 import itertools
+import pathlib
+import tempfile
+import time
 
 import msgspec
 from tornado import httputil
 
 from jackdawlatch.platform import exchange
-from jackdawlatch.standins import callers, executions, oracle, runner
+from jackdawlatch.standins import (
+    callers,
+    executions,
+    lines,
+    oracle,
+    outages,
+    runner,
+)
 from jackdawlatch.testing import functions
 
 PATH = '/services/lookup/x'
@@ -89,4 +99,34 @@
     assert not _rules(told, [_run('a'), _run('a', number=1)])
 
 
+def test_late_work_counts_from_what_could_be_known() -> None:
+    with tempfile.TemporaryDirectory() as directory:
+        place = pathlib.Path(directory)
+        written = lines.Lines(str(place / 'h1.runs.refused'))
+        for since_s, at_s in (
+            (0, 3),  # The first sign that the host leaves.
+            (0, 4.5),
+            (0, 5.5),  # Known for 2.5 s.
+            (10, 18),  # Not known, but listed for long.
+        ):
+            refusal = executions.Refusal(
+                host='h1', id=str(at_s), leaving_since_s=since_s, at_s=at_s
+            )
+            written.append(refusal)
+        late = [one.subject for one in oracle.late_work(place)]
+        assert late == ['5.5', '18']
+
+
+async def test_only_answers_of_present_entries_count_as_cut() -> None:
+    noted = outages.Outages()
+    before_s = time.time()
+    async with noted.of('entry-1'):
+        now_s = time.time()
+        assert noted.touched('entry-1', now_s, now_s)
+        assert not noted.touched('entry-2', now_s, now_s)
+    assert not noted.touched('entry-1', before_s - 2, before_s - 1)
+    later_s = time.time() + outages.MARGIN_S + 1
+    assert not noted.touched('entry-1', later_s, later_s)
+
+
 load_tests = functions.loader(__name__)
