--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measures of the decisions under load and faults."""
