Give each kind its max-min share of the slots at any moment

A kind below its max-min share of the slots, given what all kinds hold and wait for, goes before kinds at theirs; virtual time and urgency decide among those. So a flood of half-second jobs gives way slot by slot while others are short, instead of sharing each freed slot with them.

--- a/libs/admission/src/jackdawlatch/admission/broker.py
+++ b/libs/admission/src/jackdawlatch/admission/broker.py
@@ -58,6 +58,7 @@
     def replace_runners(self, slots_by_host: Mapping[str, int]) -> None:
         """Replace the runners of the service and their slots."""
         self.runners.slots.set_hosts(slots_by_host)
+        self.policy.capacity = sum(slots_by_host.values())
 
     def ask(
         self, ticket: tickets.Ticket, now_s: float
@@ -73,7 +74,6 @@
             return result.Success(None)
         if ticket.id in self.policy.lines:
             return result.Success(None)
-        self.policy.capacity = self.runners.slots.capacity(now_s)
         return self.policy.offer(ticket, now_s)
 
     def cancel(self, ticket_id: str, now_s: float) -> None:
--- a/libs/admission/src/jackdawlatch/admission/fair.py
+++ b/libs/admission/src/jackdawlatch/admission/fair.py
@@ -4,7 +4,7 @@
 
 from returns import result
 
-from jackdawlatch.admission import queues, shares, tickets
+from jackdawlatch.admission import allotments, queues, shares, tickets
 from jackdawlatch.model import failures, presets, work
 
 # A kind may lead or lag its share by this many slot-seconds per weight.
@@ -26,12 +26,16 @@
 
 
 class Fair(queues.Policy):
-    """Start-time fair queueing with continuous charging.
+    """Max-min fair slots, then start-time fair queueing.
 
-    Each kind has a virtual time: slot-seconds used over weight, with held
-    slots at the estimate or, when they take longer, at what they have taken.
-    The most urgent kind among those that are close to the least virtual time
-    is next, so that urgency orders work and cannot own the fleet.
+    A kind may hold its max-min share of the slots, given what all kinds
+    hold and wait for.  Kinds below their share come first, so that one that
+    floods gives way slot by slot while the others are short of theirs.
+
+    Among them, each kind has a virtual time: slot-seconds used over weight,
+    with held slots at the estimate or, when they take longer, at what they
+    have taken.  The most urgent kind among those that are close to the least
+    virtual time is next: urgency orders work and cannot own the fleet.
     """
 
     def __init__(self, preset: presets.Preset, capacity: int = 0) -> None:
@@ -55,6 +59,7 @@
         account.started_s += granted_s
 
     def _choose(self, now_s: float) -> work.Kind:
+        level = self._level()
         tags_by_kind = {
             kind: self._tag(kind, now_s) for kind in self.lines.kinds
         }
@@ -63,17 +68,37 @@
         return min(
             tags_by_kind,
             key=lambda kind: (
+                self._held_level(kind) >= level,
                 tags_by_kind[kind] > latest,
                 shares.rank(kind),
                 tags_by_kind[kind],
-                self.held_by_kind[kind] / self._account(kind).weight,
+                self._held_level(kind),
             ),
         )
 
     def _fair_slots(self, kind: work.Kind) -> float:
-        rivals = {*self.lines.kinds, kind}
-        total = sum(self._account(rival).weight for rival in rivals)
-        return self.capacity * self._account(kind).weight / total
+        share = self._level(kind) * self._account(kind).weight
+        return min(self.capacity, share)
+
+    def _level(self, coming: work.Kind | None = None) -> float:
+        kinds = {*self.lines.kinds, *self.held_by_kind}
+        if coming is not None:
+            kinds.add(coming)
+        return allotments.water_level(
+            (
+                allotments.Demand(
+                    slots=self.held_by_kind[kind]
+                    + self.lines.length(kind)
+                    + (kind == coming),
+                    weight=self._account(kind).weight,
+                )
+                for kind in kinds
+            ),
+            self.capacity,
+        )
+
+    def _held_level(self, kind: work.Kind) -> float:
+        return self.held_by_kind[kind] / self._account(kind).weight
 
     def _return(self, kind: work.Kind, now_s: float) -> None:
         # Idle time earns no credit, and what was lent leaves no long debt.
--- a/libs/admission/src/jackdawlatch/admission/queues.py
+++ b/libs/admission/src/jackdawlatch/admission/queues.py
@@ -94,6 +94,8 @@
     def _settled(self, kind: work.Kind, granted_s: float, now_s: float) -> None:
         """Take note that a ticket of a kind gave its slot back."""
         self.held_by_kind[kind] -= 1
+        if not self.held_by_kind[kind]:
+            self.held_by_kind.pop(kind)
 
     def _refusal(
         self, ticket: tickets.Ticket, now_s: float
