--- /dev/null
+++ b/libs/standins/src/jackdawlatch/standins/callers.py
@@ -0,0 +1,141 @@
+"""A caller of the entries, which notes what it was told."""
+
+import dataclasses
+import enum
+import random
+import time
+from collections.abc import Sequence
+
+from returns import result
+
+from jackdawlatch.platform import exchange
+from jackdawlatch.standins import runner
+
+OUTCOME_HEADER = 'Jackdawlatch-Outcome'
+TIMEOUT_MARGIN_S = 5.0
+MAX_CONCURRENT = 256
+
+
+class Outcome(enum.StrEnum):
+    """What a caller was told; ``NO_ANSWER`` is a lost connection."""
+
+    ANSWERED = 'answered'
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'outcome-unknown'
+    NO_ANSWER = 'no-answer'
+
+
+@dataclasses.dataclass(frozen=True)
+class Asked:
+    """One request; ``entry`` is the base URL of an entry."""
+
+    entry: str
+    path: str
+    id: str
+    method: str = 'GET'
+    key: str = ''
+    body: bytes | None = None
+    timeout_s: float = 10
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Told:
+    """The answer to one request, as its caller saw it.
+
+    Times are seconds since the epoch.
+    """
+
+    asked: Asked
+    outcome: Outcome
+    sent_s: float = 0
+    told_s: float = 0
+    reply: exchange.Reply | None = None
+
+    @property
+    def status(self) -> int:
+        """The status, 0 without an answer."""
+        return self.reply.status if self.reply else 0
+
+    @property
+    def body(self) -> bytes:
+        """The body, empty without an answer."""
+        return self.reply.body if self.reply else b''
+
+    @property
+    def receipt(self) -> runner.Receipt | None:
+        """What the runner said of the request, if its answer was whole."""
+        if self.reply is None or self.outcome is not Outcome.ANSWERED:
+            return None
+        return self.reply.json(runner.Receipt).value_or(None)
+
+    @property
+    def is_own(self) -> bool:
+        """Whether this is the whole answer to the request that was sent.
+
+        Copies of a keyed request may be answered by the run of one of them.
+        """
+        receipt = self.receipt
+        if receipt is None:
+            return False
+        asked = self.asked
+        same_run = asked.key or receipt.id == asked.id
+        same_target = asked.path.endswith(receipt.path)
+        return bool(same_run) and same_target and receipt.key == asked.key
+
+
+class Caller:
+    """Sends requests to entries, once each; ``live`` may be narrowed."""
+
+    def __init__(self, entries: Sequence[str], rng: random.Random) -> None:
+        self.entries = tuple(entries)
+        self.live = self.entries
+        self._rng = rng
+        self._client = exchange.Client(max_concurrent=MAX_CONCURRENT)
+
+    def any_entry(self) -> str:
+        """Return the base URL of an entry, as a balancer chooses it."""
+        return self._rng.choice(self.live or self.entries)
+
+    async def ask(self, asked: Asked) -> Told:
+        """Send a request and note the outcome."""
+        sent_s = time.time()
+        answered = await self._client.send(_outgoing(asked))
+        reply = answered.value_or(None)
+        return Told(
+            asked=asked,
+            outcome=_outcome(answered),
+            sent_s=sent_s,
+            told_s=time.time(),
+            reply=reply,
+        )
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._client.close()
+
+
+def _outcome(
+    answered: result.Result[exchange.Reply, exchange.Failed],
+) -> Outcome:
+    if isinstance(answered, result.Failure):
+        sent = isinstance(answered.failure(), exchange.Unanswered)
+        return Outcome.NO_ANSWER if sent else Outcome.NOT_RUN
+    named = answered.unwrap().headers.get(OUTCOME_HEADER)
+    return Outcome(named) if named else Outcome.NO_ANSWER
+
+
+def _outgoing(asked: Asked) -> exchange.Outgoing:
+    key = (('Idempotency-Key', asked.key),) if asked.key else ()
+    return exchange.Outgoing(
+        asked.entry + asked.path,
+        method=asked.method,
+        body=asked.body,
+        headers=(
+            ('X-Request-Id', asked.id),
+            ('Request-Timeout', str(asked.timeout_s)),
+            *key,
+            *asked.headers,
+        ),
+        timeout_s=asked.timeout_s + TIMEOUT_MARGIN_S,
+    )
