--- a/libs/entry/src/jackdawlatch/entry/root.py
+++ b/libs/entry/src/jackdawlatch/entry/root.py
@@ -13,6 +13,7 @@
     job_handlers,
     jobs,
     keyed_parts,
+    members,
     sending_parts,
     server,
 )
@@ -46,6 +47,7 @@
         self.around = surroundings_of_entry.Surroundings(
             fleet=fleet.Fleet(parts.documents, signs),
             roster=parts.roster,
+            members=members.Members(parts.roster, parts.endpoint),
             signs=signs,
             endpoint=parts.endpoint,
             clock=parts.clock,
@@ -63,16 +65,16 @@
         self.front = front.Front(
             self.around, self.sending.dispatcher.run, self.keyed.forwarder.run
         )
-        self.jobs = jobs.Jobs(
-            self.around.fleet,
-            book.Book(store, book.Options(settings.shard), parts.clock),
-        )
-        context = {
-            'desk': self.front,
-            'body_limit_bytes': settings.body_limit_bytes,
-        }
         self.server: httpserver.HTTPServer = server.serve(
-            context, job_handlers.rules(self.jobs, context)
+            server.Context(
+                desk=self.front,
+                jobs=jobs.Jobs(
+                    self.around.fleet,
+                    book.Book(store, book.Options(settings.shard), parts.clock),
+                ),
+                body_limit_bytes=settings.body_limit_bytes,
+            ),
+            job_handlers.ROUTES,
         )
         parts.documents.listen(self._refresh)
 
@@ -103,8 +105,8 @@
         await self.node.run(self._drain)
 
     async def _drain(self) -> None:
-        self.sending.brokerage.retiring = True
-        self.keyed.ownership.retiring = True
+        await self.around.members.retire()
+        await self.sending.slots.synchronize()
         # The balancer goes on sending here until it has seen the stop.
         await asyncio.sleep(self.settings.drain_delay_s)
         self.front.draining = True
@@ -133,6 +135,6 @@
         return {
             'in_flight': self._in_flight(),
             'waiting': self.sending.slots.waiting,
-            'brokered_services': list(self.sending.brokerage.brokers.services),
-            'static_services': list(self.sending.brokerage.shares.services),
+            'brokered_services': self.sending.brokerage.brokers.services(),
+            'static_services': self.sending.brokerage.shares.services(),
         }
--- a/libs/entry/src/jackdawlatch/entry/server.py
+++ b/libs/entry/src/jackdawlatch/entry/server.py
@@ -1,6 +1,7 @@
 """The HTTP interface for callers, on tornado."""
 
 import asyncio
+import dataclasses
 import uuid
 from collections.abc import Sequence
 from typing import Any
@@ -10,6 +11,7 @@
 from jackdawlatch.entry import (
     answers,
     front,
+    jobs,
     outcomes,
     refusals,
     requests,
@@ -22,17 +24,27 @@
 METHOD_NOT_ALLOWED = 405
 
 
+@dataclasses.dataclass(frozen=True)
+class Context:
+    """What the handlers work with."""
+
+    desk: front.Front
+    jobs: jobs.Jobs
+    body_limit_bytes: int
+
+
 @web.stream_request_body
 class CallerHandler(web.RequestHandler):
     """Reads a whole body up to the limit, and writes replies."""
 
-    def initialize(self, desk: front.Front, body_limit_bytes: int) -> None:
+    def initialize(self, context: Context) -> None:
         """Take what the application was made with."""
-        self.desk = desk
-        self.body_limit_bytes = body_limit_bytes
+        self.desk = context.desk
+        self.jobs = context.jobs
+        self.body_limit_bytes = context.body_limit_bytes
         self.chunks: list[bytes] = []
         self.size_bytes = 0
-        self.arrived_s = desk.now_s()
+        self.arrived_s = self.desk.now_s()
         self.idempotent = True
         self.work: asyncio.Task[outcomes.Outcome] | None = None
 
@@ -145,19 +157,20 @@
         )
 
 
+Route = tuple[str, type[CallerHandler]]
+
+
 def serve(
-    context: dict[str, Any], more: Sequence[Any] = ()
+    context: Context, more: Sequence[Route] = ()
 ) -> httpserver.HTTPServer:
-    """Return a server for callers that listens nowhere yet.
-
-    ``context`` is what ``CallerHandler`` takes; ``more`` are more routes.
-    """
+    """Return a server for callers that listens nowhere yet."""
+    routes = (
+        ('/services/.*', ServiceHandler),
+        *more,
+        ('.*', UnknownHandler),
+    )
     application = web.Application(
-        [
-            ('/services/.*', ServiceHandler, context),
-            *more,
-            ('.*', UnknownHandler, context),
-        ],
+        [(path, handler, {'context': context}) for path, handler in routes],
         log_function=_no_access_log,
     )
     return httpserver.HTTPServer(application, max_body_size=DROPPED_BYTES)
