Count unknown hosts as serving when planned work takes them out

With the host list away all hosts are unknown, and each drain was held to cost its pool nothing, so an operator could have drained a whole pool that serves. Only hosts that the platform lists as dead or leaving are free now. The oracle missed it, as it left unknown hosts out; it counts them now.

--- a/libs/membership/src/jackdawlatch/membership/drafts.py
+++ b/libs/membership/src/jackdawlatch/membership/drafts.py
@@ -75,14 +75,18 @@
     ) -> Step:
         """Place a known host unless its pool would be short beyond budget.
 
-        Taking out a host that does not serve costs its pool nothing.
+        Taking out a host that has failed costs its pool nothing.  One whose
+        state is unknown may well serve, so it is counted as if it did.
         """
         present = self._assignments_by_host[host]
+        service = self.service(host)
         before = self.counts.unavailable(present.pool)
         self.put(host, assignment)
         after = self.counts.unavailable(present.pool)
         allowed = self.limits.max_unavailable(present.pool)
-        if after <= max(before, allowed):
+        if service is not shards.Service.UNKNOWN:
+            allowed = max(before, allowed)
+        if after <= allowed:
             return DONE
         self.put(host, present)
         return result.Failure(
--- a/libs/steward/src/jackdawlatch/steward/reconcile.py
+++ b/libs/steward/src/jackdawlatch/steward/reconcile.py
@@ -50,25 +50,27 @@
 def reconcile(view: View, policy: spares.SparePolicy, memory: Memory) -> Plan:
     """Return the plan of one pass.
 
-    It is made on one value and takes time linear in the number of hosts.
+    It is made on one value, with what the list says taken over first, and
+    takes time linear in the number of hosts.
     Each transition is judged again when it is written.
     """
+    seen = tuple(sighted.plan(view.value, view.sightings, view.now_s))
+    value = transitions.make_each(
+        view.value, seen, view.limits, view.now_s
+    ).value
     steps = tuple(
         progress.plan(
-            view.value,
-            view.states_by_host,
-            memory.rebooted_s_by_host,
-            view.now_s,
+            value, view.states_by_host, memory.rebooted_s_by_host, view.now_s
         )
     )
-    lent = loans.Planner(view.value, view.limits, view.now_s).plan(
+    lent = loans.Planner(value, view.limits, view.now_s).plan(
         policy, memory.timers
     )
     made = (
-        *sighted.plan(view.value, view.sightings, view.now_s),
+        *seen,
         *(step for step in steps if isinstance(step, transitions.Transition)),
         *lent.made,
-        *waves.plan(view.value, view.limits, view.now_s),
+        *waves.plan(value, view.limits, view.now_s),
     )
     asked = tuple(step for step in steps if isinstance(step, calls.Call))
     return Plan(
--- a/libs/steward/src/jackdawlatch/steward/sightings.py
+++ b/libs/steward/src/jackdawlatch/steward/sightings.py
@@ -1,9 +1,10 @@
 """When the platform's list last named each host."""
 
 import dataclasses
+import itertools
 from collections.abc import Iterable, Iterator, Mapping
 
-from jackdawlatch.membership import lifecycle, shards, transitions
+from jackdawlatch.membership import lifecycle, places, shards, transitions
 from jackdawlatch.model import hosts
 
 # A host that the list has not named for longer is not known live.
@@ -56,10 +57,13 @@
     value: shards.Shard, seen: Sightings, now_s: float
 ) -> Iterator[transitions.Transition]:
     """Yield what the list changes: hosts new, changed, unknown or gone."""
-    for host in sorted(seen.hosts_by_id.keys() - value.hosts_by_id.keys()):
-        listed = seen.hosts_by_id[host]
-        if listed.liveness is hosts.Liveness.LIVE:
-            yield lifecycle.Admit(listed)
+    for new in _rack_by_rack(
+        listed
+        for host, listed in seen.hosts_by_id.items()
+        if host not in value.hosts_by_id
+        and listed.liveness is hosts.Liveness.LIVE
+    ):
+        yield lifecycle.Admit(new)
     unknown_before = frozenset(value.unknown_hosts)
     for host, known in value.hosts_by_id.items():
         age_s = seen.age_s(host, now_s)
@@ -72,6 +76,19 @@
             yield lifecycle.Observe(described, unknown)
 
 
+def _rack_by_rack(listed: Iterable[hosts.Host]) -> list[hosts.Host]:
+    """Take one host of each rack in turn, so that pools spread over racks."""
+    by_rack: dict[places.Place, list[hosts.Host]] = {}
+    for host in sorted(listed, key=_host_id):
+        by_rack.setdefault(places.place(host), []).append(host)
+    turns = itertools.zip_longest(*by_rack.values())
+    return [one for turn in turns for one in turn if one]
+
+
+def _host_id(host: hosts.Host) -> str:
+    return host.id
+
+
 def _is_gone(seen: Sightings, age_s: float, now_s: float) -> bool:
     fresh = now_s - seen.listed_s <= UNKNOWN_AFTER_S
     return fresh and age_s > FORGET_AFTER_S
--- a/libs/steward/tests/steward_fleet.py
+++ b/libs/steward/tests/steward_fleet.py
@@ -19,20 +19,18 @@
 ACTIVE = hosts.Phase.ACTIVE
 
 
-def preset(name, wanted, budget=1):
+def preset(name, wanted, budget):
     return presets.Preset(
         name=name,
         pools_by_name={
-            **{
-                pool: presets.PoolTarget(hosts=wanted, max_unavailable=budget)
-                for pool in POOLS
-            },
+            'courier': presets.PoolTarget(hosts=wanted, max_unavailable=1),
+            'desk': presets.PoolTarget(hosts=wanted, max_unavailable=budget),
             SPARE: presets.PoolTarget(hosts=4),
         },
     )
 
 
-def configuration(in_force='ordinary', budget=1):
+def configuration(in_force='ordinary', budget=2):
     return presets.Configuration(
         version=1,
         in_force=in_force,
@@ -64,6 +62,7 @@
         self.clock = clock
         self.away = False
         self.cut = []
+        self.before_state = None
         self.machines_by_id = {}
         for rack in range(racks):
             for number in range(per_rack):
@@ -73,13 +72,14 @@
                 self.machines_by_id[host.id] = Machine(host)
         self.publish()
 
-    def publish(self):
+    def publish(self, missing=()):
         self._listed = tuple(
             records.replace(
                 machine.host,
                 liveness=LIVE if self.up(machine) else hosts.Liveness.DEAD,
             )
             for machine in self.machines_by_id.values()
+            if machine.host.id not in missing
         )
 
     def up(self, machine):
@@ -93,6 +93,8 @@
 
     async def state(self, host):
         await asyncio.sleep(0)
+        if self.before_state:
+            await self.before_state()
         machine = self.machines_by_id[host.id]
         if not self.up(machine):
             return result.Failure(failures.Problem(message='down'))
@@ -134,7 +136,7 @@
 class Fleet:
     """Two stewards, operators and their platform, on one store."""
 
-    def __init__(self, policy='hysteresis', budget=1):
+    def __init__(self, policy='hysteresis', budget=2):
         self.clock = clocks.ManualClock(1000)
         self.store = fakes.FakeStore(self.clock)
         self.platform = Platform(self.clock)
@@ -182,6 +184,13 @@
             self.platform.publish()
             await self.run(step_s=step_s)
 
+    def settled(self):
+        """Return whether waves are through and every pool is whole."""
+        value = self.value
+        remaining = [wave.remaining for wave in value.waves_by_id.values()]
+        sizes = {len(serving(value, pool)) for pool in (*POOLS, SPARE)}
+        return not any(remaining) and sizes == {4}
+
 
 class Oracle:
     """Judges every version against the one before, by simple counting."""
@@ -214,19 +223,19 @@
                 continue
             self.moves += 1
             failed = after.hosts_by_id[host].liveness is not LIVE
-            left = was.phase in WORKING and was.next_pool == now.pool
-            assert left or failed
+            assert failed or _has_left(was, now)
             assert now.phase is hosts.Phase.JOINING
 
     def _check_budget(self, pool, after):
         planned_out = {
             host
-            for host in serving(self.before, pool) - serving(after, pool)
-            if known_live(after, host)
+            for host in active(self.before, pool) - active(after, pool)
+            if listed_live(after, host)
         }
         if not planned_out:
             return
-        target = self.fleet.configuration.preset.pools_by_name[pool]
+        targets = self.fleet.configuration.preset.pools_by_name
+        target = targets[pool]
         lacking = target.hosts - len(serving(after, pool))
         assert lacking <= target.max_unavailable, (pool, lacking, planned_out)
 
@@ -240,22 +249,33 @@
             assert len(set(zones)) == 1, (pool, zones)
         assert len(zones_by_pool.get(SPARE, ())) <= 1
         for wave in after.waves_by_id.values():
-            assert len(set(wave.done)) == len(wave.done)
-            assert not set(wave.done) & set(wave.remaining)
+            assert len({*wave.done, *wave.remaining}) == _size(wave)
 
 
-def known_live(value, host):
-    described = value.hosts_by_id.get(host)
-    if described is None or host in value.unknown_hosts:
-        return False
-    return described.liveness is LIVE
+def _size(wave):
+    return len(wave.done) + len(wave.remaining)
 
 
-def serving(value, pool):
+def _has_left(was, now):
+    return was.phase in WORKING and was.next_pool == now.pool
+
+
+def active(value, pool):
     return {
         host
         for host, where in value.assignments_by_host.items()
-        if where.pool == pool
-        and where.phase is ACTIVE
-        and known_live(value, host)
+        if where.pool == pool and where.phase is ACTIVE
     }
+
+
+def listed_live(value, host):
+    described = value.hosts_by_id.get(host)
+    return described is not None and described.liveness is LIVE
+
+
+def known_live(value, host):
+    return listed_live(value, host) and host not in value.unknown_hosts
+
+
+def serving(value, pool):
+    return {host for host in active(value, pool) if known_live(value, host)}
