--- /dev/null
+++ b/libs/entry/src/jackdawlatch/entry/root.py
@@ -0,0 +1,138 @@
+"""The composition root of an entry."""
+
+import asyncio
+import contextlib
+from typing import Any
+
+from returns import result
+from tornado import httpserver
+
+from jackdawlatch.entry import (
+    fleet,
+    front,
+    job_handlers,
+    jobs,
+    keyed_parts,
+    sending_parts,
+    server,
+)
+from jackdawlatch.entry import settings as entry_settings
+from jackdawlatch.entry import surroundings as surroundings_of_entry
+from jackdawlatch.node import daemon
+from jackdawlatch.placement import book
+from jackdawlatch.platform import http_runners, runners
+from jackdawlatch.routing import leaving
+from jackdawlatch.store import keyvalue
+
+ROLE = 'entry'
+QUIET_S = 0.3
+FLUSH_S = 2
+QUIET_POLL_S = 0.05
+
+
+class Root:
+    """Wires the parts of an entry around its node."""
+
+    def __init__(
+        self,
+        settings: entry_settings.Entry,
+        store: keyvalue.Store,
+        own_runners: runners.Runners | None = None,
+    ) -> None:
+        self.settings = settings
+        self.node = daemon.Node(settings, ROLE, store)
+        parts = self.node.parts
+        signs = leaving.Leaving()
+        self.around = surroundings_of_entry.Surroundings(
+            fleet=fleet.Fleet(parts.documents, signs),
+            roster=parts.roster,
+            signs=signs,
+            endpoint=parts.endpoint,
+            clock=parts.clock,
+            meters=parts.meters,
+            invariants=parts.invariants,
+            ring=parts.ring,
+        )
+        self.sending = sending_parts.build(
+            self.around,
+            own_runners or http_runners.HttpRunners(parts.clock),
+        )
+        self.keyed = keyed_parts.build(
+            self.around, store, settings, self.sending.dispatcher.run
+        )
+        self.front = front.Front(
+            self.around, self.sending.dispatcher.run, self.keyed.forwarder.run
+        )
+        self.jobs = jobs.Jobs(
+            self.around.fleet,
+            book.Book(store, book.Options(settings.shard), parts.clock),
+        )
+        context = {
+            'desk': self.front,
+            'body_limit_bytes': settings.body_limit_bytes,
+        }
+        self.server: httpserver.HTTPServer = server.serve(
+            context, job_handlers.rules(self.jobs, context)
+        )
+        parts.documents.listen(self._refresh)
+
+    async def start(self) -> result.Result[None, daemon.AddressTaken]:
+        """Start the node, then listen for callers."""
+        started = await self.node.start()
+        if isinstance(started, result.Failure):
+            return started
+        host, _, port = self.settings.http_address.rpartition(':')
+        try:
+            self.server.listen(int(port), host)
+        except OSError as error:
+            return result.Failure(
+                daemon.AddressTaken(
+                    message=f'{self.settings.http_address}: {error}',
+                    hint='choose a free http_address in the settings',
+                )
+            )
+        self.node.details = self._details
+        self.node.spawn(self.keyed.ownership.run())
+        self.node.spawn(self.sending.slots.run())
+        self.node.spawn(self.sending.brokerage.brokers.run())
+        self.node.spawn(self.sending.brokerage.shares.run())
+        return result.Success(None)
+
+    async def run(self) -> None:
+        """Serve until stopped, and answer all that is in flight."""
+        await self.node.run(self._drain)
+
+    async def _drain(self) -> None:
+        self.sending.brokerage.retiring = True
+        self.keyed.ownership.retiring = True
+        # The balancer goes on sending here until it has seen the stop.
+        await asyncio.sleep(self.settings.drain_delay_s)
+        self.front.draining = True
+        self.server.stop()
+        await self._quiet()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.keyed.keyed.flush(), FLUSH_S)
+        await self.server.close_all_connections()
+
+    async def _quiet(self) -> None:
+        """Wait until nothing was in flight for a moment."""
+        clock = self.around.clock
+        busy_s = clock.monotonic_s()
+        while clock.monotonic_s() < busy_s + QUIET_S:
+            if self._in_flight():
+                busy_s = clock.monotonic_s()
+            await asyncio.sleep(QUIET_POLL_S)
+
+    def _in_flight(self) -> int:
+        return self.front.in_flight + self.keyed.in_flight
+
+    def _refresh(self, _key: str) -> None:
+        self.sending.brokerage.refresh()
+
+    def _details(self) -> dict[str, Any]:
+        return {
+            'in_flight': self._in_flight(),
+            'waiting': self.sending.slots.waiting,
+            'brokered_services': list(self.sending.brokerage.brokers.services),
+            'static_services': list(self.sending.brokerage.shares.services),
+        }
