--- a/libs/membership/src/jackdawlatch/membership/editor.py
+++ b/libs/membership/src/jackdawlatch/membership/editor.py
@@ -6,7 +6,7 @@
 from returns import result
 
 from jackdawlatch.membership import budget, refusals, shards, transitions
-from jackdawlatch.model import clocks, failures
+from jackdawlatch.model import clocks, failures, records
 from jackdawlatch.store import editing, keyvalue
 
 Edited = result.Result[shards.Shard, failures.Problem]
@@ -28,11 +28,26 @@
     ) -> None:
         self._clock = clock
         self._editor = editing.Editor(store, shards.key(shard), shards.Shard())
+        self._decoded = shards.Shard()
+        self._decoded_revision = 0
 
     async def read(self) -> Edited:
         """Return the present value."""
         return await self._editor.read()
 
+    async def present(self, newest_revision: int) -> Edited:
+        """Return the value at that revision of the store, or a later one.
+
+        It is read only if this editor has not seen as much yet.
+        """
+        known = self._editor.known
+        if known is None or known.revision < newest_revision:
+            return await self.read()
+        if known.revision != self._decoded_revision:
+            self._decoded = records.decode(known.value, shards.Shard)
+            self._decoded_revision = known.revision
+        return result.Success(self._decoded)
+
     async def make_all(
         self, steps: Sequence[transitions.Transition], limits: budget.Limits
     ) -> Edited:
--- a/libs/steward/src/jackdawlatch/steward/worker.py
+++ b/libs/steward/src/jackdawlatch/steward/worker.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from returns import result
 
@@ -44,10 +45,12 @@
         stored: editor.Editor,
         through: backends.Backends,
         clock: clocks.Clock,
+        leads: Callable[[], bool],
     ) -> None:
         self._stored = stored
         self._through = through
         self._clock = clock
+        self._leads = leads
         self._gate = asyncio.Semaphore(MAX_CONCURRENT_CALLS)
         self._memory = reconcile.Memory()
         self._sightings: sighted.Sightings | None = None
@@ -58,10 +61,16 @@
         self._sightings = None
 
     async def run_pass(
-        self, configuration: presets.Configuration, policy: spares.SparePolicy
+        self,
+        configuration: presets.Configuration,
+        policy: spares.SparePolicy,
+        newest_revision: int,
     ) -> Pass | None:
-        """Do one pass; None when the store could not be read."""
-        read = await self._stored.read()
+        """Do one pass; None when the store could not be read.
+
+        ``newest_revision`` is that of the shard's value, as far as known.
+        """
+        read = await self._stored.present(newest_revision)
         if isinstance(read, result.Failure):
             return None
         value = read.unwrap()
@@ -141,5 +150,8 @@
         self, call: calls.Call, value: shards.Shard
     ) -> calls.Call | None:
         async with self._gate:
+            # A process that was paused may have lost its lease meanwhile.
+            if not self._leads():
+                return None
             done = await call.make(value.hosts_by_id[call.host], self._through)
         return call if isinstance(done, result.Success) else None
