Let an unreachable worker lose its tasks, and remember unsent records

Focused tests showed two faults that the fuzz had not reached, since its faults end: every unanswered renewal put off the end of the lease, so a job on a dead worker was never started again; it is renewed for one lease after the last answer now.

--- a/libs/placement/src/jackdawlatch/placement/attempts.py
+++ b/libs/placement/src/jackdawlatch/placement/attempts.py
@@ -31,7 +31,9 @@
     """One attempt: what was sent about it, and what its worker said.
 
     ``sent_s`` is when a start or renewal that may have arrived was last
-    sent, or when the attempt was found.  ``missing_s`` is when the worker
+    sent, ``start_s`` the same for starts, ``answered_s`` when the worker
+    last confirmed the task; all three begin with when the attempt was
+    found.  ``missing_s`` is when the worker
     first said that it does not know the task, zero while it does.
     ``listed_s`` is when its worker's usage was last asked for with success,
     ``peak`` what it was seen to use at full speed.  ``busy`` says that a
@@ -41,7 +43,9 @@
     job: work.Job
     origin: Origin
     found_s: float
-    sent_s: float
+    sent_s: float = 0
+    start_s: float = 0
+    answered_s: float = 0
     starts_sent: int = 0
     starts_unanswered: int = 0
     confirmed: bool = False
@@ -55,6 +59,12 @@
     held: hosts.Capacity | None = None
     throttled_s: float = -USAGE_LAG_S
 
+    def __post_init__(self) -> None:
+        """Begin all times with when the attempt was found."""
+        self.sent_s = self.found_s
+        self.start_s = self.found_s
+        self.answered_s = self.found_s
+
     @property
     def task_id(self) -> str:
         """Return the id under which the worker knows the attempt."""
@@ -67,10 +77,28 @@
         return self.confirmed or self.job.state is work.JobState.RUNNING
 
 
-def confirm(attempt: Attempt) -> None:
+def start_sent(attempt: Attempt, now_s: float) -> None:
+    """Take note of a start that is on its way, or may be."""
+    attempt.sent_s = now_s
+    attempt.start_s = now_s
+
+
+def confirm(attempt: Attempt, now_s: float) -> None:
     """Take note that the worker has the task."""
     attempt.confirmed = True
     attempt.missing_s = 0
+    attempt.answered_s = now_s
+
+
+def renewable(attempt: Attempt, now_s: float) -> bool:
+    """Whether it is of use to renew the lease of an attempt.
+
+    After a whole lease without an answer the task has ended, unless a
+    renewal arrived; to go on would put off the moment when that is sure.
+    """
+    if attempt.end or now_s - attempt.answered_s > LEASE_S:
+        return False
+    return attempt.origin is Origin.INHERITED or attempt.starts_sent > 0
 
 
 def miss(attempt: Attempt, now_s: float) -> None:
@@ -84,7 +112,7 @@
 
     Readings of a throttled task say nothing of its full speed.
     """
-    confirm(attempt)
+    confirm(attempt, now_s)
     settled = now_s - attempt.throttled_s > USAGE_LAG_S
     peak = usage.peak_of(attempt.peak, reading)
     if attempt.peak and not (attempt.fraction == 1 and settled):
--- a/libs/placement/src/jackdawlatch/placement/judging.py
+++ b/libs/placement/src/jackdawlatch/placement/judging.py
@@ -73,7 +73,7 @@
     if attempt.confirmed_before:
         return True
     # A start that is still under way may arrive late.
-    return now_s >= attempt.sent_s + attempts.LEASE_S + attempts.MARGIN_S
+    return now_s >= attempt.start_s + attempts.LEASE_S + attempts.MARGIN_S
 
 
 def _expired(attempt: attempts.Attempt, reason: str) -> endings.Ended:
--- a/libs/placer/src/jackdawlatch/placer/authorities.py
+++ b/libs/placer/src/jackdawlatch/placer/authorities.py
@@ -33,22 +33,26 @@
         self._led_s: float = 0
         self._led = False
         self._longest_gap_s = ttl_s * UNTRUSTED_FRACTION
-        self.term = 0
+        self._term = 0
 
     def leads(self) -> bool:
         """Whether the lease on the shard is surely held.
 
-        ``term`` grows whenever another process may have led in between.
+        The term grows whenever another process may have led in between.
         """
         held = self._candidacy.held
         if held:
             now_s = self._clock.monotonic_s()
             if not self._led or now_s - self._led_s > self._longest_gap_s:
-                self.term += 1
+                self._term += 1
             self._led_s = now_s
         self._led = held
         return held
 
+    def term(self) -> int:
+        """Return a number that grows when another may have led meanwhile."""
+        return self._term
+
     def superseded(self) -> bool:
         """Whether another process is known to lead."""
         return self._leaders.holder(self._candidacy.key) not in {
@@ -60,7 +64,7 @@
         """Whether no successor can have given the tasks up."""
         if self.leads():
             return True
-        if not self.term or self.superseded():
+        if not self._term or self.superseded():
             return False
         since_s = self._clock.monotonic_s() - self._led_s
         return since_s < attempts.UNRECORDED_S
--- a/libs/placer/src/jackdawlatch/placer/daemon.py
+++ b/libs/placer/src/jackdawlatch/placer/daemon.py
@@ -8,7 +8,6 @@
 
 from jackdawlatch.placement import decisions, keys
 from jackdawlatch.placer import (
-    authorities,
     finishers,
     leases,
     movers,
@@ -32,14 +31,13 @@
     def __init__(
         self,
         own: tools.Tools,
-        authority: authorities.LeaderAuthority,
         plans: planning.Planning,
         shard: str,
         store: keyvalue.Store,
     ) -> None:
         self.reasons_by_job: dict[str, str] = {}
         self._own = own
-        self._authority = authority
+        self._authority = own.authority
         self._planning = plans
         self._prefix = keys.prefix_of(shard)
         self._store = store
@@ -66,7 +64,7 @@
         """
         if not self._authority.leads():
             return False
-        if self._term == self._authority.term:
+        if self._term == self._authority.term():
             return await self._watch(timeout_s)
         return await self._begin_term()
 
@@ -95,7 +93,7 @@
         if self._authority.superseded():
             self._own.tracker.clear()
         leads = self._authority.leads()
-        if not leads or self._term != self._authority.term:
+        if not leads or self._term != self._authority.term():
             return
         began_s = self._own.clock.monotonic_s()
         self._own.tracker.follow(self._own.view.live_by_id)
@@ -133,7 +131,7 @@
             self._own.tracker.claim(decision.job_id, decision.host)
 
     async def _begin_term(self) -> bool:
-        term = self._authority.term
+        term = self._authority.term()
         scanned = await self._store.scan(self._prefix)
         if isinstance(scanned, result.Failure):
             return False
--- a/libs/placer/src/jackdawlatch/placer/leases.py
+++ b/libs/placer/src/jackdawlatch/placer/leases.py
@@ -30,9 +30,13 @@
 
     async def renew(self) -> None:
         """Renew the leases of all tasks that have not ended."""
+        now_s = self._own.clock.monotonic_s()
         await asyncio.gather(
             *(
-                self._renew_host(host, tuple(group))
+                self._renew_host(
+                    host,
+                    [one for one in group if attempts.renewable(one, now_s)],
+                )
                 for host, group in self._open_by_host().items()
             )
         )
@@ -41,7 +45,7 @@
         """Read the usage of every worker that has tasks."""
         await asyncio.gather(
             *(
-                self._read_host(host, tuple(group))
+                self._read_host(host, group)
                 for host, group in self._open_by_host().items()
             )
         )
@@ -53,10 +57,11 @@
         }
 
     async def _renew_host(
-        self, host: str, group: tuple[attempts.Attempt, ...]
+        self, host: str, group: list[attempts.Attempt]
     ) -> None:
         if not group or not self._own.authority.may_renew():
             return
+        _sent(group, self._own.clock.monotonic_s())
         renewed = await self._own.workers.renew(
             self._own.sites.address(host),
             tuple(attempt.task_id for attempt in group),
@@ -65,15 +70,14 @@
         now_s = self._own.clock.monotonic_s()
         if isinstance(renewed, result.Failure):
             self._own.meters.count('placer_renewals_failed')
-            for attempt in group:
-                attempt.sent_s = now_s
+            _sent(group, now_s)
             return
         missing = frozenset(renewed.unwrap())
         for attempt in group:
             _renewed(attempt, attempt.task_id in missing, now_s)
 
     async def _read_host(
-        self, host: str, group: tuple[attempts.Attempt, ...]
+        self, host: str, group: list[attempts.Attempt]
     ) -> None:
         if not group:
             return
@@ -100,7 +104,7 @@
             if report.state is tasks.TaskState.RUNNING:
                 self._running(attempt, report)
             else:
-                attempts.confirm(attempt)
+                attempt.confirmed = True
                 attempt.end = _ended(attempt, report)
 
     def _running(
@@ -115,11 +119,17 @@
         attempts.observe(attempt, reading, now_s)
 
 
+def _sent(group: Iterable[attempts.Attempt], now_s: float) -> None:
+    # A renewal that is not answered may arrive all the same.
+    for attempt in group:
+        attempt.sent_s = now_s
+
+
 def _renewed(attempt: attempts.Attempt, missing: bool, now_s: float) -> None:
     if missing:
         attempts.miss(attempt, now_s)
     else:
-        attempts.confirm(attempt)
+        attempts.confirm(attempt, now_s)
         attempt.sent_s = now_s
 
 
--- a/libs/placer/src/jackdawlatch/placer/root.py
+++ b/libs/placer/src/jackdawlatch/placer/root.py
@@ -5,17 +5,8 @@
 from returns import result
 
 from jackdawlatch.node import daemon as nodes
-from jackdawlatch.placement import book, view
-from jackdawlatch.placement import workers as judgements
-from jackdawlatch.placer import (
-    authorities,
-    daemon,
-    explaining,
-    planning,
-    sites,
-    tools,
-    trackers,
-)
+from jackdawlatch.placement import book
+from jackdawlatch.placer import assembly, authorities, explaining
 from jackdawlatch.platform import workers
 from jackdawlatch.settings import daemons
 from jackdawlatch.store import keyvalue
@@ -33,64 +24,53 @@
         own_workers: workers.Workers,
     ) -> None:
         self.node = nodes.Node(settings, ROLE, store)
-        self.tools = self._tools(own_workers)
-        self._planning = planning.Planning(
-            self.tools, lambda: self.node.parts.documents.configuration
+        shard = settings.shard
+        own = self.node.parts
+        self._authority = authorities.LeaderAuthority(
+            self.node.lead(shard),
+            own.leaders,
+            own.roster.own.id,
+            own.clock,
+            settings.lease_ttl_s,
+        )
+        process = assembly.Process(
+            store=store,
+            workers=own_workers,
+            clock=own.clock,
+            rng=own.rng,
+            meters=own.meters,
+            invariants=own.invariants,
+            ring=own.ring,
+            spawn=self.node.spawn,
+            membership=lambda: own.documents.membership(shard),
+            configuration=lambda: own.documents.configuration,
         )
-        self.placer = daemon.Placer(
-            self.tools, self._authority, self._planning, settings.shard, store
+        self.parts = assembly.build(
+            process, self._authority, book.Options(shard=shard)
         )
 
     async def start(self) -> result.Result[None, nodes.AddressTaken]:
         """Start the node, then the loops of the placer."""
         explainer = explaining.Explainer(
-            self.tools, self._planning, self.placer
+            self.parts.tools, self.parts.planning, self.parts.placer
         )
         self.node.explain = explainer.explain
         self.node.details = self._details
         started = await self.node.start()
         if isinstance(started, result.Success):
-            self.node.spawn(self.placer.follow())
-            self.node.spawn(self.placer.place())
-            self.node.spawn(self.placer.keep())
-            self.node.spawn(self.placer.read())
+            self.node.spawn(self.parts.placer.follow())
+            self.node.spawn(self.parts.placer.place())
+            self.node.spawn(self.parts.placer.keep())
+            self.node.spawn(self.parts.placer.read())
         return started
 
     async def run(self) -> None:
         """Serve until stopped, and wait for starts under way."""
-        await self.node.run(self.placer.drain)
-
-    def _tools(self, own_workers: workers.Workers) -> tools.Tools:
-        parts = self.node.parts
-        shard = parts.settings.shard
-        self._authority = authorities.LeaderAuthority(
-            self.node.lead(shard),
-            parts.leaders,
-            parts.roster.own.id,
-            parts.clock,
-            parts.settings.lease_ttl_s,
-        )
-        return tools.Tools(
-            authority=self._authority,
-            book=book.Book(parts.store, book.Options(shard=shard), parts.clock),
-            clock=parts.clock,
-            health=judgements.Health(),
-            meters=parts.meters,
-            invariants=parts.invariants,
-            ring=parts.ring,
-            rng=parts.rng,
-            sites=sites.Sites(
-                lambda: parts.documents.membership(shard), parts.clock
-            ),
-            spawn=self.node.spawn,
-            tracker=trackers.Tracker(parts.clock),
-            view=view.View(),
-            workers=own_workers,
-        )
+        await self.node.run(self.parts.placer.drain)
 
     def _details(self) -> dict[str, Any]:
         return {
             'leads': self._authority.leads(),
-            'queued': len(self.tools.view.queued_by_id),
-            'live': len(self.tools.view.live_by_id),
+            'queued': len(self.parts.tools.view.queued_by_id),
+            'live': len(self.parts.tools.view.live_by_id),
         }
--- a/libs/placer/src/jackdawlatch/placer/starters.py
+++ b/libs/placer/src/jackdawlatch/placer/starters.py
@@ -63,6 +63,8 @@
         self._own.meters.count('placer_starts_too_late')
         # Another leader may have taken the attempt over meanwhile.
         attempt.origin = attempts.Origin.INHERITED
+        if not attempt.starts_sent:
+            self._own.tracker.doubt(attempt.job)
         if leads and not attempt.job.idempotent:
             attempt.end = endings.Ended(
                 attempt=attempt.job.attempt,
@@ -76,14 +78,15 @@
         attempt.starts_sent += 1
         once = job.idempotent or attempt.starts_sent == 1
         self._own.invariants.check(once, 'job-started-once', job.id)
-        attempt.sent_s = self._own.clock.monotonic_s()
+        attempts.start_sent(attempt, self._own.clock.monotonic_s())
         answered = await self._own.workers.start(
             self._own.sites.address(job.host), self._task(attempt)
         )
         if isinstance(answered, result.Success):
             attempt.starts_unanswered = 0
-            attempt.sent_s = self._own.clock.monotonic_s()
-            attempts.confirm(attempt)
+            now_s = self._own.clock.monotonic_s()
+            attempt.sent_s = now_s
+            attempts.confirm(attempt, now_s)
         else:
             self._not_started(attempt, answered.failure())
         if self._own.clock.monotonic_s() - asked_s > START_BOUND_S:
@@ -98,7 +101,7 @@
         self._own.sites.cool(attempt.job.host)
         if isinstance(failure, workers.Uncertain):
             attempt.starts_unanswered += 1
-            attempt.sent_s = self._own.clock.monotonic_s()
+            attempts.start_sent(attempt, self._own.clock.monotonic_s())
         else:
             attempt.end = judging.refused(attempt, failure.code)
 
--- a/libs/placer/src/jackdawlatch/placer/tools.py
+++ b/libs/placer/src/jackdawlatch/placer/tools.py
@@ -23,6 +23,14 @@
     def leads(self) -> bool:
         """Whether it may believe that it leads the shard."""
 
+    @abc.abstractmethod
+    def term(self) -> int:
+        """Return a number that grows when another may have led meanwhile."""
+
+    @abc.abstractmethod
+    def superseded(self) -> bool:
+        """Whether another process is known to lead."""
+
     @abc.abstractmethod
     def may_renew(self) -> bool:
         """Whether it may renew the leases of tasks.
--- a/libs/placer/src/jackdawlatch/placer/trackers.py
+++ b/libs/placer/src/jackdawlatch/placer/trackers.py
@@ -7,6 +7,7 @@
 from jackdawlatch.placement import attempts, endings, judging, usage
 
 CLAIM_S = 5
+MAX_UNSENT = 1000
 
 
 class Tracker:
@@ -22,23 +23,25 @@
         self._unsent_by_job: dict[str, work.Job] = {}
 
     def clear(self) -> None:
-        """Forget everything, at the start or the end of a term."""
+        """Forget all attempts, at the start or the end of a term."""
         self.by_job.clear()
         self._claims_by_job.clear()
-        self._unsent_by_job.clear()
 
     def own(self, job: work.Job, recorded_s: float) -> attempts.Attempt:
         """Look after an attempt that this process has just recorded."""
-        attempt = attempts.Attempt(
-            job, attempts.Origin.OWN, recorded_s, recorded_s
-        )
+        attempt = attempts.Attempt(job, attempts.Origin.OWN, recorded_s)
         self.by_job[job.id] = attempt
         self._claims_by_job.pop(job.id, None)
         return attempt
 
     def doubt(self, asked: work.Job) -> None:
-        """Remember a record that may have been written, and was not sent."""
+        """Remember a record that may have been written, and was not sent.
+
+        That holds whoever leads meanwhile.
+        """
         self._unsent_by_job[asked.id] = asked
+        if len(self._unsent_by_job) > MAX_UNSENT:
+            self._unsent_by_job.pop(next(iter(self._unsent_by_job)))
 
     def follow(self, live_by_id: Mapping[str, work.Job]) -> None:
         """Look after what the book holds, and after nothing else."""
@@ -68,6 +71,8 @@
         for attempt in self.by_job.values():
             end = judging.judge(attempt, now_s, attempt.job.host in dead_hosts)
             if end:
+                # From now on its lease is not renewed any more.
+                attempt.end = end
                 yield attempt, end
 
     def claim(self, job_id: str, host: str) -> None:
@@ -89,7 +94,7 @@
 
     def _inherit(self, job: work.Job) -> attempts.Attempt:
         now_s = self._clock.monotonic_s()
-        attempt = attempts.Attempt(job, attempts.Origin.INHERITED, now_s, now_s)
+        attempt = attempts.Attempt(job, attempts.Origin.INHERITED, now_s)
         if self._is_unsent(job):
             attempt.end = endings.Ended(
                 attempt=job.attempt,
@@ -104,7 +109,7 @@
         Nobody else starts an inherited job that is not idempotent, and the
         end of its lease tells one record from another.
         """
-        asked = self._unsent_by_job.pop(job.id, None)
+        asked = self._unsent_by_job.get(job.id)
         if asked is None or job.idempotent:
             return False
         same = (asked.host, asked.attempt) == (job.host, job.attempt)
--- a/libs/placer/tests/placer_bench.py
+++ b/libs/placer/tests/placer_bench.py
@@ -2,20 +2,12 @@
 import collections
 import dataclasses
 import random
-from collections.abc import Awaitable, Iterator, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from typing import Any, TypeVar
 
 from jackdawlatch.model import clocks, hosts, presets, records, work
-from jackdawlatch.placement import book, buckets, view
-from jackdawlatch.placement import workers as judgements
-from jackdawlatch.placer import (
-    authorities,
-    daemon,
-    planning,
-    sites,
-    tools,
-    trackers,
-)
+from jackdawlatch.placement import book, buckets, drafts
+from jackdawlatch.placer import assembly, authorities
 from jackdawlatch.platform import tasks, workers
 from jackdawlatch.standins import fake_platform, fakes, worker_model
 from jackdawlatch.telemetry import events, invariants, meters
@@ -210,23 +202,19 @@
             TTL_S,
         )
         instruments = meters.Meters('placer', self.name)
-        own = tools.Tools(
-            authority=authority,
-            book=book.Book(self.store, OPTIONS, self.clock),
+        process = assembly.Process(
+            store=self.store,
+            workers=PausedWorkers(self.platform, self.sending),
             clock=self.clock,
-            health=judgements.Health(),
+            rng=random.Random(self.name),
             meters=instruments,
             invariants=invariants.Invariants(instruments, strict=True),
             ring=events.Ring(lambda: (0, 0, '')),
-            rng=random.Random(self.name),
-            sites=sites.Sites(lambda: MEMBERSHIP, self.clock),
             spawn=self.spawn,
-            tracker=trackers.Tracker(self.clock),
-            view=view.View(),
-            workers=PausedWorkers(self.platform, self.sending),
+            membership=lambda: MEMBERSHIP,
+            configuration=lambda: CONFIGURATION,
         )
-        plans = planning.Planning(own, lambda: CONFIGURATION)
-        self.placer = daemon.Placer(own, authority, plans, 'a', self.store)
+        self.placer = assembly.build(process, authority, OPTIONS).placer
         self.steps = 0
 
     @property
@@ -270,6 +258,27 @@
             await self.placer.keeper.renew()
 
 
+class Runs:
+    """What the workers ran, for the oracle."""
+
+    def __init__(self, platform: fake_platform.FakeWorkers) -> None:
+        self.platform = platform
+
+    def check_overlap(self) -> None:
+        alive = collections.Counter(
+            report.id.partition(':')[0]
+            for model in self.platform.models_by_address.values()
+            for report in _running(model)
+        )
+        assert max(alive.values(), default=0) <= 1
+
+    def by_job(self) -> collections.Counter[str]:
+        return collections.Counter(
+            execution.id.partition(':')[0]
+            for execution in self.platform.starts()
+        )
+
+
 class Bench:
     """Placers on one book and some workers, on a clock that a test moves."""
 
@@ -284,6 +293,7 @@
             },
             self.clock,
         )
+        self.runs = Runs(self.platform)
         self.stepped = SteppedClock(self.clock)
         self.entry = book.Book(self.store, OPTIONS, self.stepped)
         self._seat = Seat(self.clock)
@@ -298,7 +308,15 @@
         for _ in range(int(seconds / STEP_S)):
             self.clock.advance(STEP_S)
             self.run(self._step())
-            self.check_overlap()
+            self.runs.check_overlap()
+
+    def submit(self, **fields: Any) -> str:
+        """Keep a job and return its id."""
+        draft = drafts.Draft(service='match', **fields)
+        return self.run(self.entry.submit(draft, 'desk', '')).unwrap().id
+
+    def state(self, job_id: str) -> work.JobState:
+        return self.jobs_by_id()[job_id].state
 
     def settle(self) -> None:
         self.run(_turns())
@@ -320,14 +338,6 @@
         self.settle()
         self.processes[place] = self._process()
 
-    def check_overlap(self) -> None:
-        alive = collections.Counter(
-            report.id.partition(':')[0]
-            for model in self.platform.models_by_address.values()
-            for report in _running(model)
-        )
-        assert max(alive.values(), default=0) <= 1
-
     def jobs_by_id(self) -> dict[str, work.Job]:
         found: dict[str, work.Job] = {}
         for entry in self.store.content.scan('jobs/').entries:
@@ -335,12 +345,6 @@
             found.update(bucket.jobs_by_id)
         return found
 
-    def starts_by_job(self) -> collections.Counter[str]:
-        return collections.Counter(
-            execution.id.partition(':')[0]
-            for execution in self.platform.starts()
-        )
-
     def close(self) -> None:
         for process in self.processes:
             process.kill()
@@ -370,6 +374,24 @@
             yield one.report()
 
 
+def on_bench(
+    body: Callable[[Bench], None],
+) -> Callable[[], Awaitable[None]]:
+    """Turn a function of a bench into a test, apart from the test's loop."""
+
+    def inside() -> None:
+        bench = Bench()
+        try:
+            body(bench)
+        finally:
+            bench.close()
+
+    async def outside() -> None:
+        await asyncio.to_thread(inside)
+
+    return outside
+
+
 async def _turns() -> None:
     for _ in range(TURNS):
         await asyncio.sleep(0)
--- a/libs/placer/tests/test_placer_fuzz.py
+++ b/libs/placer/tests/test_placer_fuzz.py
@@ -101,7 +101,7 @@
 
     @stateful.invariant()
     def non_idempotent_jobs_start_once(self) -> None:
-        for job_id, count in self.bench.starts_by_job().items():
+        for job_id, count in self.bench.runs.by_job().items():
             draft = self.drafts_by_job.get(job_id)
             assert count <= 1 or draft is None or draft.idempotent, job_id
 
