--- a/libs/entry/tests/entry_fleets.py
+++ b/libs/entry/tests/entry_fleets.py
@@ -11,7 +11,7 @@
 from tornado import testing as tornado_testing
 
 from jackdawlatch.entry import root, settings
-from jackdawlatch.model import hosts, presets, records
+from jackdawlatch.model import hosts, presets, records, work
 from jackdawlatch.node import documents
 from jackdawlatch.standins import fakes, runner, runner_state
 from jackdawlatch.store import keyvalue
@@ -129,10 +129,43 @@
             for execution in served.runner.executions.since(0)
         )
 
+    async def ask_and_leave(
+        self, entry: root.Root, method: str, key: str, query: str
+    ) -> None:
+        """Close the connection once the request is run."""
+        host, _, port = entry.settings.http_address.rpartition(':')
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            f'{method} /services/desk/x{query} HTTP/1.1\r\nHost: x\r\n'
+            f'Idempotency-Key: {key}\r\nContent-Length: 0\r\n\r\n'.encode()
+        )
+        await until(lambda: self.runs(key) == 1)
+        writer.close()
+
+    def running(self, key: str) -> bool:
+        """Say whether a runner works on a key."""
+        return any(
+            execution.key == key and not execution.end_s
+            for served in self.runners_by_host.values()
+            for execution in served.runner.executions.since(0)
+        )
+
     def _sees_all(self, entry: root.Root) -> bool:
         return len(entry.around.roster.by_role('entry')) == len(self.entries)
 
 
+def request(key: str) -> work.Request:
+    return work.Request(
+        id='r1',
+        kind=work.Kind(service='desk'),
+        method='POST',
+        path='/x',
+        deadline_s=time.time() + 5,
+        key=key,
+        idempotent=False,
+    )
+
+
 def outcome(answer: httpclient.HTTPResponse) -> str:
     return str(answer.headers.get('Jackdawlatch-Outcome'))
 
@@ -155,9 +188,9 @@
     await made.accept()
     yield made
     made.client.close()
-    for entry in made.entries:
-        entry.node.stopping.set()
-    await asyncio.gather(*(entry.run() for entry in made.entries))
+    for started in made.entries:
+        started.node.stopping.set()
+    await asyncio.gather(*[each.run() for each in made.entries])
     for served in made.runners_by_host.values():
         await served.close()
 
