Try killed, paused and stopped entries as processes

Cause: the wiring was proved only inside one process. Conclusion: the thin whole path stands as processes.

--- a/libs/entry/src/jackdawlatch/entry/settings.py
+++ b/libs/entry/src/jackdawlatch/entry/settings.py
@@ -28,9 +28,7 @@
         1024 * 1024
     )
     intent_buckets: Annotated[int, msgspec.Meta(ge=1, le=MAX_BUCKETS)] = 32
-    intent_window_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_WINDOW_MS)] = (
-        20
-    )
+    intent_window_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_WINDOW_MS)] = 5
     key_window_s: Annotated[float, msgspec.Meta(ge=1, le=MAX_KEY_WINDOW_S)] = (
         600
     )
--- /dev/null
+++ b/libs/entry/tests/entry_daemons.py
@@ -0,0 +1,133 @@
+"""Entries, runners and a store as processes of their own."""
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import random
+import signal
+import tempfile
+from collections.abc import AsyncIterator
+
+import msgspec
+from tornado import httpclient
+
+from jackdawlatch.model import hosts, records
+from jackdawlatch.node import documents
+from jackdawlatch.standins import (
+    deployments,
+    driver,
+    executions,
+    ports,
+    processes,
+    profiles,
+)
+from jackdawlatch.store import keyvalue, remote
+
+ENTRIES = 3
+POOL = 'dispatch'
+
+
+@dataclasses.dataclass
+class Daemons:
+    """What a test may do with the processes."""
+
+    driver: driver.Driver
+    client: httpclient.AsyncHTTPClient
+    entries: list[str]
+
+    async def post(
+        self, entry: str, key: str, query: str = '', timeout_s: float = 10
+    ) -> httpclient.HTTPResponse | None:
+        """Send a dispatch; None when the connection ended without answer."""
+        settings = self.driver.deployment.entries_by_name[entry]
+        url = f'http://{settings.http_address}/services/{POOL}/x{query}'
+        headers = {'Idempotency-Key': key, 'Request-Timeout': str(timeout_s)}
+        with contextlib.suppress(OSError, httpclient.HTTPError):
+            return await self.client.fetch(
+                url,
+                method='POST',
+                body=b'x',
+                headers=headers,
+                raise_error=False,
+                request_timeout=timeout_s + 5,
+            )
+        return None
+
+    async def runs_by_key(self) -> dict[str, int]:
+        """Return how often each key was run."""
+        counts: dict[str, int] = {}
+        for settings in self.driver.deployment.runners.runners:
+            url = f'http://127.0.0.1:{settings.port}/-/executions'
+            answer = await self.client.fetch(url)
+            for execution in msgspec.json.decode(
+                answer.body, type=list[executions.Execution]
+            ):
+                counts[execution.key] = counts.get(execution.key, 0) + 1
+        return counts
+
+    async def replace(self, entry: str) -> None:
+        """Kill an entry and start it again with empty memory."""
+        self.driver.kill(entry)
+        (await self.driver.start((entry,))).unwrap()
+
+    async def pause(self, entry: str, seconds: float) -> None:
+        """Stop an entry from running on for a time."""
+        self.driver.pause(entry)
+        await asyncio.sleep(seconds)
+        self.driver.resume(entry)
+
+    async def stop(self, entry: str) -> int | None:
+        """Return the exit status of a planned stop."""
+        process = self.driver.processes[entry]
+        process.signal(signal.SIGTERM)
+        await asyncio.to_thread(process.wait, 15)
+        return process.exit_status
+
+
+@contextlib.asynccontextmanager
+async def daemons() -> AsyncIterator[Daemons]:
+    deployment = deployments.build(
+        profiles.BROLLY_ADFER, ports.Ports(random.Random())
+    )
+    with tempfile.TemporaryDirectory() as directory:
+        with processes.Processes(pathlib.Path(directory)) as running:
+            made = Daemons(
+                driver=driver.Driver(deployment, running),
+                client=httpclient.AsyncHTTPClient(
+                    force_instance=True, max_clients=200
+                ),
+                entries=list(deployment.entries_by_name)[:ENTRIES],
+            )
+            (await made.driver.start(('store', 'runners'))).unwrap()
+            await _accept(deployment)
+            (await made.driver.start(made.entries)).unwrap()
+            yield made
+            made.client.close()
+            made.driver.close()
+
+
+async def _accept(deployment: deployments.Deployment) -> None:
+    store = remote.RemoteStore((f'http://127.0.0.1:{deployment.store.port}',))
+    configuration = records.replace(
+        profiles.configuration(deployment.profile), version=1
+    )
+    members = [host for rack in deployment.racks for host in rack.members]
+    pools = deployment.profile.pools
+    membership = hosts.Membership(
+        version=1,
+        hosts_by_id={host.id: host for host in members},
+        assignments_by_host={
+            host.id: hosts.Assignment(
+                pool=pools[number % len(pools)], phase=hosts.Phase.ACTIVE
+            )
+            for number, host in enumerate(members)
+        },
+    )
+    for key, record in (
+        (documents.CONFIG_KEY, configuration),
+        (f'{documents.MEMBERSHIP_PREFIX}main', membership),
+    ):
+        content = records.encode(record)
+        (await store.put(key, content, keyvalue.ABSENT)).unwrap()
+    store.close()
--- /dev/null
+++ b/libs/entry/tests/test_entry_processes.py
@@ -0,0 +1,66 @@
+import asyncio
+import random
+
+import entry_daemons
+
+from jackdawlatch.testing import functions
+
+KEYS = 60
+COPIES = 3
+SEED = 1
+
+
+async def test_killed_and_paused_entries_run_each_key_once(
+    daemons: entry_daemons.Daemons,
+) -> None:
+    rng = random.Random(SEED)
+    told_by_key: dict[str, list[str]] = {}
+
+    async def dispatch(number: int) -> None:
+        key = f'k{number}'
+        told_by_key[key] = []
+        await asyncio.sleep(rng.uniform(0, 2))
+        for _ in range(COPIES):
+            answer = await daemons.post(
+                rng.choice(daemons.entries), key, '?ms=100', timeout_s=5
+            )
+            if answer is not None:
+                told_by_key[key].append(answer.headers['Jackdawlatch-Outcome'])
+
+    async def disturb() -> None:
+        first, second, _ = daemons.entries
+        await asyncio.sleep(0.4)
+        await daemons.pause(second, 0.7)
+        await daemons.replace(first)
+
+    await asyncio.gather(disturb(), *(dispatch(each) for each in range(KEYS)))
+    runs_by_key = await daemons.runs_by_key()
+    assert max(runs_by_key.values()) == 1
+    for key, told in told_by_key.items():
+        if 'answered' in told:
+            assert runs_by_key[key] == 1
+        if set(told) == {'not-run'} and len(told) == COPIES:
+            assert key not in runs_by_key
+    assert sum('answered' in told for told in told_by_key.values()) > KEYS / 2
+
+
+async def test_planned_stop_answers_what_is_in_flight(
+    daemons: entry_daemons.Daemons,
+) -> None:
+    stopped = daemons.entries[0]
+    asked = [
+        asyncio.create_task(daemons.post(entry, f'{entry}{number}', '?ms=900'))
+        for entry in daemons.entries
+        for number in range(5)
+    ]
+    await asyncio.sleep(0.3)
+    assert await daemons.stop(stopped) == 0
+    answers = await asyncio.gather(*asked)
+    assert all(
+        answer and answer.headers['Jackdawlatch-Outcome'] == 'answered'
+        for answer in answers
+    )
+    assert set((await daemons.runs_by_key()).values()) == {1}
+
+
+load_tests = functions.loader(__name__, {'daemons': entry_daemons.daemons})
