Check at most once inside the program; explain requests

Cause: the oracle saw only what tests drive. Conclusion: each send is checked against its recorded intent and against an earlier send.

--- a/libs/entry/src/jackdawlatch/entry/dispatch.py
+++ b/libs/entry/src/jackdawlatch/entry/dispatch.py
@@ -54,6 +54,7 @@
 
     request: work.Request
     avoid: tuple[str, ...] = ()
+    sent: int = 0
     failure: failures.Problem = failures.NotRun(message='nothing was tried')
 
     def note(self, failure: failures.Problem) -> None:
@@ -136,6 +137,7 @@
             await asyncio.sleep(MOVED_PAUSE_S)
             return result.Failure(Moved(message=f'{grant.host} is leaving'))
         exchanged = await self._exchange(request, runner, grant)
+        self._count(course, exchanged)
         if isinstance(exchanged, result.Failure):
             course.avoid = (*course.avoid[-MAX_AVOIDED:], grant.host)
         return exchanged
@@ -162,6 +164,18 @@
         self._note(runner.host, judged)
         return exchanged
 
+    def _count(self, course: Course, exchanged: runners.Exchanged) -> None:
+        not_run = isinstance(exchanged, result.Failure) and isinstance(
+            exchanged.failure(), failures.NotRun
+        )
+        if not not_run:
+            course.sent += 1
+        self._around.invariants.check(
+            course.request.idempotent or course.sent <= 1,
+            'sent-at-most-once',
+            course.request.id,
+        )
+
     def _note(self, host: str, judged: tickets.Outcome) -> None:
         self._around.meters.count('exchanges', outcome=judged.value)
         if judged is tickets.Outcome.LEAVING:
--- a/libs/entry/src/jackdawlatch/entry/intents.py
+++ b/libs/entry/src/jackdawlatch/entry/intents.py
@@ -40,11 +40,6 @@
         self._endings_by_key: dict[str, intent_records.Ending] = {}
         self._flush: asyncio.Task[bool] | None = None
 
-    @property
-    def unwritten(self) -> int:
-        """How many endings are not written yet."""
-        return len(self._endings_by_key)
-
     def known(self, scope: str) -> intent_records.Intent | None:
         """Return the intent of a key as it was last seen in the store."""
         found = self._seen.intents_by_key.get(scope)
@@ -52,6 +47,11 @@
             return None
         return found
 
+    def holds(self, scope: str, token: str) -> bool:
+        """Say whether the bucket as last seen has an attempt's intent."""
+        found = self._seen.intents_by_key.get(scope)
+        return found is not None and found.token == token
+
     async def record(
         self, scope: str, intent: intent_records.Intent
     ) -> Recorded:
--- a/libs/entry/src/jackdawlatch/entry/keyed.py
+++ b/libs/entry/src/jackdawlatch/entry/keyed.py
@@ -135,6 +135,9 @@
                 # The write may yet take effect; nobody will ever send for it.
                 bucket.end(scope, _release(intent))
             return self._refused(number, scope, intent, failure)
+        self._around.invariants.check(
+            bucket.holds(scope, intent.token), 'intent-before-sending', scope
+        )
         outcome = await self._send(request)
         if self._clock.wall_s() >= intent.expires_s:
             # This process was paused for so long that a copy may have run.
--- a/libs/entry/src/jackdawlatch/entry/requests.py
+++ b/libs/entry/src/jackdawlatch/entry/requests.py
@@ -14,6 +14,12 @@
 IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
 BODILESS_METHODS = frozenset(('GET', 'HEAD'))
 
+SERVICE_HEADER = 'X-Service'
+# What the entry says of a request itself, whatever the caller says.
+OWN_HEADERS = frozenset(
+    (steering.REQUEST_ID_HEADER.lower(), SERVICE_HEADER.lower())
+)
+
 Parsed = result.Result[work.Request, failures.Invalid]
 
 
@@ -80,7 +86,7 @@
             ),
             method=received.method,
             path=path,
-            headers=_passed_on(received.headers, chosen),
+            headers=_passed_on(received.headers, service, chosen),
             body=received.body,
             deadline_s=received.arrived_s + chosen.timeout_s,
             key=chosen.key,
@@ -90,13 +96,14 @@
 
 
 def _passed_on(
-    headers: httputil.HTTPHeaders, chosen: steering.Options
+    headers: httputil.HTTPHeaders, service: str, chosen: steering.Options
 ) -> tuple[tuple[str, str], ...]:
     return (
         *(
             pair
             for pair in headers.get_all()
-            if pair[0].lower() != steering.REQUEST_ID_HEADER.lower()
+            if pair[0].lower() not in OWN_HEADERS
         ),
+        (SERVICE_HEADER, service),
         (steering.REQUEST_ID_HEADER, chosen.request_id),
     )
--- a/libs/entry/src/jackdawlatch/entry/root.py
+++ b/libs/entry/src/jackdawlatch/entry/root.py
@@ -17,6 +17,7 @@
     sending_parts,
     server,
 )
+from jackdawlatch.entry import explaining as explanations
 from jackdawlatch.entry import settings as entry_settings
 from jackdawlatch.entry import surroundings as surroundings_of_entry
 from jackdawlatch.node import daemon
@@ -94,6 +95,7 @@
                 )
             )
         self.node.details = self._details
+        self.node.explain = explanations.Explainer(self.around.ring).explain
         self.node.spawn(self.keyed.ownership.run())
         self.node.spawn(self.sending.slots.run())
         self.node.spawn(self.sending.brokerage.brokers.run())
