--- a/libs/entry/src/jackdawlatch/entry/front.py
+++ b/libs/entry/src/jackdawlatch/entry/front.py
@@ -67,12 +67,13 @@
         return self._around.clock.wall_s()
 
     async def _run(self, request: work.Request) -> outcomes.Outcome:
-        if request.deadline_s <= self.now_s():
+        started_s = self._around.clock.monotonic_s()
+        keyed = request.key and not request.idempotent
+        # A late copy of a keyed request may have run: its route looks.
+        if request.deadline_s <= self.now_s() and not keyed:
             return result.Failure(
                 unsent.Expired(message='the deadline passed while read')
             )
-        started_s = self._around.clock.monotonic_s()
-        keyed = request.key and not request.idempotent
         route = self._keyed if keyed else self._plain
         outcome = await route(request)
         self._note(request, outcome, started_s)
