Refuse to remove the last preset

Racing operators, fuzzed, emptied the configuration: an empty one passes the check, so that a first pool can be put, but then no preset is in force. An edit may no longer lead there.

--- a/libs/config/src/jackdawlatch/config/editor.py
+++ b/libs/config/src/jackdawlatch/config/editor.py
@@ -67,7 +67,7 @@
         conflict = _conflict(present, edit, based_on)
         if conflict:
             return result.Failure(conflict)
-        checked = validation.check(wanted, self._known)
+        checked = validation.check_edit(present, wanted, self._known)
         if isinstance(checked, result.Failure):
             return checked
         return result.Success(wanted)
--- a/libs/config/src/jackdawlatch/config/validation.py
+++ b/libs/config/src/jackdawlatch/config/validation.py
@@ -29,6 +29,20 @@
     return result.Success(configuration)
 
 
+def check_edit(
+    present: presets.Configuration,
+    wanted: presets.Configuration,
+    known: Known = NOTHING_KNOWN,
+) -> Checked:
+    """Return what an edit leads to, or what is wrong with it."""
+    if present.presets_by_name and not wanted.presets_by_name:
+        # Only a store that never had a preset may have none in force.
+        return result.Failure(
+            faults.invalid('presets_by_name', 'at least one preset')
+        )
+    return check(wanted, known)
+
+
 def _faults(
     configuration: presets.Configuration, known: Known
 ) -> Iterator[failures.Invalid]:
