Run the whole demo and the soak with every role

Stewards get the address of the host list; the step of killed entries now fails if fewer than half of its jobs are acknowledged, since it would prove nothing then.

--- a/libs/standins/src/jackdawlatch/standins/deployments.py
+++ b/libs/standins/src/jackdawlatch/standins/deployments.py
@@ -15,6 +15,7 @@
     profiles,
     serving,
 )
+from jackdawlatch.steward import settings as steward_settings
 
 SEEDS = 3
 
@@ -41,7 +42,7 @@
     hosts: hostlist.Settings
     racks: tuple[inventory.Rack, ...]
     entries_by_name: Mapping[str, entry_settings.Entry]
-    stewards_by_name: Mapping[str, daemons.Daemon]
+    stewards_by_name: Mapping[str, steward_settings.Steward]
     placers_by_name: Mapping[str, daemons.Daemon]
     operator: command_settings.Operator
 
@@ -79,6 +80,8 @@
     racks = inventory.racks(profile, free, control, executions)
     places = _places(profile, _url(store.port), free, executions is not None)
     entries = [_entry(place, free) for place in places]
+    stewards = [_steward(place, free, control) for place in places]
+    placers = [_placer(place, free) for place in places]
     return Deployment(
         profile=profile,
         store=store,
@@ -88,8 +91,8 @@
         ),
         racks=racks,
         entries_by_name={one.id: one for one in entries},
-        stewards_by_name=_daemons('steward', places, free),
-        placers_by_name=_daemons('placer', places, free),
+        stewards_by_name={one.id: one for one in stewards},
+        placers_by_name={one.id: one for one in placers},
         operator=command_settings.Operator(
             store_addresses=(_url(store.port),),
             operations_addresses=tuple(
@@ -131,16 +134,25 @@
     )
 
 
-def _daemons(
-    role: str, places: tuple[Place, ...], free: ports.Ports
-) -> dict[str, daemons.Daemon]:
-    settings = (_daemon(f'{role}-{one.number}', one, free) for one in places)
-    return {one.id: one for one in settings}
+def _steward(
+    place: Place, free: ports.Ports, control: str
+) -> steward_settings.Steward:
+    return steward_settings.Steward(
+        id=f'steward-{place.number}',
+        zone=place.zone,
+        peer_address=_address(free),
+        operations_address=_address(free),
+        store_addresses=(place.store_url,),
+        seed_addresses=place.seeds,
+        peer_delay_ms=place.one_way_ms,
+        strict_invariants=place.strict,
+        hosts_address=control,
+    )
 
 
-def _daemon(name: str, place: Place, free: ports.Ports) -> daemons.Daemon:
+def _placer(place: Place, free: ports.Ports) -> daemons.Daemon:
     return daemons.Daemon(
-        id=name,
+        id=f'placer-{place.number}',
         zone=place.zone,
         peer_address=_address(free),
         operations_address=_address(free),
--- a/libs/standins/src/jackdawlatch/standins/job_steps.py
+++ b/libs/standins/src/jackdawlatch/standins/job_steps.py
@@ -114,6 +114,8 @@
         """Kill two entries at chosen moments while jobs are submitted."""
         victims = on.rng.sample(on.driver.names('entry'), KILLS)
         jobs = await self._submit_all(on, victims)
+        if len(jobs) < JOBS // 2:
+            return steps.failed(f'only {len(jobs)} of {JOBS} acknowledged')
         lost = await all_done(on, jobs)
         if lost:
             return steps.failed(f'{lost} of {len(jobs)} not done')
