--- a/libs/platform/src/jackdawlatch/platform/http_runners.py
+++ b/libs/platform/src/jackdawlatch/platform/http_runners.py
@@ -18,7 +18,7 @@
 CONNECT_TIMEOUT_S = 1.0
 MIN_TIMEOUT_S = 0.001
 IDLE_CONNECTION_S = 5
-MAX_EXCHANGES = 512
+MAX_EXCHANGES = 256
 MAX_ANSWER_BYTES = 2 * 1024 * 1024
 
 UNSET_HEADERS = ('Accept', 'Content-Type', 'User-Agent')
