--- a/Makefile
+++ b/Makefile
@@ -30,14 +30,14 @@
 	$(PYTHON) tools/run_tests.py
 
 lint: install ## Check format, style, types and imports.
-	$(VENV)/bin/ruff format --check libs tools
+	$(VENV)/bin/ruff format --check libs tools measure
 	$(VENV)/bin/ruff check --no-cache libs
 	$(VENV)/bin/flake8 libs
 	$(PYTHON) tools/check_imports.py
 	$(VENV)/bin/mypy $(foreach lib,$(LIBS),-p jackdawlatch.$(lib))
 
 format: install ## Format the code.
-	$(VENV)/bin/ruff format libs tools
+	$(VENV)/bin/ruff format libs tools measure
 	$(VENV)/bin/ruff check --no-cache --fix libs
 
 measure: install ## Measure what the users measure; writes docs/MEASURES.md.
--- a/measure/turns.py
+++ b/measure/turns.py
@@ -38,9 +38,7 @@
     )
 
 
-def bound_s(
-    outcomes: Sequence[virtual.Outcome], end_s: float
-) -> float:
+def bound_s(outcomes: Sequence[virtual.Outcome], end_s: float) -> float:
     """Return the most slot-seconds that could end in deadline.
 
     An all-seeing assignment can do no more of a stream than what is offered,
@@ -52,9 +50,7 @@
         offered_s[outcome.stream] += outcome.service_s
         lasting_s = TURN_S * (end_s / TURN_S / TURNS) + outcome.budget_s
         most_s[outcome.stream] = virtual.TOTAL_SLOTS * lasting_s
-    return sum(
-        min(offered_s[stream], most_s[stream]) for stream in offered_s
-    )
+    return sum(min(offered_s[stream], most_s[stream]) for stream in offered_s)
 
 
 class Turns(base.Measure):
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -6,6 +6,7 @@
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
 # Names that exist only for the type checker, or as syntax, are exempt.
 EXEMPT = frozenset(('typing', 'collections.abc', '__future__'))
 
