Queue requests of refused connections again; split judging and serving

Cause: a lost host could use up the retry budget with requests that never left. Ruled out: a larger budget. Conclusion: the budget is for requests that may have loaded a target.

--- a/libs/entry/src/jackdawlatch/entry/brokers.py
+++ b/libs/entry/src/jackdawlatch/entry/brokers.py
@@ -5,89 +5,17 @@
 from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
 from typing import Any
 
-from returns import result
-
-from jackdawlatch.admission import broker, tickets
-from jackdawlatch.entry import outcomes, slot_messages, surroundings
+from jackdawlatch.admission import broker
+from jackdawlatch.entry import served_services, slot_messages, surroundings
 from jackdawlatch.model import records
 
 TICK_S = 0.05
-SILENCE_S: float = 3
 
 Push = Callable[[str, slot_messages.News], Coroutine[Any, Any, None]]
 Collect = Callable[[str], Awaitable[Sequence[slot_messages.Update]]]
 SlotsOf = Callable[[str], Mapping[str, int]]
 
 
-class Served:
-    """The broker of one service and the entries that use it.
-
-    It gives out nothing until it is ``warm``: until it has asked what slots
-    the entries hold already.
-    """
-
-    def __init__(self, allocator: broker.Broker) -> None:
-        self.warm = False
-        self.broker = allocator
-        self.addresses_by_entry: dict[str, str] = {}
-        self.heard_s_by_entry: dict[str, float] = {}
-
-    def take(
-        self, update: slot_messages.Update, now_s: float
-    ) -> dict[str, outcomes.Told]:
-        """Take in what an entry tells; return the tickets refused."""
-        self.addresses_by_entry[update.entry] = update.address
-        self.heard_s_by_entry[update.entry] = now_s
-        if update.whole:
-            self.hold(update, now_s)
-            self._drop_unwanted(update, now_s)
-        for release in update.releases:
-            self.broker.release(release.ticket, release.outcome, now_s)
-        for cancelled in update.cancels:
-            self.broker.cancel(cancelled, now_s)
-        refused: dict[str, outcomes.Told] = {}
-        for asked in update.asks:
-            ticket = _on_clock(asked, now_s)
-            answer = self.broker.ask(ticket, now_s)
-            if isinstance(answer, result.Failure):
-                refused[ticket.id] = outcomes.tell(answer)
-        if update.farewell:
-            self.heard_s_by_entry.pop(update.entry)
-            self.addresses_by_entry.pop(update.entry)
-        return refused
-
-    def drop_silent(self, now_s: float) -> None:
-        """Forget the entries that were not heard of for a while."""
-        for entry, heard_s in tuple(self.heard_s_by_entry.items()):
-            if heard_s + SILENCE_S <= now_s:
-                self.heard_s_by_entry.pop(entry)
-                self.addresses_by_entry.pop(entry)
-                self.broker.drop_entry(entry, now_s)
-
-    def hold(self, update: slot_messages.Update, now_s: float) -> None:
-        """Take in which slots an entry holds."""
-        self.broker.resync(
-            update.entry,
-            [
-                tickets.Grant(
-                    ticket=report.ticket,
-                    host=report.host,
-                    granted_s=now_s - report.age_s,
-                )
-                for report in update.reports
-            ],
-            now_s,
-        )
-
-    def _drop_unwanted(
-        self, update: slot_messages.Update, now_s: float
-    ) -> None:
-        wanted = {ticket.id for ticket in update.asks}
-        for ticket in tuple(self.broker.policy.lines):
-            if ticket.entry == update.entry and ticket.id not in wanted:
-                self.broker.cancel(ticket.id, now_s)
-
-
 class Brokers:
     """The brokers of this process, made when first asked for.
 
@@ -109,7 +37,7 @@
         self._slots_of = slots_of
         self._collect = collect
         self._push = push
-        self._served_by_service: dict[str, Served] = {}
+        self._served_by_service: dict[str, served_services.Served] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def serves(self, service: str) -> bool:
@@ -159,19 +87,21 @@
         """Drop the broker of a service."""
         self._served_by_service.pop(service, None)
 
-    def _served(self, service: str) -> Served:
+    def _served(self, service: str) -> served_services.Served:
         served = self._served_by_service.get(service)
         if served is None:
             allocator = broker.Broker(
                 self._fleet.preset, random.Random(), self._signs
             )
-            served = Served(allocator)
+            served = served_services.Served(allocator)
             allocator.replace_runners(self._slots_of(service))
             self._served_by_service[service] = served
             self._spawn(self._warm_up(service, served))
         return served
 
-    async def _warm_up(self, service: str, served: Served) -> None:
+    async def _warm_up(
+        self, service: str, served: served_services.Served
+    ) -> None:
         held = await self._collect(service)
         now_s = self._clock.monotonic_s()
         for update in held:
@@ -180,7 +110,9 @@
         self._send(served, _turn(service, served, now_s))
 
     def _send(
-        self, served: Served, news_by_entry: Mapping[str, slot_messages.News]
+        self,
+        served: served_services.Served,
+        news_by_entry: Mapping[str, slot_messages.News],
     ) -> None:
         for entry, news in news_by_entry.items():
             address = served.addresses_by_entry.get(entry)
@@ -195,7 +127,7 @@
 
 
 def _turn(
-    service: str, served: Served, now_s: float
+    service: str, served: served_services.Served, now_s: float
 ) -> dict[str, slot_messages.News]:
     if not served.warm:
         return {}
@@ -220,7 +152,3 @@
         )
         for entry in (*given, *dropped)
     }
-
-
-def _on_clock(ticket: tickets.Ticket, now_s: float) -> tickets.Ticket:
-    return records.replace(ticket, deadline_s=now_s + ticket.deadline_s)
--- a/libs/entry/src/jackdawlatch/entry/dispatch.py
+++ b/libs/entry/src/jackdawlatch/entry/dispatch.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import dataclasses
-import types
-from collections.abc import Mapping
 
 from returns import result
 
@@ -11,6 +9,7 @@
 from jackdawlatch.entry import (
     departures,
     fleet,
+    judging,
     outcomes,
     slots,
     surroundings,
@@ -21,28 +20,9 @@
 from jackdawlatch.routing import leaving
 from jackdawlatch.telemetry import events
 
-FIRST_SERVER_ERROR = 500
-# A target is not blamed for missing a deadline shorter than this.
-BLAMED_TIMEOUT_S: float = 1
 MAX_AVOIDED = 3
 MOVED_PAUSE_S = 0.02
 
-OUTCOMES_BY_FAILURE: Mapping[type[failures.Problem], tickets.Outcome] = (
-    types.MappingProxyType(
-        {
-            runners.Busy: tickets.Outcome.BUSY,
-            runners.Leaving: tickets.Outcome.LEAVING,
-            runners.Unreachable: tickets.Outcome.REFUSED,
-            runners.NoWholeAnswer: tickets.Outcome.FAILED,
-            runners.LateAnswer: tickets.Outcome.FAILED,
-        }
-    )
-)
-
-
-class Moved(failures.NotRun, frozen=True, kw_only=True):
-    """The runner of the slot was found leaving before anything was sent."""
-
 
 @dataclasses.dataclass
 class Course:
@@ -105,9 +85,9 @@
         budget: retries.RetryBudget,
     ) -> bool:
         """Say whether another attempt is safe, may help and is paid for."""
-        if not _may_retry(request, failure):
+        if not judging.may_retry(request, failure):
             return False
-        if isinstance(failure, REFUSALS):
+        if isinstance(failure, judging.REFUSALS):
             # The runner said no; the broker leaves it alone for a while.
             return True
         paid = budget.spend()
@@ -135,7 +115,9 @@
         if runner is None:
             self._slots.release(grant, tickets.Outcome.UNUSED)
             await asyncio.sleep(MOVED_PAUSE_S)
-            return result.Failure(Moved(message=f'{grant.host} is leaving'))
+            return result.Failure(
+                judging.Moved(message=f'{grant.host} is leaving')
+            )
         exchanged = await self._exchange(request, runner, grant)
         self._count(course, exchanged)
         if isinstance(exchanged, result.Failure):
@@ -157,7 +139,7 @@
             exchanged = await self._runners.exchange(
                 runner.address, request, left_s
             )
-            judged = _judge(exchanged, left_s)
+            judged = judging.judge(exchanged, left_s)
         finally:
             self.sending -= 1
             self._slots.release(grant, judged)
@@ -191,29 +173,3 @@
             self._budgets_by_service[service] = budget
         budget.ratio = ratio
         return budget
-
-
-# What a runner refused is queued again, until the deadline.
-REFUSALS = (runners.Busy, runners.Leaving, Moved)
-
-
-def _may_retry(request: work.Request, failure: failures.Problem) -> bool:
-    """Say whether another attempt is safe and may help."""
-    if isinstance(failure, (*REFUSALS, runners.Unreachable)):
-        return True
-    return request.idempotent and isinstance(failure, runners.NoWholeAnswer)
-
-
-def _judge(exchanged: runners.Exchanged, left_s: float) -> tickets.Outcome:
-    if isinstance(exchanged, result.Success):
-        failed = exchanged.unwrap().status >= FIRST_SERVER_ERROR
-        return tickets.Outcome.FAILED if failed else tickets.Outcome.ANSWERED
-    failure = exchanged.failure()
-    if isinstance(failure, runners.LateAnswer) and left_s < BLAMED_TIMEOUT_S:
-        return tickets.Outcome.UNUSED
-    judged = (
-        outcome
-        for kind, outcome in OUTCOMES_BY_FAILURE.items()
-        if isinstance(failure, kind)
-    )
-    return next(judged, tickets.Outcome.UNUSED)
--- a/libs/entry/src/jackdawlatch/entry/root.py
+++ b/libs/entry/src/jackdawlatch/entry/root.py
@@ -7,6 +7,7 @@
 from returns import result
 from tornado import httpserver
 
+from jackdawlatch.entry import explaining as explanations
 from jackdawlatch.entry import (
     fleet,
     front,
@@ -17,7 +18,6 @@
     sending_parts,
     server,
 )
-from jackdawlatch.entry import explaining as explanations
 from jackdawlatch.entry import settings as entry_settings
 from jackdawlatch.entry import surroundings as surroundings_of_entry
 from jackdawlatch.node import daemon
--- a/libs/entry/tests/test_entry_failures.py
+++ b/libs/entry/tests/test_entry_failures.py
@@ -91,4 +91,19 @@
     assert fleet.runs('k1') == 1
 
 
+async def test_lost_host_costs_no_request(fleet: entry_fleets.Fleet) -> None:
+    entries = [await fleet.start() for _ in range(2)]
+    lost = fleet.runners_by_host.pop('h1')
+    await lost.close()
+    answers = await asyncio.gather(
+        *(
+            fleet.post(entry, f'k{number}')
+            for entry in entries
+            for number in range(30)
+        )
+    )
+    assert {entry_fleets.outcome(answer) for answer in answers} == {'answered'}
+    assert {fleet.runs(f'k{number}') for number in range(30)} == {1}
+
+
 load_tests = functions.loader(__name__, {'fleet': entry_fleets.fleet})
