Tell the length of a body to HEAD requests

Cause: the entry left the target's length out. Conclusion: the length is handed on for HEAD only, where it can't disagree with the body.

--- a/libs/entry/src/jackdawlatch/entry/answers.py
+++ b/libs/entry/src/jackdawlatch/entry/answers.py
@@ -16,6 +16,7 @@
 OUTCOME_UNKNOWN = 'outcome-unknown'
 
 REQUEST_ID_HEADER = 'X-Request-Id'
+LENGTH_HEADER = 'content-length'
 PROBLEM_TYPE = 'application/problem+json'
 TYPE_PREFIX = 'urn:jackdawlatch:problem:'
 
@@ -40,7 +41,7 @@
 )
 # The entry sets these itself, whatever a target says.
 _OWN_HEADERS = frozenset(
-    (OUTCOME_HEADER.lower(), REQUEST_ID_HEADER.lower(), 'content-length')
+    (OUTCOME_HEADER.lower(), REQUEST_ID_HEADER.lower(), LENGTH_HEADER)
 )
 
 Headers = tuple[tuple[str, str], ...]
@@ -68,11 +69,17 @@
 
 
 def reply_of(
-    outcome: result.Result[work.Answer, failures.Problem], request_id: str
+    outcome: result.Result[work.Answer, failures.Problem],
+    request: work.Request,
 ) -> Reply:
     """Return the reply that tells a caller an outcome."""
+    request_id = request.id
     if isinstance(outcome, result.Success):
-        return _answered(outcome.unwrap(), request_id)
+        reply = _answered(outcome.unwrap(), request_id)
+        if request.method == 'HEAD':
+            # It tells the length of a body that is not sent.
+            return _with_length(reply, outcome.unwrap())
+        return reply
     return failed(outcome.failure(), request_id)
 
 
@@ -117,6 +124,13 @@
     return Reply(answer.status, (*passed_on, *own), answer.body)
 
 
+def _with_length(reply: Reply, answer: work.Answer) -> Reply:
+    lengths = [
+        pair for pair in answer.headers if pair[0].lower() == LENGTH_HEADER
+    ]
+    return dataclasses.replace(reply, headers=(*reply.headers, *lengths[:1]))
+
+
 def _status_of(failure: failures.Problem) -> int:
     if isinstance(failure, failures.OutcomeUnknown):
         fallback = UNKNOWN_STATUS
--- a/libs/entry/src/jackdawlatch/entry/memory.py
+++ b/libs/entry/src/jackdawlatch/entry/memory.py
@@ -8,7 +8,7 @@
 from jackdawlatch.entry import outcomes, unknown
 from jackdawlatch.model import clocks
 
-MAX_ANSWER_BYTES = 33_554_432
+MAX_ANSWER_BYTES = 8_388_608
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/entry/src/jackdawlatch/entry/server.py
+++ b/libs/entry/src/jackdawlatch/entry/server.py
@@ -126,7 +126,7 @@
         self.work = self.desk.start(request)
         await asyncio.wait((self.work,))
         if not self.work.cancelled():
-            self.reply(answers.reply_of(self.work.result(), request.id))
+            self.reply(answers.reply_of(self.work.result(), request))
 
     def on_connection_close(self) -> None:
         """Stop work for a caller that left, if it is idempotent."""
--- a/libs/entry/tests/test_entry_path.py
+++ b/libs/entry/tests/test_entry_path.py
@@ -26,6 +26,17 @@
         assert json.loads(answer.body)['id'] == f'r{number}'
 
 
+async def test_head_tells_the_length_and_sends_no_body(
+    fleet: entry_fleets.Fleet,
+) -> None:
+    entry = await fleet.start()
+    get = await fleet.ask(entry)
+    head = await fleet.ask(entry, method='HEAD')
+    assert not head.body
+    assert int(head.headers['Content-Length']) > 0
+    assert head.headers['Content-Type'] == get.headers['Content-Type']
+
+
 async def test_entries_share_slots_through_one_broker(
     fleet: entry_fleets.Fleet,
 ) -> None:
