End the wait for an intent's write at the deadline

Cause: while the store hung, callers were told still-running although nothing could be sent any more. Conclusion: past the deadline an unwritten intent is released and told as not-run by an owner that vouches.

--- a/libs/entry/src/jackdawlatch/entry/intent_records.py
+++ b/libs/entry/src/jackdawlatch/entry/intent_records.py
@@ -69,6 +69,11 @@
     return Ending(token=token, answer=kept, expires_s=expires_s)
 
 
+def release_of(intent: Intent) -> Ending:
+    """Return the ending of an attempt that surely sent nothing."""
+    return Ending(token=intent.token, released=True, expires_s=intent.expires_s)
+
+
 def insert(
     bucket: Bucket, scope: str, intent: Intent, now_s: float
 ) -> editing.Edited[Bucket]:
--- a/libs/entry/src/jackdawlatch/entry/keyed.py
+++ b/libs/entry/src/jackdawlatch/entry/keyed.py
@@ -24,8 +24,10 @@
     unsent,
 )
 from jackdawlatch.model import failures, work
+from jackdawlatch.store import keyvalue
 
 TOKEN_BYTES = 8
+GRACE_S = 0.1
 
 Send = Callable[[work.Request], Awaitable[outcomes.Outcome]]
 
@@ -113,7 +115,10 @@
         self, flight: Flight, request: work.Request
     ) -> outcomes.Outcome:
         left_s = request.deadline_s - self._clock.wall_s()
-        done, _ = await asyncio.wait((flight.task,), timeout=max(0, left_s))
+        # An attempt ends at its own deadline, with a more telling outcome.
+        done, _ = await asyncio.wait(
+            (flight.task,), timeout=max(0, left_s) + GRACE_S
+        )
         if done:
             return flight.task.result()
         return copies.still_running()
@@ -128,12 +133,12 @@
             fingerprint=fingerprint,
             expires_s=request.deadline_s + self._key_window_s,
         )
-        recorded = await bucket.record(scope, intent)
+        recorded = await self._record(request, bucket, scope, intent)
         if isinstance(recorded, result.Failure):
             failure = recorded.failure()
             if not isinstance(failure, intent_records.Taken):
                 # The write may yet take effect; nobody will ever send for it.
-                bucket.end(scope, _release(intent))
+                bucket.end(scope, intent_records.release_of(intent))
             return self._refused(number, scope, intent, failure)
         self._around.invariants.check(
             bucket.holds(scope, intent.token), 'intent-before-sending', scope
@@ -145,6 +150,23 @@
         self._finish(bucket, scope, intent, outcome)
         return outcome
 
+    async def _record(
+        self,
+        request: work.Request,
+        bucket: intents.Intents,
+        scope: str,
+        intent: intent_records.Intent,
+    ) -> intents.Recorded:
+        """Write the intent down, as long as it could still be sent."""
+        left_s = request.deadline_s - self._clock.wall_s()
+        try:
+            async with asyncio.timeout(max(0, left_s)):
+                return await bucket.record(scope, intent)
+        except TimeoutError:
+            return result.Failure(
+                keyvalue.Uncertain(message='not written by the deadline')
+            )
+
     def _finish(
         self,
         bucket: intents.Intents,
@@ -159,7 +181,7 @@
             )
             bucket.end(scope, ending)
         elif not isinstance(outcome.failure(), failures.OutcomeUnknown):
-            bucket.end(scope, _release(intent))
+            bucket.end(scope, intent_records.release_of(intent))
             return
         self._memory.put(scope, intent.fingerprint, outcome)
 
@@ -180,9 +202,3 @@
         if known is not None:
             return copies.from_record(known, intent.fingerprint)
         return copies.not_kept(self._vouches(number))
-
-
-def _release(intent: intent_records.Intent) -> intent_records.Ending:
-    return intent_records.Ending(
-        token=intent.token, released=True, expires_s=intent.expires_s
-    )
--- a/libs/entry/tests/entry_fleets.py
+++ b/libs/entry/tests/entry_fleets.py
@@ -113,7 +113,12 @@
         )
 
     async def post(
-        self, entry: root.Root, key: str, query: str = '', body: bytes = b'x'
+        self,
+        entry: root.Root,
+        key: str,
+        query: str = '',
+        body: bytes = b'x',
+        timeout_s: float = 10,
     ) -> httpclient.HTTPResponse:
         return await self.ask(
             entry,
@@ -121,6 +126,7 @@
             'POST',
             body,
             Idempotency_Key=key,
+            Request_Timeout=str(timeout_s),
         )
 
     def runs(self, key: str) -> int:
@@ -158,7 +164,9 @@
         )
 
     def _sees_all(self, entry: root.Root) -> bool:
-        return len(entry.around.roster.by_role('entry')) == len(self.entries)
+        seen = len(entry.around.roster.by_role('entry'))
+        # The buckets that it owns have been read.
+        return seen == len(self.entries) and not entry.keyed.ownership.review()
 
 
 def request(key: str) -> work.Request:
--- a/libs/entry/tests/test_entry_keyed.py
+++ b/libs/entry/tests/test_entry_keyed.py
@@ -80,6 +80,16 @@
     assert fleet.runs('during') == 1
 
 
+async def test_hanging_store_is_told_as_not_run(
+    fleet: entry_fleets.Fleet,
+) -> None:
+    entry = await fleet.start()
+    fleet.store.slow_s = 1
+    answer = await fleet.post(entry, 'k1', timeout_s=0.2)
+    assert entry_fleets.outcome(answer) == 'not-run'
+    assert not fleet.runs('k1')
+
+
 async def test_caller_that_leaves_does_not_cut_its_dispatch(
     fleet: entry_fleets.Fleet,
 ) -> None:
