Count requests from their headers to their last byte in a planned stop

Ruled out: a longer drain delay alone. Conclusion: take in what is queued, ask callers to close from the start of the drain, and close connections only at a moment without any request.

--- a/libs/entry/src/jackdawlatch/entry/front.py
+++ b/libs/entry/src/jackdawlatch/entry/front.py
@@ -1,8 +1,7 @@
 """Takes callers' requests in, and counts them until they are answered."""
 
 import asyncio
-import contextlib
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 
 from returns import result
 
@@ -32,21 +31,20 @@
         self._plain = plain
         self._keyed = keyed
         self._tasks: set[asyncio.Task[outcomes.Outcome]] = set()
-        self._others = 0
+        self._read = 0
 
     @property
     def in_flight(self) -> int:
-        """How many requests are not answered yet."""
-        return len(self._tasks) + self._others
-
-    @contextlib.contextmanager
-    def counting(self) -> Iterator[None]:
-        """Count what runs inside as a request in flight."""
-        self._others += 1
-        try:
-            yield
-        finally:
-            self._others -= 1
+        """How many requests are worked on or not answered yet."""
+        return max(len(self._tasks), self._read)
+
+    def enter(self) -> None:
+        """Count a request from its headers on, until ``leave``."""
+        self._read += 1
+
+    def leave(self) -> None:
+        """Count a request as answered to its last byte, or as given up."""
+        self._read -= 1
 
     def parse(self, received: requests.Received) -> requests.Parsed:
         """Return the checked request."""
--- a/libs/entry/src/jackdawlatch/entry/job_handlers.py
+++ b/libs/entry/src/jackdawlatch/entry/job_handlers.py
@@ -29,8 +29,7 @@
         if refused is not None:
             self.fail(refused)
             return
-        with self.desk.counting():
-            outcome = await self.jobs.submit(self.received())
+        outcome = await self.jobs.submit(self.received())
         self.tell(outcome, ACCEPTED)
 
 
@@ -39,14 +38,12 @@
 
     async def get(self, job_id: str) -> None:
         """Answer the job."""
-        with self.desk.counting():
-            outcome = await self.jobs.find(job_id)
+        outcome = await self.jobs.find(job_id)
         self.tell(outcome, OK)
 
     async def delete(self, job_id: str) -> None:
         """Cancel the job."""
-        with self.desk.counting():
-            outcome = await self.jobs.cancel(job_id)
+        outcome = await self.jobs.cancel(job_id)
         self.tell(outcome, OK)
 
 
--- a/libs/entry/src/jackdawlatch/entry/root.py
+++ b/libs/entry/src/jackdawlatch/entry/root.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from returns import result
-from tornado import httpserver
 
 from jackdawlatch.entry import explaining as explanations
 from jackdawlatch.entry import (
@@ -66,7 +65,7 @@
         self.front = front.Front(
             self.around, self.sending.dispatcher.run, self.keyed.forwarder.run
         )
-        self.server: httpserver.HTTPServer = server.serve(
+        self.server = server.serve(
             server.Context(
                 desk=self.front,
                 jobs=jobs.Jobs(
@@ -108,13 +107,14 @@
 
     async def _drain(self) -> None:
         await self._retire()
+        # Callers are asked to close their connections from here on.
+        self.front.draining = True
         # The balancer goes on sending here until it has seen the stop.
         await asyncio.sleep(self.settings.drain_delay_s)
-        self.front.draining = True
-        self.server.stop()
+        self.server.stop_accepting()
         await self._quiet()
-        await self._flush()
         await self.server.close_all_connections()
+        await self._flush()
 
     async def _retire(self) -> None:
         await self.around.members.retire()
@@ -126,13 +126,13 @@
             await asyncio.wait_for(self.keyed.keyed.flush(), FLUSH_S)
 
     async def _quiet(self) -> None:
-        """Wait until nothing was in flight for a moment."""
+        """Return when nothing was in flight for a moment, nor is now."""
         clock = self.around.clock
         busy_s = clock.monotonic_s()
         while clock.monotonic_s() < busy_s + QUIET_S:
+            await asyncio.sleep(QUIET_POLL_S)
             if self._in_flight():
                 busy_s = clock.monotonic_s()
-            await asyncio.sleep(QUIET_POLL_S)
 
     def _in_flight(self) -> int:
         return self.front.in_flight + self.keyed.in_flight
--- a/libs/entry/src/jackdawlatch/entry/server.py
+++ b/libs/entry/src/jackdawlatch/entry/server.py
@@ -6,9 +6,10 @@
 from collections.abc import Sequence
 from typing import Any
 
-from tornado import httpserver, httputil, web
+from tornado import httputil, web
 
 from jackdawlatch.entry import (
+    accepting,
     answers,
     front,
     jobs,
@@ -47,6 +48,17 @@
         self.arrived_s = self.desk.now_s()
         self.idempotent = True
         self.work: asyncio.Task[outcomes.Outcome] | None = None
+        self._entered = False
+
+    def prepare(self) -> None:
+        """Count the request as in flight."""
+        self._entered = True
+        self.desk.enter()
+
+    def on_connection_close(self) -> None:
+        """Count a request whose caller has left as over."""
+        super().on_connection_close()
+        self._leave()
 
     def data_received(self, chunk: bytes) -> None:
         """Keep a part of the body, unless it is over the limit."""
@@ -82,7 +94,8 @@
             self.add_header(name, text)
         if self.desk.draining:
             self.set_header('Connection', 'close')
-        self.finish(told.body or None)
+        flushed = self.finish(told.body or None)
+        flushed.add_done_callback(self._leave)
 
     def fail(self, failure: failures.Problem) -> None:
         """Write the reply for a failure."""
@@ -107,6 +120,11 @@
                 failures.OutcomeUnknown(message='the entry has failed inside')
             )
 
+    def _leave(self, _flushed: object = None) -> None:
+        if self._entered:
+            self._entered = False
+            self.desk.leave()
+
 
 class ServiceHandler(CallerHandler):
     """Sends a request to a runner of a service."""
@@ -148,6 +166,7 @@
 
     def prepare(self) -> None:
         """Tell the caller what is served."""
+        super().prepare()
         self.fail(
             refusals.UnknownPath(
                 message=f'nothing is served at {self.request.path}',
@@ -162,7 +181,7 @@
 
 def serve(
     context: Context, more: Sequence[Route] = ()
-) -> httpserver.HTTPServer:
+) -> accepting.AcceptingServer:
     """Return a server for callers that listens nowhere yet."""
     routes = (
         ('/services/.*', ServiceHandler),
@@ -173,7 +192,7 @@
         [(path, handler, {'context': context}) for path, handler in routes],
         log_function=_no_access_log,
     )
-    return httpserver.HTTPServer(application, max_body_size=DROPPED_BYTES)
+    return accepting.AcceptingServer(application, max_body_size=DROPPED_BYTES)
 
 
 def _no_access_log(_handler: httputil.HTTPServerConnectionDelegate) -> None:
--- a/libs/entry/tests/entry_daemons.py
+++ b/libs/entry/tests/entry_daemons.py
@@ -40,8 +40,7 @@
         self, entry: str, key: str, query: str = '', timeout_s: float = 10
     ) -> httpclient.HTTPResponse | None:
         """Send a dispatch; None when the connection ended without answer."""
-        settings = self.driver.deployment.entries_by_name[entry]
-        url = f'http://{settings.http_address}/services/{POOL}/x{query}'
+        url = f'{self.url(entry, POOL)}{query}'
         headers = {'Idempotency-Key': key, 'Request-Timeout': str(timeout_s)}
         with contextlib.suppress(OSError, httpclient.HTTPError):
             return await self.client.fetch(
@@ -54,6 +53,11 @@
             )
         return None
 
+    def url(self, entry: str, service: str) -> str:
+        """Return the URL of a path of a service, through an entry."""
+        settings = self.driver.deployment.entries_by_name[entry]
+        return f'http://{settings.http_address}/services/{service}/x'
+
     async def runs_by_key(self) -> dict[str, int]:
         """Return how often each key was run."""
         counts: dict[str, int] = {}
--- a/libs/entry/tests/test_entry_processes.py
+++ b/libs/entry/tests/test_entry_processes.py
@@ -2,7 +2,9 @@
 import random
 
 import entry_daemons
+from returns import result
 
+from jackdawlatch.platform import exchange
 from jackdawlatch.testing import functions
 
 KEYS = 60
@@ -63,4 +65,30 @@
     assert set((await daemons.runs_by_key()).values()) == {1}
 
 
+async def test_planned_stop_cuts_no_kept_connection(
+    daemons: entry_daemons.Daemons,
+) -> None:
+    stopped = daemons.entries[0]
+    url = daemons.url(stopped, 'lookup')
+    client = exchange.Client()
+    told: list[result.Result[exchange.Reply, exchange.Failed]] = []
+
+    async def ask_until_refused() -> None:
+        while not told or isinstance(told[-1], result.Success):
+            told.append(await client.send(exchange.Outgoing(url)))
+
+    asking = [asyncio.create_task(ask_until_refused()) for _ in range(8)]
+    await asyncio.sleep(0.5)
+    assert await daemons.stop(stopped) == 0
+    await asyncio.gather(*asking)
+    client.close()
+    cut = [
+        answered
+        for answered in told
+        if isinstance(answered, result.Failure)
+        and isinstance(answered.failure(), exchange.Unanswered)
+    ]
+    assert not cut, cut[0]
+
+
 load_tests = functions.loader(__name__, {'daemons': entry_daemons.daemons})
