--- a/libs/store/src/jackdawlatch/store/editing.py
+++ b/libs/store/src/jackdawlatch/store/editing.py
@@ -195,6 +195,12 @@
     return entry.revision if entry else keyvalue.ABSENT
 
 
+def _carry(outcome: Edited[Value], final: Value) -> Edited[Value]:
+    if isinstance(outcome, result.Failure):
+        return outcome
+    return result.Success(final)
+
+
 def _settle(pending: Pending[Value], error: Exception) -> None:
     if not pending.done.done():
         pending.done.set_exception(error)
