Choose an entry when a copy is sent, and tell how an answer was cut

The entry was to blame for neither: copies chose their entry up to 2 s before they were sent, when the balancer had withdrawn it since. They now choose when they are sent.

--- a/libs/standins/src/jackdawlatch/standins/callers.py
+++ b/libs/standins/src/jackdawlatch/standins/callers.py
@@ -51,6 +51,7 @@
     sent_s: float = 0
     told_s: float = 0
     reply: exchange.Reply | None = None
+    failure: str = ''
 
     @property
     def status(self) -> int:
@@ -108,6 +109,7 @@
             sent_s=sent_s,
             told_s=time.time(),
             reply=reply,
+            failure=_failure(answered),
         )
 
     def close(self) -> None:
@@ -125,6 +127,15 @@
     return Outcome(named) if named else Outcome.NO_ANSWER
 
 
+def _failure(
+    answered: result.Result[exchange.Reply, exchange.Failed],
+) -> str:
+    if isinstance(answered, result.Failure):
+        failed: exchange.Failed = answered.failure()
+        return failed.message
+    return ''
+
+
 def _outgoing(asked: Asked) -> exchange.Outgoing:
     key = (('Idempotency-Key', asked.key),) if asked.key else ()
     return exchange.Outgoing(
--- a/libs/standins/src/jackdawlatch/standins/traffic.py
+++ b/libs/standins/src/jackdawlatch/standins/traffic.py
@@ -67,25 +67,23 @@
 
     async def _ask_copies(self, asked: callers.Asked) -> None:
         """Send a keyed request and copies of it through any entry."""
-        count = self._rng.randint(1, COPIES)
-        copies = [self._copy(asked) for _ in range(count)]
-        delays_s = [self._rng.uniform(0, COPY_S) for _ in copies]
+        delays_s = [
+            self._rng.uniform(0, COPY_S)
+            for _ in range(self._rng.randint(0, COPIES - 1))
+        ]
         # The first copy goes out at once.
-        delays_s[0] = 0
-        self.heard.told.extend(
-            await asyncio.gather(*map(self._ask_later, copies, delays_s))
-        )
+        copies = (self._ask_later(asked, delay_s) for delay_s in (0, *delays_s))
+        self.heard.told.extend(await asyncio.gather(*copies))
 
     async def _ask_later(
         self, asked: callers.Asked, delay_s: float
     ) -> callers.Told:
         await asyncio.sleep(delay_s)
-        return await self._on.caller.ask(asked)
-
-    def _copy(self, asked: callers.Asked) -> callers.Asked:
-        return dataclasses.replace(
+        # The balancer chooses when the request comes, not before.
+        copy = dataclasses.replace(
             asked, entry=self._on.caller.any_entry(), id=uuid.uuid4().hex
         )
+        return await self._on.caller.ask(copy)
 
     def _request(self) -> callers.Asked:
         service = self._rng.choice(self._on.profile.services)
--- a/libs/standins/src/jackdawlatch/standins/verdict.py
+++ b/libs/standins/src/jackdawlatch/standins/verdict.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import time
 from collections.abc import AsyncIterator, Iterator
 
 from jackdawlatch.standins import (
@@ -81,7 +82,10 @@
             if cut and not self._crowd.outages.touched(
                 name, told.sent_s, told.told_s
             ):
-                yield oracle.Violation('an answer was cut', told.asked.id, name)
+                detail = f'{name}: {_account(told)}'
+                yield oracle.Violation(
+                    'an answer was cut', told.asked.id, detail
+                )
 
     def _ended_processes(self) -> Iterator[oracle.Violation]:
         for process in self._on.driver.processes.failed():
@@ -89,6 +93,17 @@
             yield oracle.Violation('a process ended', process.name, detail)
 
 
+def _account(told: callers.Told) -> str:
+    """Return what there is to know of an answer that did not come."""
+    asked = told.asked
+    waited_s = told.told_s - told.sent_s
+    moment = time.strftime('%H:%M:%S', time.gmtime(told.told_s))
+    return (
+        f'{asked.method} {asked.path} until {moment} after {waited_s:.2f} s, '
+        f'status {told.status}, {told.failure}'
+    )
+
+
 def _counts(counter: collections.Counter[str]) -> str:
     return ', '.join(
         f'{count} {name}' for name, count in sorted(counter.items())
