Hold a block of ports, watch budgets, and ask why a job was lost

Cause, ports: two trials at the same time took the same port between its check and its use, and one failed with "Address already in use". Each run now holds the first port of a block of 256 and takes its ports from there.

Cause, budgets: the soak judged them only by the stewards' own counters. An observer that shares no code with them now follows each written membership and configuration.

Cause, lost jobs: the verdict let any job that is not idempotent end as lost. Now one may only if its host's rack was killed while it ran. What is likely, and not proved: a steward reboots a host whose worker still runs a task, since it does not drain the worker and believes its usage, which lags by a second.

Not shown: that an overspent budget turns a run of real processes red.

--- a/libs/standins/src/jackdawlatch/standins/bench.py
+++ b/libs/standins/src/jackdawlatch/standins/bench.py
@@ -45,8 +45,9 @@
         self.profile = profile
         self.rng = rng
         self.directory = running.directory
+        self._ports = ports.Ports(random.Random())
         self.deployment = deployments.build(
-            profile, ports.Ports(random.Random()), self.directory
+            profile, self._ports, self.directory
         )
         self.driver = driver.Driver(self.deployment, running, by_rack)
         self.caller = callers.Caller(
@@ -90,6 +91,7 @@
         self.caller.close()
         self.driver.close()
         self.store.close()
+        self._ports.close()
 
 
 @contextlib.contextmanager
--- /dev/null
+++ b/libs/standins/src/jackdawlatch/standins/budgets.py
@@ -0,0 +1,74 @@
+"""Checks each written membership against the availability budgets.
+
+It reads only what is stored, and shares no code with the stewards.
+"""
+
+import collections
+from collections.abc import Iterator
+
+from jackdawlatch.model import hosts, presets
+from jackdawlatch.standins import oracle
+
+# A steward may judge by the configuration that was replaced just before.
+KEPT_CONFIGURATIONS = 3
+
+
+class Budgets:
+    """Follows the memberships and configurations in the order of writes."""
+
+    def __init__(self) -> None:
+        self._before = hosts.Membership()
+        self._recent: collections.deque[presets.Configuration] = (
+            collections.deque(maxlen=KEPT_CONFIGURATIONS)
+        )
+
+    def configure(self, configuration: presets.Configuration) -> None:
+        """Take note of a configuration that was written."""
+        self._recent.append(configuration)
+
+    def judge(self, after: hosts.Membership) -> Iterator[oracle.Violation]:
+        """Yield each pool out of which too many hosts were taken."""
+        for pool in sorted(self._drained(after)):
+            ready = _ready(after, pool)
+            if self._recent and not any(
+                _allows(configuration, pool, ready)
+                for configuration in self._recent
+            ):
+                yield oracle.Violation(
+                    'a budget was overspent', pool, f'{ready} hosts left'
+                )
+        self._before = after
+
+    def _drained(self, after: hosts.Membership) -> set[str]:
+        """Return the pools of hosts that were taken out by this write."""
+        return {
+            assignment.pool
+            for host, assignment in after.assignments_by_host.items()
+            if assignment.phase is hosts.Phase.DRAINING
+            and self._was_active(host)
+        }
+
+    def _was_active(self, host: str) -> bool:
+        assignment = self._before.assignments_by_host.get(host)
+        return bool(assignment and assignment.phase is hosts.Phase.ACTIVE)
+
+
+def _ready(membership: hosts.Membership, pool: str) -> int:
+    return sum(
+        1
+        for host, assignment in membership.assignments_by_host.items()
+        if assignment.pool == pool
+        and assignment.phase is hosts.Phase.ACTIVE
+        and membership.hosts_by_id[host].liveness is hosts.Liveness.LIVE
+    )
+
+
+def _allows(
+    configuration: presets.Configuration, pool: str, ready: int
+) -> bool:
+    target = configuration.preset.pools_by_name.get(pool)
+    known = configuration.pools_by_name.get(pool)
+    # The spare pool lends its hosts, so that nothing is promised of it.
+    if target is None or known is None or known.spare:
+        return True
+    return target.hosts - ready <= target.max_unavailable
--- a/libs/standins/src/jackdawlatch/standins/disruptions.py
+++ b/libs/standins/src/jackdawlatch/standins/disruptions.py
@@ -106,10 +106,11 @@
         names = (f'runners-{rack}', f'workers-{rack}')
         # Both locks are always taken in the same order.
         async with on.driver.lock(names[0]), on.driver.lock(names[1]):
-            for name in names:
-                on.driver.kill(name)
-            await asyncio.sleep(rng.uniform(0, LONG_S))
-            await on.driver.start(names)
+            async with noted.of(rack):
+                for name in names:
+                    on.driver.kill(name)
+                await asyncio.sleep(rng.uniform(0, LONG_S))
+                await on.driver.start(names)
         return rack
 
 
--- a/libs/standins/src/jackdawlatch/standins/job_verdict.py
+++ b/libs/standins/src/jackdawlatch/standins/job_verdict.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator, Mapping
 
 from jackdawlatch.model import work
-from jackdawlatch.standins import bench, job_steps, oracle
+from jackdawlatch.standins import bench, executions, job_steps, oracle, outages
 
 FINAL_STATES = frozenset(
     (
@@ -24,7 +24,9 @@
         self,
         on: bench.Bench,
         submissions_by_job: Mapping[str, job_steps.Submission],
+        noted: outages.Outages,
     ) -> None:
+        self._outages = noted
         self._on = on
         self._submissions_by_job = submissions_by_job
         self._states_by_job: dict[str, str] = {}
@@ -43,23 +45,40 @@
 
     def violations(self) -> Iterator[oracle.Violation]:
         """Yield each job that is lost, or was started again."""
-        starts_by_job = collections.Counter(
-            start.id.partition(':')[0]
-            for start in oracle.tasks_run(self._on.directory)
-        )
+        starts_by_job: dict[str, list[executions.Execution]] = {}
+        for start in oracle.tasks_run(self._on.directory):
+            job = start.id.partition(':')[0]
+            starts_by_job.setdefault(job, []).append(start)
         for job, submission in self._submissions_by_job.items():
-            state = self._states_by_job.get(job, UNSEEN)
-            yield from _judge(job, submission, state, starts_by_job[job])
+            starts = starts_by_job.get(job, [])
+            yield from self._judge(job, submission, starts)
 
+    def _judge(
+        self,
+        job: str,
+        submission: job_steps.Submission,
+        starts: list[executions.Execution],
+    ) -> Iterator[oracle.Violation]:
+        state = self._states_by_job.get(job, UNSEEN)
+        lost = state == work.JobState.LOST and not submission.idempotent
+        if state != work.JobState.DONE and not (lost and self._fell(starts)):
+            yield oracle.Violation('a job is not done', job, state)
+        if state == work.JobState.DONE and not starts:
+            yield oracle.Violation('a job is done, and never ran', job)
+        if len(starts) > 1 and not submission.idempotent:
+            detail = f'{len(starts)} times'
+            yield oracle.Violation('a job started again', job, detail)
 
-def _judge(
-    job: str, submission: job_steps.Submission, state: str, starts: int
-) -> Iterator[oracle.Violation]:
-    once = not submission.idempotent
-    lost = once and starts == 1 and state == work.JobState.LOST
-    if state != work.JobState.DONE and not lost:
-        yield oracle.Violation('a job is not done', job, state)
-    if state == work.JobState.DONE and not starts:
-        yield oracle.Violation('a job is done, and never ran', job)
-    if once and starts > 1:
-        yield oracle.Violation('a job started again', job, f'{starts} times')
+    def _fell(self, starts: list[executions.Execution]) -> bool:
+        """Return whether a rack was lost while its host had a task."""
+        racks_by_host = {
+            host.id: host.rack for host in self._on.deployment.hosts.hosts
+        }
+        return any(
+            self._outages.touched(
+                racks_by_host[start.host],
+                start.start_s,
+                start.end_s or float('inf'),
+            )
+            for start in starts
+        )
--- a/libs/standins/src/jackdawlatch/standins/observing.py
+++ b/libs/standins/src/jackdawlatch/standins/observing.py
@@ -4,12 +4,14 @@
 
 from returns import result
 
-from jackdawlatch.model import presets, records
+from jackdawlatch.model import hosts, presets, records
 from jackdawlatch.node import daemon
-from jackdawlatch.standins import bench, oracle, pools
+from jackdawlatch.standins import bench, budgets, oracle, pools
+from jackdawlatch.store import keyvalue
 
 PERIOD_S = 0.5
 WATCH_S = 1.0
+FLEET_PREFIX = 'fleet/'
 
 
 class Observer:
@@ -20,6 +22,7 @@
         self._on = on
         self._versions_by_life: dict[tuple[str, float], int] = {}
         self._stored_version = 0
+        self._budgets = budgets.Budgets()
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -48,17 +51,23 @@
     async def _follow_store(self) -> None:
         revision = 0
         while True:
-            seen = await self._on.store.watch(
-                pools.CONFIG_KEY, revision, WATCH_S
-            )
+            seen = await self._on.store.watch(FLEET_PREFIX, revision, WATCH_S)
             if isinstance(seen, result.Failure):
                 await asyncio.sleep(PERIOD_S)
                 continue
             changes = seen.unwrap()
             revision = changes.revision
             for entry in changes.entries:
-                stored = records.decode(entry.value, presets.Configuration)
-                self._judge_stored(stored.version)
+                self._take(entry)
+
+    def _take(self, entry: keyvalue.Entry) -> None:
+        if entry.key == pools.CONFIG_KEY:
+            stored = records.decode(entry.value, presets.Configuration)
+            self._budgets.configure(stored)
+            self._judge_stored(stored.version)
+        elif entry.key == pools.MEMBERSHIP_KEY:
+            written = records.decode(entry.value, hosts.Membership)
+            self.violations.extend(self._budgets.judge(written))
 
     def _judge_stored(self, version: int) -> None:
         if version < self._stored_version:
--- a/libs/standins/src/jackdawlatch/standins/ports.py
+++ b/libs/standins/src/jackdawlatch/standins/ports.py
@@ -11,31 +11,39 @@
 
 FIRST_PORT = 15_000
 LAST_PORT = 32_000
-MAX_TRIES = 1000
+BLOCK_PORTS = 256
 
 
 class Ports:
-    """Hands out ports that are free, each only once."""
+    """Hands out ports of one block, each only once.
+
+    The first port of the block is held, so that runs at the same time have
+    blocks of their own.
+    """
 
     def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
-        self._taken: set[int] = set()
+        self._lock, first_port = _hold_block(rng)
+        self._next_port = first_port
 
     def take(self) -> int:
-        """Return a free port; raises ``OSError`` when none is found."""
-        for _ in range(MAX_TRIES):
-            port = self._rng.randint(FIRST_PORT, LAST_PORT)
-            if port not in self._taken and _is_free(port):
-                self._taken.add(port)
-                return port
-        raise OSError('no free port was found')
+        """Return a free port; raises ``OSError`` when none is left."""
+        last_port = self._lock.getsockname()[1] + BLOCK_PORTS - 1
+        while self._next_port < last_port:
+            self._next_port += 1
+            if _is_free(self._next_port):
+                return self._next_port
+        raise OSError('no port of the block is free')
+
+    def close(self) -> None:
+        """Leave the block to others."""
+        self._lock.close()
 
 
 class FixedPorts(Ports):
     """Hands out ports in order, free or not, for examples."""
 
     def __init__(self) -> None:
-        super().__init__(random.Random(0))
+        """Hold nothing."""
         self._next_port = FIRST_PORT
 
     def take(self) -> int:
@@ -43,6 +51,23 @@
         self._next_port += 1
         return self._next_port
 
+    def close(self) -> None:
+        """Do nothing, since nothing is held."""
+
+
+def _hold_block(rng: random.Random) -> tuple[socket.socket, int]:
+    """Return a socket that holds the first port of a free block."""
+    blocks = list(range(FIRST_PORT, LAST_PORT - BLOCK_PORTS, BLOCK_PORTS))
+    for first_port in rng.sample(blocks, len(blocks)):
+        lock = socket.socket()
+        try:
+            lock.bind((serving.LOOPBACK, first_port))
+        except OSError:
+            lock.close()
+            continue
+        return lock, first_port
+    raise OSError('no block of ports is free')
+
 
 def _is_free(port: int) -> bool:
     with socket.socket() as probe:
--- a/libs/standins/src/jackdawlatch/standins/verdict.py
+++ b/libs/standins/src/jackdawlatch/standins/verdict.py
@@ -26,7 +26,9 @@
         self._on = on
         self._crowd = whole
         self._heard = whole.traffic.heard
-        self._jobs = job_verdict.JobVerdict(on, self._heard.submissions_by_job)
+        self._jobs = job_verdict.JobVerdict(
+            on, self._heard.submissions_by_job, whole.outages
+        )
 
     async def violations(self) -> tuple[oracle.Violation, ...]:
         """Let the deployment settle, and return what went wrong."""
--- a/libs/standins/tests/test_standins_driver.py
+++ b/libs/standins/tests/test_standins_driver.py
@@ -29,9 +29,8 @@
 class Bench:
     def __init__(self, directory: pathlib.Path) -> None:
         self.running = processes.Processes(directory)
-        self.deployment = deployments.build(
-            profiles.BROLLY_ADFER, ports.Ports(random.Random())
-        )
+        self.ports = ports.Ports(random.Random())
+        self.deployment = deployments.build(profiles.BROLLY_ADFER, self.ports)
         self.driver = driver.Driver(self.deployment, self.running, True)
         self.store = remote.RemoteStore(
             self.deployment.operator.store_addresses, timeout_s=1
@@ -40,6 +39,7 @@
     def close(self) -> None:
         self.store.close()
         self.driver.close()
+        self.ports.close()
 
 
 @contextlib.asynccontextmanager
@@ -111,6 +111,15 @@
         assert isinstance(checked, result.Success)
 
 
+def test_runs_at_the_same_time_share_no_port() -> None:
+    # The same random numbers would choose the same block.
+    held = [ports.Ports(random.Random(1)) for _ in range(3)]
+    taken = [one.take() for one in held for _ in range(100)]
+    for one in held:
+        one.close()
+    assert len(set(taken)) == 300
+
+
 def test_committed_examples_are_up_to_date() -> None:
     with tempfile.TemporaryDirectory() as directory:
         written = pathlib.Path(directory)
--- a/libs/standins/tests/test_standins_oracle.py
+++ b/libs/standins/tests/test_standins_oracle.py
@@ -6,13 +6,16 @@
 import msgspec
 from tornado import httputil
 
+from jackdawlatch.model import hosts
 from jackdawlatch.platform import exchange
 from jackdawlatch.standins import (
+    budgets,
     callers,
     executions,
     lines,
     oracle,
     outages,
+    profiles,
     runner,
 )
 from jackdawlatch.testing import functions
@@ -117,6 +120,36 @@
         assert late == ['5.5', '18']
 
 
+def _membership(*phases: hosts.Phase) -> hosts.Membership:
+    names = [f'h{number}' for number, _ in enumerate(phases)]
+    return hosts.Membership(
+        assignments_by_host={
+            name: hosts.Assignment(pool='lookup', phase=phase)
+            for name, phase in zip(names, phases, strict=True)
+        },
+        hosts_by_id={
+            name: hosts.Host(id=name, zone='z', rack='r') for name in names
+        },
+    )
+
+
+def test_budget_is_overspent_by_planned_work_only() -> None:
+    active, draining = hosts.Phase.ACTIVE, hosts.Phase.DRAINING
+    followed = budgets.Budgets()
+    followed.configure(profiles.configuration(profiles.BROLLY_ADFER))
+    whole = _membership(*(active,) * 6)
+    one_out = _membership(draining, *(active,) * 5)
+    two_out = _membership(draining, draining, *(active,) * 4)
+    rebooting = _membership(hosts.Phase.REBOOTING, *(active,) * 4, draining)
+    assert not list(followed.judge(whole))
+    assert not list(followed.judge(one_out))
+    overspent = [one.subject for one in followed.judge(two_out)]
+    assert overspent == ['lookup']
+    # What was taken out before is not held against a later write.
+    assert not list(followed.judge(two_out))
+    assert list(followed.judge(rebooting))
+
+
 async def test_only_answers_of_present_entries_count_as_cut() -> None:
     noted = outages.Outages()
     before_s = time.time()
