Admit with a margin for service times; one fate for each ticket

The strict queue machine failed once in a run of entry, admission and routing together: a ticket that expired during next() could no longer be cancelled, and was reported as dropped after its cancellation. Expired tickets are kept by id now and cancel() takes them too.

The measure let each flood set in at a random time late in its window, and turns begin late, for it drew gaps at the idle rate; arrivals are now drawn at the peak rate and thinned out, and the onset counts.

--- a/libs/admission/src/jackdawlatch/admission/lines.py
+++ b/libs/admission/src/jackdawlatch/admission/lines.py
@@ -81,9 +81,9 @@
         self._deadlines.sweep(self._places_by_id)
         return ticket
 
-    def expired(self, now_s: float) -> Iterator[tickets.Ticket]:
-        """Take out every ticket whose deadline has come."""
+    def expired(self, now_s: float) -> Iterator[tuple[str, tickets.Ticket]]:
+        """Take out every ticket whose deadline has come, with its id."""
         for ticket_id in self._deadlines.passed(now_s):
             ticket = self.remove(ticket_id)
             if ticket is not None:
-                yield ticket
+                yield ticket_id, ticket
--- a/libs/admission/src/jackdawlatch/admission/queues.py
+++ b/libs/admission/src/jackdawlatch/admission/queues.py
@@ -9,6 +9,8 @@
 from jackdawlatch.model import failures, presets, work
 
 MIN_RETRY_AFTER_S = 0.1
+# Service times vary: a request needs more than the mean to be in time.
+MARGIN = 3
 
 
 class Policy(abc.ABC):
@@ -25,7 +27,7 @@
             collections.Counter()
         )
         self.lines = lines.Lines()
-        self._expired: list[tickets.Ticket] = []
+        self._expired_by_id: dict[str, tickets.Ticket] = {}
 
     def offer(
         self, ticket: tickets.Ticket, now_s: float
@@ -39,7 +41,7 @@
 
     def next(self, now_s: float) -> tickets.Ticket | None:
         """Take out the ticket that gets the next free slot."""
-        self._expired.extend(self.lines.expired(now_s))
+        self._expired_by_id.update(self.lines.expired(now_s))
         if not self.lines:
             return None
         kind = self._choose(now_s)
@@ -50,13 +52,15 @@
 
     def cancel(self, ticket_id: str) -> bool:
         """Take out a ticket that is no longer wanted; whether it waited."""
+        if self._expired_by_id.pop(ticket_id, None):
+            return True
         return self.lines.remove(ticket_id) is not None
 
     def expire(self, now_s: float) -> tuple[tickets.Ticket, ...]:
         """Take out and return the tickets whose deadline has come."""
-        self._expired.extend(self.lines.expired(now_s))
-        dropped = tuple(self._expired)
-        self._expired.clear()
+        self._expired_by_id.update(self.lines.expired(now_s))
+        dropped = tuple(self._expired_by_id.values())
+        self._expired_by_id.clear()
         return dropped
 
     def finished(
@@ -112,9 +116,9 @@
                 message=f'{waiting} requests of this kind wait',
                 retry_after_s=retry_after_s,
             )
-        late = now_s + wait_s + self.times.estimate_s(ticket.kind)
+        service_s = MARGIN * self.times.estimate_s(ticket.kind)
         # The first in line is always taken, so that estimates stay fresh.
-        if waiting and late > ticket.deadline_s:
+        if waiting and now_s + wait_s + service_s > ticket.deadline_s:
             return tickets.DeadlineUnmet(
                 message=f'the wait is about {wait_s:.3f} s',
                 retry_after_s=retry_after_s,
--- a/measure/flood.py
+++ b/measure/flood.py
@@ -1,6 +1,7 @@
 """What the other work keeps during a flood of one kind."""
 
 import dataclasses
+import functools
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 from jackdawlatch.model import presets, work
@@ -11,6 +12,7 @@
 DELAYS_S = {'brolly-adfer': 0.0005, 'prairie-slate': 0.0015}
 FACTORS = (5, 20)
 MS_PER_S = 1000
+QUEUE_LIMIT = 1200
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,7 +42,9 @@
     """Return a stream with the same load at all times."""
     kind = work.Kind(service='match', team=team, urgency=urgency)
     name = f'{team}/{urgency.value}'
-    return virtual.Stream(name, kind, mean_s, budget_s, lambda _now_s: load)
+    return virtual.Stream(
+        name, kind, mean_s, budget_s, load, lambda _now_s: load
+    )
 
 
 LOOKUP = stream('desk', work.Urgency.URGENT, 0.02, 0.5, 0.2)
@@ -61,8 +65,14 @@
 
 
 def preset_of(way: Way) -> presets.Preset:
-    """Return the preset of a way, with equal shares."""
-    return presets.Preset(name='measure', admission=way.admission)
+    """Return the preset of a way, with equal shares.
+
+    The queues of all entries together hold as much as those of one broker.
+    """
+    limit = QUEUE_LIMIT if way.shared else QUEUE_LIMIT // virtual.ENTRIES
+    return presets.Preset(
+        name='measure', admission=way.admission, queue_limit=limit
+    )
 
 
 def summaries(
@@ -140,7 +150,10 @@
     flooded = FLOODED_BY_NAME[flood]
     calm = summaries(_run(way, seed, delay_s, ORDINARY))
     surge = dataclasses.replace(
-        flooded, name='flood', load=lambda _now_s: float(factor)
+        flooded,
+        name='flood',
+        peak=factor,
+        load=functools.partial(_surge, factor),
     )
     outcomes = _run(way, seed, delay_s, (*ORDINARY, surge))
     storm = summaries(outcomes)
@@ -162,6 +175,11 @@
     )
 
 
+def _surge(factor: int, now_s: float) -> float:
+    # The onset lies within the window that counts.
+    return factor if now_s >= WARM_UP_S else 0
+
+
 def _run(
     way: Way, seed: int, delay_s: float, streams: Sequence[virtual.Stream]
 ) -> list[virtual.Outcome]:
--- a/measure/turns.py
+++ b/measure/turns.py
@@ -21,10 +21,12 @@
 
 def services_in_turn() -> tuple[virtual.Stream, ...]:
     """Return the streams of one service, which all have the same turn."""
-    total = sum(stream.load(0) for stream in flood.ORDINARY)
+    total = sum(stream.peak for stream in flood.ORDINARY)
     return tuple(
         dataclasses.replace(
-            stream, load=functools.partial(_load, 0, stream.load(0) / total)
+            stream,
+            peak=BUSY_LOAD * stream.peak / total,
+            load=functools.partial(_load, 0, stream.peak / total),
         )
         for stream in flood.ORDINARY
     )
@@ -33,14 +35,14 @@
 def kinds_in_turn() -> tuple[virtual.Stream, ...]:
     """Return the streams of one service, each with a turn of its own."""
     return tuple(
-        dataclasses.replace(stream, load=functools.partial(_load, turn, 1))
+        dataclasses.replace(
+            stream, peak=BUSY_LOAD, load=functools.partial(_load, turn, 1)
+        )
         for turn, stream in enumerate(flood.ORDINARY)
     )
 
 
-def bound_s(
-    outcomes: Sequence[virtual.Outcome], end_s: float
-) -> float:
+def bound_s(outcomes: Sequence[virtual.Outcome], end_s: float) -> float:
     """Return the most slot-seconds that could end in deadline.
 
     An all-seeing assignment can do no more of a stream than what is offered,
@@ -52,9 +54,7 @@
         offered_s[outcome.stream] += outcome.service_s
         lasting_s = TURN_S * (end_s / TURN_S / TURNS) + outcome.budget_s
         most_s[outcome.stream] = virtual.TOTAL_SLOTS * lasting_s
-    return sum(
-        min(offered_s[stream], most_s[stream]) for stream in offered_s
-    )
+    return sum(min(offered_s[stream], most_s[stream]) for stream in offered_s)
 
 
 class Turns(base.Measure):
--- a/measure/virtual.py
+++ b/measure/virtual.py
@@ -26,13 +26,14 @@
     """Poisson arrivals of one kind, with exponential service times.
 
     ``load`` is the work offered over what all slots can do, as a function
-    of time.
+    of time, and ``peak`` the most that it gets to.
     """
 
     name: str
     kind: work.Kind
     mean_s: float
     budget_s: float
+    peak: float
     load: Callable[[float], float]
 
 
@@ -90,23 +91,21 @@
     def _arrive_next(
         self, stream: Stream, numbers: random.Random, end_s: float
     ) -> None:
-        rate_per_s = stream.load(self.now_s) * TOTAL_SLOTS / stream.mean_s
-        gap_s = numbers.expovariate(rate_per_s)
-        service_s = numbers.expovariate(1 / stream.mean_s)
+        peak_per_s = stream.peak * TOTAL_SLOTS / stream.mean_s
+        gap_s = numbers.expovariate(peak_per_s)
         if self.now_s + gap_s < end_s:
-            self._after(
-                gap_s,
-                lambda: self._arrive(stream, service_s, numbers, end_s),
-            )
+            self._after(gap_s, lambda: self._arrive(stream, numbers, end_s))
 
     def _arrive(
-        self,
-        stream: Stream,
-        service_s: float,
-        numbers: random.Random,
-        end_s: float,
+        self, stream: Stream, numbers: random.Random, end_s: float
     ) -> None:
+        service_s = numbers.expovariate(1 / stream.mean_s)
+        # Arrivals at the peak rate are thinned out to the present one.
+        if numbers.random() * stream.peak < stream.load(self.now_s):
+            self._send(stream, service_s)
         self._arrive_next(stream, numbers, end_s)
+
+    def _send(self, stream: Stream, service_s: float) -> None:
         outcome = Outcome(stream.name, self.now_s, service_s, stream.budget_s)
         self.outcomes.append(outcome)
         entry = self._random.randrange(ENTRIES)
