Make the broker's time independent of the number of runners

Runners with a free slot are kept in a set, the capacity is added up at most every 50 ms, the level of the last choice serves for estimates, and a kind's counts stand in one account. Accounts and estimates are bounded now, since teams are named by callers.

--- a/libs/admission/src/jackdawlatch/admission/allotments.py
+++ b/libs/admission/src/jackdawlatch/admission/allotments.py
@@ -1,21 +1,15 @@
 """Max-min fair division of slots among kinds with different demands."""
 
-import dataclasses
 from collections.abc import Iterable
+from typing import NamedTuple
 
 
-@dataclasses.dataclass(frozen=True)
-class Demand:
-    """The slots that a kind holds or waits for, and its weight."""
+class Demand(NamedTuple):
+    """What a kind holds or waits for: slots per weight, and its weight."""
 
-    slots: float
+    level: float
     weight: float
 
-    @property
-    def level(self) -> float:
-        """Return the level at which the demand is met in full."""
-        return self.slots / self.weight
-
 
 def water_level(demands: Iterable[Demand], capacity: float) -> float:
     """Return the slots per weight that no kind may exceed.
@@ -24,12 +18,12 @@
     and all capacity is used if there is demand for it.  The level is
     infinite if all demands can be met.
     """
-    rising = sorted(demands, key=lambda demand: demand.level)
+    rising = sorted(demands)
     weight = sum(demand.weight for demand in rising)
     left = capacity
     for demand in rising:
         if demand.level * weight > left:
             return left / weight
-        left -= demand.slots
+        left -= demand.level * demand.weight
         weight -= demand.weight
     return float('inf')
--- a/libs/admission/src/jackdawlatch/admission/fair.py
+++ b/libs/admission/src/jackdawlatch/admission/fair.py
@@ -12,17 +12,36 @@
 MAX_DEBT_S = 10
 
 
+# Beyond this many accounts, those of kinds without work are dropped.
+MAX_ACCOUNTS = 500
+
+
 @dataclasses.dataclass
 class Account:
     """What a kind has used: ``tag`` is its virtual time without held slots.
 
     ``started_s`` is the sum of the times at which its held slots were
-    granted.
+    granted; ``waiting`` is brought up to date before each choice.
     """
 
+    kind: work.Kind
     weight: float
+    rank: int
     tag: float = 0
+    held: int = 0
     started_s: float = 0
+    waiting: int = 0
+
+    def demand(self) -> allotments.Demand:
+        """Return the slots that the kind holds and waits for."""
+        level = (self.held + self.waiting) / self.weight
+        return allotments.Demand(level, self.weight)
+
+    def virtual_s(self, estimate_s: float, now_s: float) -> float:
+        """Return the virtual time, held slots included."""
+        expected_s = self.held * estimate_s
+        elapsed_s = self.held * now_s - self.started_s
+        return self.tag + max(expected_s, elapsed_s) / self.weight
 
 
 class Fair(queues.Policy):
@@ -43,6 +62,11 @@
         self._weights = shares.Weights(preset.shares)
         self._accounts_by_kind: dict[work.Kind, Account] = {}
         self._virtual_s: float = 0
+        self._level: float = float('inf')
+
+    def held(self, kind: work.Kind) -> int:
+        """Return how many slots a kind holds."""
+        return self._account(kind).held
 
     def offer(
         self, ticket: tickets.Ticket, now_s: float
@@ -54,77 +78,76 @@
 
     def granted(self, kind: work.Kind, granted_s: float) -> None:
         """Take note that a slot was given to a ticket of a kind."""
-        super().granted(kind, granted_s)
         account = self._account(kind)
+        account.held += 1
         account.started_s += granted_s
 
     def _choose(self, now_s: float) -> work.Kind:
-        level = self._level()
-        tags_by_kind = {
-            kind: self._tag(kind, now_s) for kind in self.lines.kinds
-        }
-        self._virtual_s = max(self._virtual_s, min(tags_by_kind.values()))
+        waiting = self._update()
+        tags = [
+            account.virtual_s(self.times.estimate_s(account.kind), now_s)
+            for account in waiting
+        ]
+        self._virtual_s = max(self._virtual_s, min(tags))
         latest = self._virtual_s + URGENT_LEAD_S
-        return min(
-            tags_by_kind,
-            key=lambda kind: (
-                self._held_level(kind) >= level,
-                tags_by_kind[kind] > latest,
-                shares.rank(kind),
-                tags_by_kind[kind],
-                self._held_level(kind),
+        chosen = min(
+            zip(tags, waiting, strict=True),
+            key=lambda each: (
+                each[1].held / each[1].weight >= self._level,
+                each[0] > latest,
+                each[1].rank,
+                each[0],
+                each[1].held / each[1].weight,
             ),
         )
-
-    def _fair_slots(self, kind: work.Kind) -> float:
-        share = self._level(kind) * self._account(kind).weight
-        return min(self.capacity, share)
-
-    def _level(self, coming: work.Kind | None = None) -> float:
-        kinds = {*self.lines.kinds, *self.held_by_kind}
-        if coming is not None:
-            kinds.add(coming)
-        return allotments.water_level(
-            (
-                allotments.Demand(
-                    slots=self.held_by_kind[kind]
-                    + self.lines.length(kind)
-                    + (kind == coming),
-                    weight=self._account(kind).weight,
-                )
-                for kind in kinds
-            ),
+        return chosen[1].kind
+
+    def _update(self) -> list[Account]:
+        """Bring the level up to date; return the accounts that wait."""
+        for idle in self._accounts_by_kind.values():
+            idle.waiting = 0
+        for kind, length in self.lines.lengths:
+            self._account(kind).waiting = length
+        accounts = tuple(self._accounts_by_kind.values())
+        self._level = allotments.water_level(
+            (each.demand() for each in accounts if each.held or each.waiting),
             self.capacity,
         )
+        return [each for each in accounts if each.waiting]
 
-    def _held_level(self, kind: work.Kind) -> float:
-        return self.held_by_kind[kind] / self._account(kind).weight
+    def _fair_slots(self, kind: work.Kind) -> float:
+        # The level of the last choice: close enough for an estimate.
+        return min(self.capacity, self._level * self._account(kind).weight)
 
     def _return(self, kind: work.Kind, now_s: float) -> None:
         # Idle time earns no credit, and what was lent leaves no long debt.
         account = self._account(kind)
-        tag = self._tag(kind, now_s)
-        lowest = self._virtual_s
-        highest = lowest + MAX_DEBT_S
-        account.tag += min(max(tag, lowest), highest) - tag
+        tag = account.virtual_s(self.times.estimate_s(kind), now_s)
+        highest = self._virtual_s + MAX_DEBT_S
+        account.tag += min(max(tag, self._virtual_s), highest) - tag
 
     def _settled(self, kind: work.Kind, granted_s: float, now_s: float) -> None:
-        super()._settled(kind, granted_s, now_s)
         account = self._account(kind)
+        account.held -= 1
         account.started_s -= granted_s
         account.tag += (now_s - granted_s) / account.weight
 
-    def _tag(self, kind: work.Kind, now_s: float) -> float:
-        account = self._account(kind)
-        held = self.held_by_kind[kind]
-        expected_s = held * self.times.estimate_s(kind)
-        elapsed_s = held * now_s - account.started_s
-        return account.tag + max(expected_s, elapsed_s) / account.weight
-
     def _account(self, kind: work.Kind) -> Account:
         account = self._accounts_by_kind.get(kind)
         if account is None:
-            account = Account(weight=self._weights.weight(kind))
+            self._drop_idle()
+            account = Account(
+                kind, self._weights.weight(kind), shares.rank(kind)
+            )
             account.tag = self._virtual_s
             self._accounts_by_kind[kind] = account
         return account
+
+    def _drop_idle(self) -> None:
+        # Teams are named by callers: there may be any number of them.
+        if len(self._accounts_by_kind) > MAX_ACCOUNTS:
+            self._accounts_by_kind = {
+                kind: account
+                for kind, account in self._accounts_by_kind.items()
+                if account.held or self.lines.length(kind)
+            }
--- a/libs/admission/src/jackdawlatch/admission/limits.py
+++ b/libs/admission/src/jackdawlatch/admission/limits.py
@@ -6,6 +6,7 @@
 from jackdawlatch.model import work
 
 FIRST_ESTIMATE_S = 0.05
+MAX_KINDS = 1000
 # The weight of the newest sample in the moving average.
 SAMPLE_WEIGHT = 0.1
 
@@ -23,7 +24,10 @@
 
     def observe(self, kind: work.Kind, seconds: float) -> None:
         """Take note of how long a request held its slot."""
-        mean_s = self._mean_s_by_kind.get(kind, seconds)
+        mean_s = self._mean_s_by_kind.pop(kind, seconds)
+        # Teams are named by callers: the kinds seen least lately go first.
+        if len(self._mean_s_by_kind) >= MAX_KINDS:
+            self._mean_s_by_kind.pop(next(iter(self._mean_s_by_kind)))
         self._mean_s_by_kind[kind] = mean_s + SAMPLE_WEIGHT * (seconds - mean_s)
 
 
--- a/libs/admission/src/jackdawlatch/admission/lines.py
+++ b/libs/admission/src/jackdawlatch/admission/lines.py
@@ -42,9 +42,10 @@
             yield from line.values()
 
     @property
-    def kinds(self) -> tuple[work.Kind, ...]:
-        """The kinds that have a ticket waiting."""
-        return tuple(self._lines_by_kind)
+    def lengths(self) -> Iterator[tuple[work.Kind, int]]:
+        """The kinds that have a ticket waiting, and how many they have."""
+        for kind, line in self._lines_by_kind.items():
+            yield kind, len(line)
 
     def length(self, kind: work.Kind) -> int:
         """Return how many tickets of a kind wait."""
--- a/libs/admission/src/jackdawlatch/admission/ordered.py
+++ b/libs/admission/src/jackdawlatch/admission/ordered.py
@@ -10,17 +10,23 @@
     def wait_s(self, kind: work.Kind) -> float:
         """Return how long a new ticket would wait behind all others."""
         total_s = sum(
-            self.lines.length(other) * self.times.estimate_s(other)
-            for other in self.lines.kinds
+            length * self.times.estimate_s(other)
+            for other, length in self.lines.lengths
         )
         return total_s / max(1, self.capacity)
 
+    def granted(self, kind: work.Kind, granted_s: float) -> None:
+        """Do nothing: what kinds hold has no bearing on the order."""
+
     def _choose(self, now_s: float) -> work.Kind:
+        kinds = (kind for kind, _ in self.lines.lengths)
         return min(
-            self.lines.kinds,
-            key=lambda kind: (self._rank(kind), self.lines.number(kind)),
+            kinds, key=lambda kind: (self._rank(kind), self.lines.number(kind))
         )
 
+    def _settled(self, kind: work.Kind, granted_s: float, now_s: float) -> None:
+        """Do nothing: what kinds held has no bearing on the order."""
+
     def _rank(self, kind: work.Kind) -> int:
         return 0
 
--- a/libs/admission/src/jackdawlatch/admission/queues.py
+++ b/libs/admission/src/jackdawlatch/admission/queues.py
@@ -1,7 +1,6 @@
 """The interface of admission policies, and what they have in common."""
 
 import abc
-import collections
 
 from returns import result
 
@@ -23,9 +22,6 @@
         self.preset = preset
         self.capacity = capacity
         self.times = limits.ServiceTimes()
-        self.held_by_kind: collections.Counter[work.Kind] = (
-            collections.Counter()
-        )
         self.lines = lines.Lines()
         self._expired_by_id: dict[str, tickets.Ticket] = {}
 
@@ -78,14 +74,17 @@
             self.times.observe(kind, now_s - granted_s)
         self._settled(kind, granted_s, now_s)
 
+    @abc.abstractmethod
     def granted(self, kind: work.Kind, granted_s: float) -> None:
         """Take note that a slot was given to a ticket of a kind."""
-        self.held_by_kind[kind] += 1
 
     def wait_s(self, kind: work.Kind) -> float:
         """Return how long a new ticket of a kind would wait, by estimate."""
+        waiting = self.lines.length(kind)
+        if not waiting:
+            return 0
         slots = max(1.0, self._fair_slots(kind))
-        return self.lines.length(kind) * self.times.estimate_s(kind) / slots
+        return waiting * self.times.estimate_s(kind) / slots
 
     @abc.abstractmethod
     def _choose(self, now_s: float) -> work.Kind:
@@ -95,11 +94,9 @@
         """Return how many slots a kind can count on while it waits."""
         return self.capacity
 
+    @abc.abstractmethod
     def _settled(self, kind: work.Kind, granted_s: float, now_s: float) -> None:
         """Take note that a ticket of a kind gave its slot back."""
-        self.held_by_kind[kind] -= 1
-        if not self.held_by_kind[kind]:
-            self.held_by_kind.pop(kind)
 
     def _refusal(
         self, ticket: tickets.Ticket, now_s: float
--- a/libs/admission/src/jackdawlatch/admission/slots.py
+++ b/libs/admission/src/jackdawlatch/admission/slots.py
@@ -9,6 +9,8 @@
 # A runner that says it is busy is used by others: it rests for a while.
 FIRST_PAUSE_S = 0.02
 MAX_PAUSE_S = 1.0
+# The capacity is added up anew when it is older than this.
+CAPACITY_AGE_S = 0.05
 
 
 @dataclasses.dataclass
@@ -28,27 +30,44 @@
         self._slots_by_host: dict[str, int] = {}
         self._in_use_by_host: collections.Counter[str] = collections.Counter()
         self._pauses_by_host: dict[str, Pause] = {}
+        self._free: set[str] = set()
+        self._capacity = 0
+        self._counted_s: float = float('-inf')
 
     def set_hosts(self, slots_by_host: Mapping[str, int]) -> None:
         """Replace the runners; slots in use at lost ones stay counted."""
         self._slots_by_host = dict(slots_by_host)
         self._health.set_hosts(slots_by_host)
+        self._counted_s = float('-inf')
+        self._free = {
+            host
+            for host, slots in slots_by_host.items()
+            if self._in_use_by_host[host] < slots
+        }
 
     def capacity(self, now_s: float) -> int:
         """Return the slots of all runners that take work."""
-        return sum(
-            slots
-            for host, slots in self._slots_by_host.items()
-            if self._health.usable(host) and not self._leaving.has(host, now_s)
-        )
+        if now_s - self._counted_s > CAPACITY_AGE_S:
+            self._counted_s = now_s
+            self._capacity = sum(
+                slots
+                for host, slots in self._slots_by_host.items()
+                if self._health.usable(host)
+                and not self._leaving.has(host, now_s)
+            )
+        return self._capacity
 
     def take(self, host: str) -> None:
         """Count a slot as in use."""
         self._in_use_by_host[host] += 1
+        if self._in_use_by_host[host] >= self._slots_by_host.get(host, 0):
+            self._free.discard(host)
 
     def free(self, host: str) -> None:
         """Count a slot as free."""
         self._in_use_by_host[host] -= 1
+        if self._in_use_by_host[host] < self._slots_by_host.get(host, 0):
+            self._free.add(host)
 
     def pause(self, host: str, now_s: float) -> None:
         """Take note that a runner had no free slot."""
@@ -68,7 +87,7 @@
         """Return the runners that can be given a request."""
         return [
             self._candidate(host)
-            for host in self._slots_by_host
+            for host in sorted(self._free)
             if self._health.usable(host) and self._open(host, now_s)
         ]
 
@@ -79,7 +98,7 @@
         ]
 
     def _open(self, host: str, now_s: float) -> bool:
-        if self._in_use_by_host[host] >= self._slots_by_host[host]:
+        if host not in self._free:
             return False
         pause = self._pauses_by_host.get(host)
         if pause and pause.until_s > now_s:
