--- a/measure/flood.py
+++ b/measure/flood.py
@@ -2,17 +2,34 @@
 
 import dataclasses
 import functools
+import itertools
+import types
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 from jackdawlatch.model import presets, work
-from measure import base, virtual
+from measure import base, plots, results, virtual
 
 WARM_UP_S = 2.0
 END_S = 8.0
-DELAYS_S = {'brolly-adfer': 0.0005, 'prairie-slate': 0.0015}
+DELAYS_S = types.MappingProxyType(
+    {'brolly-adfer': 0.0005, 'prairie-slate': 0.0015}
+)
 FACTORS = (5, 20)
-MS_PER_S = 1000
 QUEUE_LIMIT = 1200
+NOTE = (
+    'Each other kind against the same run without the flood; the onset lies '
+    'in the window that counts. Targets: goodput >= 0.95, p99 ratio <= 2, '
+    'slots >= 0.9.'
+)
+COLUMNS = (
+    'flood',
+    'times',
+    'way',
+    'worst goodput',
+    'worst p99 ratio',
+    'each: goodput, p99 ratio',
+    'slots used',
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,7 +70,9 @@
 LEDGER = stream('ledger', work.Urgency.BATCH, 0.5, 30, 0.15)
 TEXTS = stream('texts', work.Urgency.BATCH, 0.1, 10, 0.05)
 ORDINARY = (LOOKUP, PICKUP, PHONE, LEDGER, TEXTS)
-FLOODED_BY_NAME = {'least urgent': LEDGER, 'most urgent': PHONE}
+FLOODED_BY_NAME = types.MappingProxyType(
+    {'least urgent': LEDGER, 'most urgent': PHONE}
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -117,36 +136,41 @@
     def run(self, seed: int) -> Iterator[base.Table]:
         """Measure both deployments."""
         for deployment, delay_s in DELAYS_S.items():
-            rows = tuple(
-                row
-                for flood in FLOODED_BY_NAME
-                for factor in FACTORS
-                for way in WAYS
-                for row in _rows(flood, factor, way, seed, delay_s)
+            found = tuple(
+                _result(flood, factor, way, seed, delay_s)
+                for flood, factor, way in itertools.product(
+                    FLOODED_BY_NAME, FACTORS, WAYS
+                )
             )
+            plot = plots.floods(deployment, found)
             yield base.Table(
                 title=f'Other work during a flood, {deployment}',
-                note=(
-                    'Each other kind against the same run without the '
-                    'flood, the worst kind first; targets: goodput >= 0.95, '
-                    'p99 ratio <= 2, slots >= 0.9.'
-                ),
-                columns=(
-                    'flood',
-                    'times',
-                    'way',
-                    'worst goodput',
-                    'worst p99 ratio',
-                    'all: goodput, p99 ratio, p99 ms',
-                    'slots used',
-                ),
-                rows=rows,
+                note=NOTE,
+                columns=COLUMNS,
+                rows=tuple(_row(each) for each in found),
+                plots=(plot,),
             )
 
 
-def _rows(
+def _row(found: results.Flooded) -> tuple[base.Cell, ...]:
+    goodputs, ratios = found.goodput_by_kind, found.p99_ratio_by_kind
+    return (
+        found.flood,
+        found.factor,
+        found.way,
+        round(min(goodputs.values()), 3),
+        round(max(ratios.values()), 2),
+        '; '.join(
+            f'{name} {goodputs[name]:.3f}, {ratios[name]:.2f}'
+            for name in goodputs
+        ),
+        round(found.slots_used, 3),
+    )
+
+
+def _result(
     flood: str, factor: int, way: Way, seed: int, delay_s: float
-) -> Iterator[tuple[base.Cell, ...]]:
+) -> results.Flooded:
     flooded = FLOODED_BY_NAME[flood]
     calm = summaries(_run(way, seed, delay_s, ORDINARY))
     surge = dataclasses.replace(
@@ -158,20 +182,17 @@
     outcomes = _run(way, seed, delay_s, (*ORDINARY, surge))
     storm = summaries(outcomes)
     others = [each.name for each in ORDINARY if each is not flooded]
-    goodputs = {name: storm[name].good / calm[name].good for name in others}
-    ratios = {name: storm[name].p99_s / calm[name].p99_s for name in others}
-    yield (
-        flood,
-        factor,
-        way.name,
-        round(min(goodputs.values()), 3),
-        round(max(ratios.values()), 2),
-        '; '.join(
-            f'{name} {goodputs[name]:.3f}, {ratios[name]:.2f}, '
-            f'{storm[name].p99_s * MS_PER_S:.0f}'
-            for name in others
-        ),
-        round(use(outcomes), 3),
+    return results.Flooded(
+        flood=flood,
+        factor=factor,
+        way=way.name,
+        goodput_by_kind={
+            name: storm[name].good / calm[name].good for name in others
+        },
+        p99_ratio_by_kind={
+            name: storm[name].p99_s / calm[name].p99_s for name in others
+        },
+        slots_used=use(outcomes),
     )
 
 
