--- a/libs/admission/src/jackdawlatch/admission/fair.py
+++ b/libs/admission/src/jackdawlatch/admission/fair.py
@@ -5,6 +5,7 @@
 from returns import result
 
 from jackdawlatch.admission import allotments, queues, shares, tickets
+from jackdawlatch.admission import usage as usages
 from jackdawlatch.model import failures, presets, work
 
 # A kind may lead or lag its share by this many slot-seconds per weight.
@@ -31,11 +32,14 @@
     held: int = 0
     started_s: float = 0
     waiting: int = 0
+    allotted: float = float('inf')
+    usage: usages.Usage = dataclasses.field(default_factory=usages.Usage)
 
-    def demand(self) -> allotments.Demand:
+    def claim(self) -> allotments.Claim:
         """Return the slots that the kind holds and waits for."""
-        level = (self.held + self.waiting) / self.weight
-        return allotments.Demand(level, self.weight)
+        return allotments.Claim(
+            self.held + self.waiting, self.weight, self.usage.mean
+        )
 
     def virtual_s(self, estimate_s: float, now_s: float) -> float:
         """Return the virtual time, held slots included."""
@@ -47,9 +51,10 @@
 class Fair(queues.Policy):
     """Max-min fair slots, then start-time fair queueing.
 
-    A kind may hold its max-min share of the slots, given what all kinds
-    hold and wait for.  Kinds below their share come first, so that one that
-    floods gives way slot by slot while the others are short of theirs.
+    Each kind is allotted slots: its weight's part for sure, and of what
+    others leave first what it usually holds, then a max-min share.  Kinds
+    below their allotment come first, so that one that floods gives way slot
+    by slot while the others are short of theirs.
 
     Among them, each kind has a virtual time: slot-seconds used over weight,
     with held slots at the estimate or, when they take longer, at what they
@@ -62,7 +67,6 @@
         self._weights = shares.Weights(preset.shares)
         self._accounts_by_kind: dict[work.Kind, Account] = {}
         self._virtual_s: float = 0
-        self._level: float = float('inf')
 
     def held(self, kind: work.Kind) -> int:
         """Return how many slots a kind holds."""
@@ -79,6 +83,7 @@
     def granted(self, kind: work.Kind, granted_s: float) -> None:
         """Take note that a slot was given to a ticket of a kind."""
         account = self._account(kind)
+        self._measure(account, granted_s)
         account.held += 1
         account.started_s += granted_s
 
@@ -93,7 +98,7 @@
         chosen = min(
             zip(tags, waiting, strict=True),
             key=lambda each: (
-                each[1].held / each[1].weight >= self._level,
+                each[1].held >= each[1].allotted,
                 each[0] > latest,
                 each[1].rank,
                 each[0],
@@ -103,21 +108,26 @@
         return chosen[1].kind
 
     def _update(self) -> list[Account]:
-        """Bring the level up to date; return the accounts that wait."""
+        """Bring allotments up to date; return the accounts that wait."""
         for idle in self._accounts_by_kind.values():
             idle.waiting = 0
         for kind, length in self.lines.lengths:
             self._account(kind).waiting = length
-        accounts = tuple(self._accounts_by_kind.values())
-        self._level = allotments.water_level(
-            (each.demand() for each in accounts if each.held or each.waiting),
-            self.capacity,
+        accounts = [
+            each
+            for each in self._accounts_by_kind.values()
+            if each.held or each.waiting
+        ]
+        allotted = allotments.allot(
+            [each.claim() for each in accounts], self.capacity
         )
+        for account, slots in zip(accounts, allotted, strict=True):
+            account.allotted = slots
         return [each for each in accounts if each.waiting]
 
     def _fair_slots(self, kind: work.Kind) -> float:
-        # The level of the last choice: close enough for an estimate.
-        return min(self.capacity, self._level * self._account(kind).weight)
+        # As of the last choice: close enough for an estimate.
+        return min(self.capacity, self._account(kind).allotted)
 
     def _return(self, kind: work.Kind, now_s: float) -> None:
         # Idle time earns no credit, and what was lent leaves no long debt.
@@ -128,10 +138,19 @@
 
     def _settled(self, kind: work.Kind, granted_s: float, now_s: float) -> None:
         account = self._account(kind)
+        self._measure(account, now_s)
         account.held -= 1
         account.started_s -= granted_s
         account.tag += (now_s - granted_s) / account.weight
 
+    def _measure(self, account: Account, now_s: float) -> None:
+        # What is held while others wait is no measure of what is usual: else
+        # a flood that lasts would become usual.
+        if len(self.lines):
+            account.usage.pass_over(now_s)
+        else:
+            account.usage.take(account.held, now_s)
+
     def _account(self, kind: work.Kind) -> Account:
         account = self._accounts_by_kind.get(kind)
         if account is None:
--- a/libs/admission/tests/test_admission_allotments.py
+++ b/libs/admission/tests/test_admission_allotments.py
@@ -4,7 +4,7 @@
 import hypothesis
 from hypothesis import strategies  # noqa: WPS458 settings are no module.
 
-from jackdawlatch.admission import allotments, policies, tickets
+from jackdawlatch.admission import allotments, policies, tickets, usage
 from jackdawlatch.model import presets, work
 from jackdawlatch.testing import functions
 
@@ -30,6 +30,51 @@
     assert math.isclose(used, min(capacity, wanted), abs_tol=1e-6)
 
 
+CLAIMS = strategies.lists(
+    strategies.builds(
+        allotments.Claim,
+        slots=strategies.integers(1, 100),
+        weight=strategies.sampled_from((0.5, 1, 4)),
+        usual=strategies.integers(0, 60),
+    ),
+    min_size=1,
+    max_size=8,
+)
+
+
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.given(claims=CLAIMS, capacity=strategies.integers(0, 60))
+def test_allotments_keep_the_guaranteed_part(
+    claims: list[allotments.Claim], capacity: int
+) -> None:
+    allotted = allotments.allot(claims, capacity)
+    wanted = sum(claim.slots for claim in claims)
+    total = min(capacity, wanted)
+    assert math.isclose(sum(allotted), total, abs_tol=1e-6)
+    weight = sum(claim.weight for claim in claims)
+    for claim, slots in zip(claims, allotted, strict=True):
+        sure = min(claim.slots, capacity * claim.weight / weight)
+        assert sure - 1e-6 <= slots <= claim.slots + 1e-6
+
+
+def test_lent_slots_go_first_to_their_usual_holder() -> None:
+    usual = allotments.Claim(slots=30, weight=1, usual=20)
+    flood = allotments.Claim(slots=500, weight=1, usual=8)
+    light = allotments.Claim(slots=6, weight=1, usual=6)
+    allotted = allotments.allot((usual, flood, light), 48)
+    assert allotted == [23, 19, 6]
+
+
+def test_usage_is_a_mean_over_time() -> None:
+    held = usage.Usage()
+    held.take(0, 100)
+    held.take(8, 101)
+    assert math.isclose(held.mean, 8)
+    held.pass_over(200)
+    held.take(2, 200 + 20 * usage.MEMORY_S)
+    assert math.isclose(held.mean, 2, abs_tol=1e-6)
+
+
 def test_flood_that_holds_all_slots_gives_way() -> None:
     for flood_urgency, other_urgency in itertools.permutations(
         (work.Urgency.URGENT, work.Urgency.BATCH)
--- a/measure/flood.py
+++ b/measure/flood.py
@@ -70,6 +70,7 @@
 LEDGER = stream('ledger', work.Urgency.BATCH, 0.5, 30, 0.15)
 TEXTS = stream('texts', work.Urgency.BATCH, 0.1, 10, 0.05)
 ORDINARY = (LOOKUP, PICKUP, PHONE, LEDGER, TEXTS)
+HEAVY = (stream('desk', work.Urgency.URGENT, 0.02, 0.5, 0.4), *ORDINARY[1:])
 FLOODED_BY_NAME = types.MappingProxyType(
     {'least urgent': LEDGER, 'most urgent': PHONE}
 )
@@ -136,6 +137,17 @@
     def run(self, seed: int) -> Iterator[base.Table]:
         """Measure both deployments."""
         for deployment, delay_s in DELAYS_S.items():
+            heavy = (
+                _result('least urgent', 20, way, seed, delay_s, HEAVY)
+                for way in WAYS
+            )
+            yield base.Table(
+                title=f'A kind beyond its share, {deployment}',
+                note=f'{NOTE} Lookups ask for 0.4 of the slots, twice '
+                'their equal share.',
+                columns=COLUMNS,
+                rows=tuple(_row(each) for each in heavy),
+            )
             found = tuple(
                 _result(flood, factor, way, seed, delay_s)
                 for flood, factor, way in itertools.product(
@@ -169,19 +181,24 @@
 
 
 def _result(
-    flood: str, factor: int, way: Way, seed: int, delay_s: float
+    flood: str,
+    factor: int,
+    way: Way,
+    seed: int,
+    delay_s: float,
+    ordinary: Sequence[virtual.Stream] = ORDINARY,
 ) -> results.Flooded:
     flooded = FLOODED_BY_NAME[flood]
-    calm = summaries(_run(way, seed, delay_s, ORDINARY))
+    calm = summaries(_run(way, seed, delay_s, ordinary))
     surge = dataclasses.replace(
         flooded,
         name='flood',
         peak=factor,
         load=functools.partial(_surge, factor),
     )
-    outcomes = _run(way, seed, delay_s, (*ORDINARY, surge))
+    outcomes = _run(way, seed, delay_s, (*ordinary, surge))
     storm = summaries(outcomes)
-    others = [each.name for each in ORDINARY if each is not flooded]
+    others = [each.name for each in ordinary if each is not flooded]
     return results.Flooded(
         flood=flood,
         factor=factor,
