--- a/libs/admission/tests/test_admission_allotments.py
+++ b/libs/admission/tests/test_admission_allotments.py
@@ -4,7 +4,7 @@
 import hypothesis
 from hypothesis import strategies  # noqa: WPS458 settings are no module.
 
-from jackdawlatch.admission import allotments, policies, tickets, usage
+from jackdawlatch.admission import allotments, fair, policies, tickets, usage
 from jackdawlatch.model import presets, work
 from jackdawlatch.testing import functions
 
@@ -102,6 +102,22 @@
         assert last.kind == flood
 
 
+def test_flood_that_lasts_does_not_become_usual() -> None:
+    kind = work.Kind(service='match')
+    policy = fair.Fair(presets.Preset(name='test'), SLOTS)
+    _offer(policy, kind, 0)
+    policy.next(0)
+    policy.finished(kind, 0, 10)
+    for number in range(1, 100):
+        _offer(policy, kind, number)
+    for _ in range(SLOTS):
+        policy.next(10)
+    for step in range(10, 90):
+        policy.finished(kind, step, step + 1)
+        policy.next(step + 1)
+    assert math.isclose(policy.usual(kind), 1)
+
+
 def _offer(policy, kind: work.Kind, number: int) -> None:
     ticket = tickets.Ticket(id=str(number), kind=kind, deadline_s=1e9)
     policy.offer(ticket, 0)
