--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -19,15 +19,16 @@
     parser.add_argument('--seed', type=int, default=1)
     chosen = parser.parse_args()
     record = json.loads(RECORD.read_text()) if RECORD.exists() else {}
+    commit = _commit()
     modules.load()
     for name in chosen.names or sorted(base.Measure.measures_by_name):
-        record[name] = _run(name, chosen.seed)
+        record[name] = _run(name, chosen.seed, commit)
         RECORD.write_text(json.dumps(record, indent=1) + '\n')
     page.write(record)
     return 0
 
 
-def _run(name: str, seed: int) -> page.Run:
+def _run(name: str, seed: int, commit: str) -> page.Run:
     started_s = time.monotonic()
     tables = [
         page.plain(table)
@@ -36,7 +37,7 @@
     took_s = round(time.monotonic() - started_s, 1)
     sys.stdout.write(f'{name}: {took_s} s\n')
     return {
-        'commit': _commit(),
+        'commit': commit,
         'seed': seed,
         'took_s': took_s,
         'tables': tables,
