--- a/libs/entry/src/jackdawlatch/entry/root.py
+++ b/libs/entry/src/jackdawlatch/entry/root.py
@@ -13,9 +13,11 @@
     job_handlers,
     jobs,
     keyed_parts,
+    members,
     sending_parts,
     server,
 )
+from jackdawlatch.entry import explaining as explanations
 from jackdawlatch.entry import settings as entry_settings
 from jackdawlatch.entry import surroundings as surroundings_of_entry
 from jackdawlatch.node import daemon
@@ -46,6 +48,7 @@
         self.around = surroundings_of_entry.Surroundings(
             fleet=fleet.Fleet(parts.documents, signs),
             roster=parts.roster,
+            members=members.Members(parts.roster, parts.endpoint),
             signs=signs,
             endpoint=parts.endpoint,
             clock=parts.clock,
@@ -63,16 +66,16 @@
         self.front = front.Front(
             self.around, self.sending.dispatcher.run, self.keyed.forwarder.run
         )
-        self.jobs = jobs.Jobs(
-            self.around.fleet,
-            book.Book(store, book.Options(settings.shard), parts.clock),
-        )
-        context = {
-            'desk': self.front,
-            'body_limit_bytes': settings.body_limit_bytes,
-        }
         self.server: httpserver.HTTPServer = server.serve(
-            context, job_handlers.rules(self.jobs, context)
+            server.Context(
+                desk=self.front,
+                jobs=jobs.Jobs(
+                    self.around.fleet,
+                    book.Book(store, book.Options(settings.shard), parts.clock),
+                ),
+                body_limit_bytes=settings.body_limit_bytes,
+            ),
+            job_handlers.ROUTES,
         )
         parts.documents.listen(self._refresh)
 
@@ -92,6 +95,7 @@
                 )
             )
         self.node.details = self._details
+        self.node.explain = explanations.Explainer(self.around.ring).explain
         self.node.spawn(self.keyed.ownership.run())
         self.node.spawn(self.sending.slots.run())
         self.node.spawn(self.sending.brokerage.brokers.run())
@@ -103,16 +107,23 @@
         await self.node.run(self._drain)
 
     async def _drain(self) -> None:
-        self.sending.brokerage.retiring = True
-        self.keyed.ownership.retiring = True
+        await self._retire()
         # The balancer goes on sending here until it has seen the stop.
         await asyncio.sleep(self.settings.drain_delay_s)
         self.front.draining = True
         self.server.stop()
         await self._quiet()
+        await self._flush()
+        await self.server.close_all_connections()
+
+    async def _retire(self) -> None:
+        await self.around.members.retire()
+        # The brokers that take over learn at once which slots are held here.
+        await self.sending.slots.synchronize()
+
+    async def _flush(self) -> None:
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self.keyed.keyed.flush(), FLUSH_S)
-        await self.server.close_all_connections()
 
     async def _quiet(self) -> None:
         """Wait until nothing was in flight for a moment."""
@@ -133,6 +144,6 @@
         return {
             'in_flight': self._in_flight(),
             'waiting': self.sending.slots.waiting,
-            'brokered_services': list(self.sending.brokerage.brokers.services),
-            'static_services': list(self.sending.brokerage.shares.services),
+            'brokered_services': self.sending.brokerage.brokers.services(),
+            'static_services': self.sending.brokerage.shares.services(),
         }
--- a/libs/entry/src/jackdawlatch/entry/slot_lines.py
+++ b/libs/entry/src/jackdawlatch/entry/slot_lines.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Mapping
 
 from returns import result
 
@@ -24,14 +25,14 @@
 class Line:
     """Tickets that wait, grants that are held, and what is yet to be told.
 
-    ``broker`` is the id of the peer that was last told all, empty while the
-    entry gives out its static share.
+    ``broker`` is the peer that was last told all, none while the entry gives
+    out its static share.
     """
 
     def __init__(
         self, service: str, own: roster.Peer, clock: clocks.Clock
     ) -> None:
-        self.broker = ''
+        self.broker: roster.Peer | None = None
         self.flushing = False
         self.waiting_by_id: dict[str, Waiting] = {}
         self.held_by_id: dict[str, tickets.Grant] = {}
@@ -73,17 +74,31 @@
 
     def everything(self) -> slot_messages.Update:
         """Return all that is wanted and held, which then counts as told."""
-        now_s = self._clock.monotonic_s()
-        reports = tuple(
-            slot_messages.Report(
-                ticket=_relative(grant.ticket, now_s),
-                host=grant.host,
-                age_s=now_s - grant.granted_s,
-            )
-            for grant in self.held_by_id.values()
-        )
         update = self._update(list(self.waiting_by_id.values()))
-        return records.replace(update, reports=reports, whole=True)
+        return records.replace(
+            update,
+            reports=_reports(self.held_by_id, self._clock.monotonic_s()),
+            whole=True,
+        )
+
+    def held(self) -> slot_messages.Update:
+        """Return the slots that are held, and nothing of what is untold."""
+        return slot_messages.Update(
+            service=self._service,
+            entry=self._own.id,
+            address=self._own.peer_address,
+            reports=_reports(self.held_by_id, self._clock.monotonic_s()),
+        )
+
+    def farewell(self) -> slot_messages.Update:
+        """Return what makes a former broker forget this entry."""
+        return slot_messages.Update(
+            service=self._service,
+            entry=self._own.id,
+            address=self._own.peer_address,
+            cancels=(*self.waiting_by_id, *self.held_by_id),
+            farewell=True,
+        )
 
     def take(self, news: slot_messages.News) -> None:
         """Take in what a broker says."""
@@ -140,5 +155,18 @@
     )
 
 
+def _reports(
+    held_by_id: Mapping[str, tickets.Grant], now_s: float
+) -> tuple[slot_messages.Report, ...]:
+    return tuple(
+        slot_messages.Report(
+            ticket=_relative(grant.ticket, now_s),
+            host=grant.host,
+            age_s=now_s - grant.granted_s,
+        )
+        for grant in held_by_id.values()
+    )
+
+
 def _relative(ticket: tickets.Ticket, now_s: float) -> tickets.Ticket:
     return records.replace(ticket, deadline_s=ticket.deadline_s - now_s)
--- a/libs/entry/src/jackdawlatch/entry/slot_messages.py
+++ b/libs/entry/src/jackdawlatch/entry/slot_messages.py
@@ -28,7 +28,7 @@
 
     The deadlines of ``asks`` are the seconds that are left.  With
     ``whole`` set, ``asks`` and ``reports`` are all that the entry waits for
-    and holds.
+    and holds.  With ``farewell`` set, it has gone over to another broker.
     """
 
     service: str
@@ -39,6 +39,13 @@
     cancels: tuple[str, ...] = ()
     reports: tuple[Report, ...] = ()
     whole: bool = False
+    farewell: bool = False
+
+
+class Collect(records.Record, frozen=True, kw_only=True):
+    """A new broker asks what slots the receiver holds."""
+
+    service: str
 
 
 class Given(records.Record, frozen=True, kw_only=True):
--- a/libs/entry/src/jackdawlatch/entry/surroundings.py
+++ b/libs/entry/src/jackdawlatch/entry/surroundings.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from jackdawlatch.entry import fleet as fleets
+from jackdawlatch.entry import members
 from jackdawlatch.model import clocks
 from jackdawlatch.node import roster as rosters
 from jackdawlatch.peers import endpoint as endpoints
@@ -16,6 +17,7 @@
 
     fleet: fleets.Fleet
     roster: rosters.Roster
+    members: members.Members
     signs: leaving.Leaving
     endpoint: endpoints.Endpoint
     clock: clocks.Clock
--- a/libs/entry/tests/entry_fleets.py
+++ b/libs/entry/tests/entry_fleets.py
@@ -26,7 +26,9 @@
     def __init__(self) -> None:
         self.store = fakes.FakeStore()
         self.entries: list[root.Root] = []
-        self.client = httpclient.AsyncHTTPClient(force_instance=True)
+        self.client = httpclient.AsyncHTTPClient(
+            force_instance=True, max_clients=200
+        )
         self.runners_by_host = {
             host: runner.Server(runner_state.Settings(host=host))
             for host in ('h1', 'h2')
@@ -142,6 +144,11 @@
         await until(lambda: self.runs(key) == 1)
         writer.close()
 
+    def brokers(self, service: str) -> str:
+        """Return the id of the entry that serves a service's broker."""
+        brokerage = self.entries[0].sending.brokerage
+        return str(brokerage.owner(service).id)
+
     def running(self, key: str) -> bool:
         """Say whether a runner works on a key."""
         return any(
