--- a/libs/admission/src/jackdawlatch/admission/allotments.py
+++ b/libs/admission/src/jackdawlatch/admission/allotments.py
@@ -1,20 +1,25 @@
 """Max-min fair division of slots among kinds with different demands."""
 
-import dataclasses
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
 
 
-@dataclasses.dataclass(frozen=True)
-class Demand:
-    """The slots that a kind holds or waits for, and its weight."""
+class Demand(NamedTuple):
+    """What a kind holds or waits for: slots per weight, and its weight."""
 
-    slots: float
+    level: float
     weight: float
 
-    @property
-    def level(self) -> float:
-        """Return the level at which the demand is met in full."""
-        return self.slots / self.weight
+
+class Claim(NamedTuple):
+    """What a kind holds or waits for, in slots.
+
+    ``usual`` is what it has held of late.
+    """
+
+    slots: float
+    weight: float
+    usual: float = 0
 
 
 def water_level(demands: Iterable[Demand], capacity: float) -> float:
@@ -24,12 +29,54 @@
     and all capacity is used if there is demand for it.  The level is
     infinite if all demands can be met.
     """
-    rising = sorted(demands, key=lambda demand: demand.level)
+    rising = sorted(demands)
     weight = sum(demand.weight for demand in rising)
     left = capacity
     for demand in rising:
         if demand.level * weight > left:
             return left / weight
-        left -= demand.slots
+        left -= demand.level * demand.weight
         weight -= demand.weight
     return float('inf')
+
+
+def allot(claims: Sequence[Claim], capacity: float) -> list[float]:
+    """Return the slots that each claim is allotted.
+
+    Everyone is sure of its weight's part of the capacity.  What others leave
+    of theirs goes to those that usually hold more, up to what is usual, and
+    then to all, each time by max-min.
+    """
+    weight = sum(claim.weight for claim in claims)
+    given = [
+        min(claim.slots, capacity * claim.weight / weight) for claim in claims
+    ]
+    usual = [min(claim.slots, claim.usual) for claim in claims]
+    given = _raise(claims, given, usual, capacity)
+    wanted = [claim.slots for claim in claims]
+    return _raise(claims, given, wanted, capacity)
+
+
+def _raise(
+    claims: Sequence[Claim],
+    given: Sequence[float],
+    wanted: Sequence[float],
+    capacity: float,
+) -> list[float]:
+    """Raise what is given towards what is wanted, lowest levels first."""
+    left = capacity - sum(given)
+    short = [
+        max(0, want - has) for want, has in zip(wanted, given, strict=True)
+    ]
+    level = water_level(
+        (
+            Demand(lack / claim.weight, claim.weight)
+            for lack, claim in zip(short, claims, strict=True)
+            if lack
+        ),
+        left,
+    )
+    return [
+        has + min(lack, level * claim.weight)
+        for has, lack, claim in zip(given, short, claims, strict=True)
+    ]
--- a/libs/admission/src/jackdawlatch/admission/fair.py
+++ b/libs/admission/src/jackdawlatch/admission/fair.py
@@ -1,10 +1,8 @@
 """Weighted fair queueing over kinds of work, charged by held slot-seconds."""
 
-import dataclasses
-
 from returns import result
 
-from jackdawlatch.admission import allotments, queues, shares, tickets
+from jackdawlatch.admission import accounts, allotments, queues, tickets
 from jackdawlatch.model import failures, presets, work
 
 # A kind may lead or lag its share by this many slot-seconds per weight.
@@ -12,25 +10,13 @@
 MAX_DEBT_S = 10
 
 
-@dataclasses.dataclass
-class Account:
-    """What a kind has used: ``tag`` is its virtual time without held slots.
-
-    ``started_s`` is the sum of the times at which its held slots were
-    granted.
-    """
-
-    weight: float
-    tag: float = 0
-    started_s: float = 0
-
-
 class Fair(queues.Policy):
     """Max-min fair slots, then start-time fair queueing.
 
-    A kind may hold its max-min share of the slots, given what all kinds
-    hold and wait for.  Kinds below their share come first, so that one that
-    floods gives way slot by slot while the others are short of theirs.
+    Each kind is allotted slots: its weight's part for sure, and of what
+    others leave first what it usually holds, then a max-min share.  Kinds
+    below their allotment come first, so that one that floods gives way slot
+    by slot while the others are short of theirs.
 
     Among them, each kind has a virtual time: slot-seconds used over weight,
     with held slots at the estimate or, when they take longer, at what they
@@ -40,10 +26,17 @@
 
     def __init__(self, preset: presets.Preset, capacity: int = 0) -> None:
         super().__init__(preset, capacity)
-        self._weights = shares.Weights(preset.shares)
-        self._accounts_by_kind: dict[work.Kind, Account] = {}
+        self._accounts = accounts.Accounts(preset.shares)
         self._virtual_s: float = 0
 
+    def held(self, kind: work.Kind) -> int:
+        """Return how many slots a kind holds."""
+        return self._accounts.of_kind(kind).held
+
+    def usual(self, kind: work.Kind) -> float:
+        """Return how many slots a kind held of late while nobody waited."""
+        return self._accounts.of_kind(kind).usage.mean
+
     def offer(
         self, ticket: tickets.Ticket, now_s: float
     ) -> result.Result[None, failures.NotRun]:
@@ -54,77 +47,67 @@
 
     def granted(self, kind: work.Kind, granted_s: float) -> None:
         """Take note that a slot was given to a ticket of a kind."""
-        super().granted(kind, granted_s)
-        account = self._account(kind)
+        account = self._accounts.of_kind(kind)
+        self._measure(account, granted_s)
+        account.held += 1
         account.started_s += granted_s
 
     def _choose(self, now_s: float) -> work.Kind:
-        level = self._level()
-        tags_by_kind = {
-            kind: self._tag(kind, now_s) for kind in self.lines.kinds
-        }
-        self._virtual_s = max(self._virtual_s, min(tags_by_kind.values()))
+        waiting = self._update()
+        tags = [
+            account.virtual_s(self.times.estimate_s(account.kind), now_s)
+            for account in waiting
+        ]
+        self._virtual_s = max(self._virtual_s, min(tags))
         latest = self._virtual_s + URGENT_LEAD_S
-        return min(
-            tags_by_kind,
-            key=lambda kind: (
-                self._held_level(kind) >= level,
-                tags_by_kind[kind] > latest,
-                shares.rank(kind),
-                tags_by_kind[kind],
-                self._held_level(kind),
+        chosen = min(
+            zip(tags, waiting, strict=True),
+            key=lambda each: (
+                each[1].held >= each[1].allotted,
+                each[0] > latest,
+                each[1].rank,
+                each[0],
+                each[1].held / each[1].weight,
             ),
         )
-
-    def _fair_slots(self, kind: work.Kind) -> float:
-        share = self._level(kind) * self._account(kind).weight
-        return min(self.capacity, share)
-
-    def _level(self, coming: work.Kind | None = None) -> float:
-        kinds = {*self.lines.kinds, *self.held_by_kind}
-        if coming is not None:
-            kinds.add(coming)
-        return allotments.water_level(
-            (
-                allotments.Demand(
-                    slots=self.held_by_kind[kind]
-                    + self.lines.length(kind)
-                    + (kind == coming),
-                    weight=self._account(kind).weight,
-                )
-                for kind in kinds
-            ),
-            self.capacity,
+        return chosen[1].kind
+
+    def _update(self) -> list[accounts.Account]:
+        """Bring allotments up to date; return the accounts that wait."""
+        for idle in self._accounts:
+            idle.waiting = 0
+        for kind, length in self.lines.lengths:
+            self._accounts.of_kind(kind).waiting = length
+        active = [each for each in self._accounts if each.held or each.waiting]
+        allotted = allotments.allot(
+            [each.claim() for each in active], self.capacity
         )
+        for account, slots in zip(active, allotted, strict=True):
+            account.allotted = slots
+        return [each for each in active if each.waiting]
 
-    def _held_level(self, kind: work.Kind) -> float:
-        return self.held_by_kind[kind] / self._account(kind).weight
+    def _fair_slots(self, kind: work.Kind) -> float:
+        # As of the last choice: close enough for an estimate.
+        return min(self.capacity, self._accounts.of_kind(kind).allotted)
 
     def _return(self, kind: work.Kind, now_s: float) -> None:
         # Idle time earns no credit, and what was lent leaves no long debt.
-        account = self._account(kind)
-        tag = self._tag(kind, now_s)
-        lowest = self._virtual_s
-        highest = lowest + MAX_DEBT_S
-        account.tag += min(max(tag, lowest), highest) - tag
+        account = self._accounts.of_kind(kind)
+        tag = account.virtual_s(self.times.estimate_s(kind), now_s)
+        highest = self._virtual_s + MAX_DEBT_S
+        account.tag += min(max(tag, self._virtual_s), highest) - tag
 
     def _settled(self, kind: work.Kind, granted_s: float, now_s: float) -> None:
-        super()._settled(kind, granted_s, now_s)
-        account = self._account(kind)
+        account = self._accounts.of_kind(kind)
+        self._measure(account, now_s)
+        account.held -= 1
         account.started_s -= granted_s
         account.tag += (now_s - granted_s) / account.weight
 
-    def _tag(self, kind: work.Kind, now_s: float) -> float:
-        account = self._account(kind)
-        held = self.held_by_kind[kind]
-        expected_s = held * self.times.estimate_s(kind)
-        elapsed_s = held * now_s - account.started_s
-        return account.tag + max(expected_s, elapsed_s) / account.weight
-
-    def _account(self, kind: work.Kind) -> Account:
-        account = self._accounts_by_kind.get(kind)
-        if account is None:
-            account = Account(weight=self._weights.weight(kind))
-            account.tag = self._virtual_s
-            self._accounts_by_kind[kind] = account
-        return account
+    def _measure(self, account: accounts.Account, now_s: float) -> None:
+        # What is held while others wait is no measure of what is usual: else
+        # a flood that lasts would become usual.
+        if len(self.lines):
+            account.usage.pass_over(now_s)
+        else:
+            account.usage.take(account.held, now_s)
--- a/libs/admission/src/jackdawlatch/admission/lines.py
+++ b/libs/admission/src/jackdawlatch/admission/lines.py
@@ -42,9 +42,10 @@
             yield from line.values()
 
     @property
-    def kinds(self) -> tuple[work.Kind, ...]:
-        """The kinds that have a ticket waiting."""
-        return tuple(self._lines_by_kind)
+    def lengths(self) -> Iterator[tuple[work.Kind, int]]:
+        """The kinds that have a ticket waiting, and how many they have."""
+        for kind, line in self._lines_by_kind.items():
+            yield kind, len(line)
 
     def length(self, kind: work.Kind) -> int:
         """Return how many tickets of a kind wait."""
@@ -81,9 +82,9 @@
         self._deadlines.sweep(self._places_by_id)
         return ticket
 
-    def expired(self, now_s: float) -> Iterator[tickets.Ticket]:
-        """Take out every ticket whose deadline has come."""
+    def expired(self, now_s: float) -> Iterator[tuple[str, tickets.Ticket]]:
+        """Take out every ticket whose deadline has come, with its id."""
         for ticket_id in self._deadlines.passed(now_s):
             ticket = self.remove(ticket_id)
             if ticket is not None:
-                yield ticket
+                yield ticket_id, ticket
--- a/libs/admission/src/jackdawlatch/admission/queues.py
+++ b/libs/admission/src/jackdawlatch/admission/queues.py
@@ -1,7 +1,6 @@
 """The interface of admission policies, and what they have in common."""
 
 import abc
-import collections
 
 from returns import result
 
@@ -9,6 +8,8 @@
 from jackdawlatch.model import failures, presets, work
 
 MIN_RETRY_AFTER_S = 0.1
+# Service times vary: a request needs more than the mean to be in time.
+MARGIN = 3
 
 
 class Policy(abc.ABC):
@@ -21,11 +22,8 @@
         self.preset = preset
         self.capacity = capacity
         self.times = limits.ServiceTimes()
-        self.held_by_kind: collections.Counter[work.Kind] = (
-            collections.Counter()
-        )
         self.lines = lines.Lines()
-        self._expired: list[tickets.Ticket] = []
+        self._expired_by_id: dict[str, tickets.Ticket] = {}
 
     def offer(
         self, ticket: tickets.Ticket, now_s: float
@@ -39,7 +37,7 @@
 
     def next(self, now_s: float) -> tickets.Ticket | None:
         """Take out the ticket that gets the next free slot."""
-        self._expired.extend(self.lines.expired(now_s))
+        self._expired_by_id.update(self.lines.expired(now_s))
         if not self.lines:
             return None
         kind = self._choose(now_s)
@@ -50,13 +48,15 @@
 
     def cancel(self, ticket_id: str) -> bool:
         """Take out a ticket that is no longer wanted; whether it waited."""
+        if self._expired_by_id.pop(ticket_id, None):
+            return True
         return self.lines.remove(ticket_id) is not None
 
     def expire(self, now_s: float) -> tuple[tickets.Ticket, ...]:
         """Take out and return the tickets whose deadline has come."""
-        self._expired.extend(self.lines.expired(now_s))
-        dropped = tuple(self._expired)
-        self._expired.clear()
+        self._expired_by_id.update(self.lines.expired(now_s))
+        dropped = tuple(self._expired_by_id.values())
+        self._expired_by_id.clear()
         return dropped
 
     def finished(
@@ -74,14 +74,17 @@
             self.times.observe(kind, now_s - granted_s)
         self._settled(kind, granted_s, now_s)
 
+    @abc.abstractmethod
     def granted(self, kind: work.Kind, granted_s: float) -> None:
         """Take note that a slot was given to a ticket of a kind."""
-        self.held_by_kind[kind] += 1
 
     def wait_s(self, kind: work.Kind) -> float:
         """Return how long a new ticket of a kind would wait, by estimate."""
+        waiting = self.lines.length(kind)
+        if not waiting:
+            return 0
         slots = max(1.0, self._fair_slots(kind))
-        return self.lines.length(kind) * self.times.estimate_s(kind) / slots
+        return waiting * self.times.estimate_s(kind) / slots
 
     @abc.abstractmethod
     def _choose(self, now_s: float) -> work.Kind:
@@ -91,11 +94,9 @@
         """Return how many slots a kind can count on while it waits."""
         return self.capacity
 
+    @abc.abstractmethod
     def _settled(self, kind: work.Kind, granted_s: float, now_s: float) -> None:
         """Take note that a ticket of a kind gave its slot back."""
-        self.held_by_kind[kind] -= 1
-        if not self.held_by_kind[kind]:
-            self.held_by_kind.pop(kind)
 
     def _refusal(
         self, ticket: tickets.Ticket, now_s: float
@@ -112,9 +113,9 @@
                 message=f'{waiting} requests of this kind wait',
                 retry_after_s=retry_after_s,
             )
-        late = now_s + wait_s + self.times.estimate_s(ticket.kind)
+        service_s = MARGIN * self.times.estimate_s(ticket.kind)
         # The first in line is always taken, so that estimates stay fresh.
-        if waiting and late > ticket.deadline_s:
+        if waiting and now_s + wait_s + service_s > ticket.deadline_s:
             return tickets.DeadlineUnmet(
                 message=f'the wait is about {wait_s:.3f} s',
                 retry_after_s=retry_after_s,
--- a/measure/turns.py
+++ b/measure/turns.py
@@ -21,10 +21,12 @@
 
 def services_in_turn() -> tuple[virtual.Stream, ...]:
     """Return the streams of one service, which all have the same turn."""
-    total = sum(stream.load(0) for stream in flood.ORDINARY)
+    total = sum(stream.peak for stream in flood.ORDINARY)
     return tuple(
         dataclasses.replace(
-            stream, load=functools.partial(_load, 0, stream.load(0) / total)
+            stream,
+            peak=BUSY_LOAD * stream.peak / total,
+            load=functools.partial(_load, 0, stream.peak / total),
         )
         for stream in flood.ORDINARY
     )
@@ -33,7 +35,9 @@
 def kinds_in_turn() -> tuple[virtual.Stream, ...]:
     """Return the streams of one service, each with a turn of its own."""
     return tuple(
-        dataclasses.replace(stream, load=functools.partial(_load, turn, 1))
+        dataclasses.replace(
+            stream, peak=BUSY_LOAD, load=functools.partial(_load, turn, 1)
+        )
         for turn, stream in enumerate(flood.ORDINARY)
     )
 
