--- a/libs/entry/src/jackdawlatch/entry/job_handlers.py
+++ b/libs/entry/src/jackdawlatch/entry/job_handlers.py
@@ -1,7 +1,5 @@
 """The HTTP handlers of jobs."""
 
-from typing import Any
-
 from returns import result
 
 from jackdawlatch.entry import answers, jobs, server
@@ -13,11 +11,6 @@
 class JobHandler(server.CallerHandler):
     """Answers with a job, or with why there is none."""
 
-    def initialize(self, own_jobs: jobs.Jobs, **context: Any) -> None:
-        """Take what the application was made with."""
-        super().initialize(**context)
-        self.jobs = own_jobs
-
     def tell(self, outcome: jobs.Outcome, status: int) -> None:
         """Write the reply for a job or a failure."""
         if isinstance(outcome, result.Failure):
@@ -57,10 +50,7 @@
         self.tell(outcome, OK)
 
 
-def rules(own_jobs: jobs.Jobs, context: dict[str, Any]) -> list[Any]:
-    """Return the routes of jobs for the callers' application."""
-    own_context = {'own_jobs': own_jobs, **context}
-    return [
-        (jobs.JOBS_PATH, SubmitHandler, own_context),
-        (f'{jobs.JOBS_PATH}/([^/]+)', OneJobHandler, own_context),
-    ]
+ROUTES = (
+    (jobs.JOBS_PATH, SubmitHandler),
+    (f'{jobs.JOBS_PATH}/([^/]+)', OneJobHandler),
+)
--- a/libs/entry/src/jackdawlatch/entry/ownership.py
+++ b/libs/entry/src/jackdawlatch/entry/ownership.py
@@ -7,7 +7,6 @@
 from jackdawlatch.node import roster as rosters
 from jackdawlatch.routing import rendezvous
 
-ENTRY_ROLE = 'entry'
 REVIEW_S = 0.25
 
 
@@ -24,7 +23,6 @@
         around: surroundings.Surroundings,
         buckets: Sequence[intents.Intents],
     ) -> None:
-        self.retiring = False
         self._around = around
         self._buckets = buckets
         self._since_s_by_bucket: dict[int, float] = {}
@@ -32,11 +30,7 @@
     def owner(self, bucket: int) -> rosters.Peer:
         """Return the entry that owns a bucket."""
         own = self._around.roster.own
-        entries_by_id = {
-            peer.id: peer for peer in self._around.roster.by_role(ENTRY_ROLE)
-        }
-        if self.retiring and len(entries_by_id) > 1:
-            entries_by_id.pop(own.id, None)
+        entries_by_id = self._around.members.reachable()
         chosen = rendezvous.owner(f'intents/{bucket}', entries_by_id)
         return entries_by_id.get(chosen or '', own)
 
--- a/libs/entry/src/jackdawlatch/entry/slots.py
+++ b/libs/entry/src/jackdawlatch/entry/slots.py
@@ -14,7 +14,6 @@
 from jackdawlatch.entry import (
     brokerage,
     slot_lines,
-    slot_messages,
     surroundings,
 )
 from jackdawlatch.model import work
@@ -52,7 +51,8 @@
         self._brokerage = own_brokerage
         self._lines_by_service: dict[str, slot_lines.Line] = {}
         self._flushes: set[asyncio.Task[None]] = set()
-        own_brokerage.deliver = self._take
+        own_brokerage.deliver = lambda news: self._line(news.service).take(news)
+        own_brokerage.held = lambda service: self._line(service).held()
 
     @property
     def waiting(self) -> int:
@@ -98,8 +98,12 @@
         """Tell the brokers all, over and over, until cancelled."""
         while True:
             await asyncio.sleep(RESYNC_S)
-            for service in tuple(self._lines_by_service):
-                await self._synchronize(service)
+            await self.synchronize()
+
+    async def synchronize(self) -> None:
+        """Tell the brokers all that this entry wants and holds."""
+        for service in tuple(self._lines_by_service):
+            await self._synchronize(service)
 
     def _line(self, service: str) -> slot_lines.Line:
         line = self._lines_by_service.get(service)
@@ -132,7 +136,7 @@
         await asyncio.sleep(0)
         line.flushing = False
         owner = self._brokerage.owner(service)
-        if line.broker == owner.id:
+        if line.broker == owner:
             told = await self._brokerage.tell(owner, line.changes())
             await self._heed(service, line, told)
         elif not line.broker and self._brokerage.shares.serves(service):
@@ -146,8 +150,10 @@
         owner = self._brokerage.owner(service)
         told = await self._brokerage.tell(owner, line.everything())
         if isinstance(told, result.Success):
-            line.broker = owner.id
+            former, line.broker = line.broker, owner
             self._brokerage.shares.forget(service)
+            if former not in {None, owner}:
+                self._brokerage.part(former, line.farewell())
         await self._heed(service, line, told)
 
     async def _heed(
@@ -155,11 +161,8 @@
     ) -> None:
         """Take in what the broker said; without a word share statically."""
         if isinstance(told, result.Failure):
-            line.broker = ''
+            line.broker = None
             shares = self._brokerage.shares
             line.take(await shares.update(line.everything()))
         else:
             line.take(told.unwrap())
-
-    def _take(self, news: slot_messages.News) -> None:
-        self._line(news.service).take(news)
