--- a/libs/membership/src/jackdawlatch/membership/budget.py
+++ b/libs/membership/src/jackdawlatch/membership/budget.py
@@ -87,7 +87,7 @@
         pool = assignment.pool
         if service is shards.Service.READY:
             self._ready_by_pool[pool] += sign
-        if service in {shards.Service.FAILED, shards.Service.UNKNOWN}:
+        elif service is not shards.Service.PLANNED_OUT:
             self._failed_by_pool[pool] += sign
         if places.under_maintenance(assignment):
             self._work_by_place[(pool, host.zone)] += sign
@@ -135,10 +135,24 @@
         return wanted - self._expected_by_pool[pool]
 
 
-def count(value: shards.Shard, limits: Limits, now_s: float) -> Counts:
-    """Return the counts of every pool of a shard."""
+@dataclasses.dataclass(frozen=True)
+class Survey:
+    """What every host does, and the counts that follow for each pool."""
+
+    services_by_host: Mapping[str, shards.Service]
+    counts: Counts
+
+
+def survey(value: shards.Shard, limits: Limits, now_s: float) -> Survey:
+    """Look at every host of a shard once."""
     counts = Counts(limits)
-    for host, service in shards.services(value, now_s).items():
+    services_by_host = shards.services(value, now_s)
+    for host, service in services_by_host.items():
         assignment = value.assignments_by_host[host]
         counts.add(assignment, value.hosts_by_id[host], service, 1)
-    return counts
+    return Survey(services_by_host, counts)
+
+
+def count(value: shards.Shard, limits: Limits, now_s: float) -> Counts:
+    """Return the counts of every pool of a shard."""
+    return survey(value, limits, now_s).counts
--- a/libs/membership/src/jackdawlatch/membership/loans.py
+++ b/libs/membership/src/jackdawlatch/membership/loans.py
@@ -40,14 +40,17 @@
     """Plans on one value; short-lived."""
 
     def __init__(
-        self, value: shards.Shard, limits: budget.Limits, now_s: float
+        self,
+        value: shards.Shard,
+        limits: budget.Limits,
+        surveyed: budget.Survey,
+        now_s: float,
     ) -> None:
+        self._value = value
         self._limits = limits
         self._now_s = now_s
-        self._counts = budget.count(value, limits, now_s)
-        self._domain = sizing.failure_domain(value, limits)
-        self._hosts_by_id = value.hosts_by_id
-        self._services_by_host = shards.services(value, now_s)
+        self._counts = surveyed.counts
+        self._services_by_host = surveyed.services_by_host
         self._ids_by_pool: dict[str, list[str]] = {}
         self._bound_by_pool: dict[str, list[str]] = {}
         for host, assignment in sorted(value.assignments_by_host.items()):
@@ -92,8 +95,11 @@
             if need.missing > 0
             and self._now_s - since[need.pool] >= policy.lend_after_s(need)
         ]
+        if not due:
+            return
         free = self._serving(self._limits.spare, shards.Service.READY)
-        reserve = policy.reserve(self._domain)
+        domain = sizing.failure_domain(self._value, self._limits)
+        reserve = policy.reserve(domain)
         for need in sorted(due, key=_urgency):
             yield from self._lend(need, free, reserve)
 
@@ -135,7 +141,7 @@
 
     def _spread(self, pool: str) -> spreads.Spread:
         return spreads.Spread(
-            self._hosts_by_id,
+            self._value.hosts_by_id,
             (
                 host
                 for host in self._bound_by_pool.get(pool, ())
--- a/libs/membership/src/jackdawlatch/membership/waves.py
+++ b/libs/membership/src/jackdawlatch/membership/waves.py
@@ -29,15 +29,17 @@
 
 
 def plan(
-    value: shards.Shard, limits: budget.Limits, now_s: float
+    value: shards.Shard, counts: budget.Counts, now_s: float
 ) -> tuple[transitions.Transition, ...]:
     """Return the drains that running waves start next, and their reasons.
 
     A wave goes on in the rack of a pool where it has begun, and starts in
     another rack or zone only once that rack is through.  It starts nothing
-    in a pool whose budget is eaten up by failures.
+    in a pool whose budget is eaten up by failures.  ``counts`` are those of
+    the value, and are used up.
     """
-    counts = budget.count(value, limits, now_s)
+    if not value.waves_by_id:
+        return ()
     places_by_pool = places.in_work(value, now_s)
     made: list[transitions.Transition] = []
     for wave in sorted(value.waves_by_id.values(), key=_wave_id):
--- a/libs/steward/src/jackdawlatch/steward/reconcile.py
+++ b/libs/steward/src/jackdawlatch/steward/reconcile.py
@@ -46,6 +46,25 @@
     overdue: tuple[work.Overdue, ...]
     memory: Memory
 
+    def waits_for_nothing(self, view: View) -> bool:
+        """Return whether time alone changes nothing about this plan."""
+        value = view.value
+        named = view.sightings.hosts_by_id.keys() >= value.hosts_by_id.keys()
+        timers = self.memory.timers
+        running = any(wave.remaining for wave in value.waves_by_id.values())
+        timed = timers.short_since_s_by_pool or timers.surplus_since_s_by_pool
+        return named and not (self.made or running or timed or in_work(value))
+
+
+def same(before: View, after: View) -> bool:
+    """Return whether nothing but time has passed between two views."""
+    return (
+        before.value is after.value
+        and before.limits == after.limits
+        and before.sightings.hosts_by_id == after.sightings.hosts_by_id
+        and after.sightings.fresh(after.now_s)
+    )
+
 
 def reconcile(view: View, policy: spares.SparePolicy, memory: Memory) -> Plan:
     """Return the plan of one pass.
@@ -55,22 +74,24 @@
     Each transition is judged again when it is written.
     """
     seen = tuple(sighted.plan(view.value, view.sightings, view.now_s))
-    value = transitions.make_each(
-        view.value, seen, view.limits, view.now_s
-    ).value
+    value = view.value
+    if seen:
+        value = transitions.make_each(
+            value, seen, view.limits, view.now_s
+        ).value
+    surveyed = budget.survey(value, view.limits, view.now_s)
     steps = tuple(
         progress.plan(
             value, view.states_by_host, memory.rebooted_s_by_host, view.now_s
         )
     )
-    lent = loans.Planner(value, view.limits, view.now_s).plan(
-        policy, memory.timers
-    )
+    planner = loans.Planner(value, view.limits, surveyed, view.now_s)
+    lent = planner.plan(policy, memory.timers)
     made = (
         *seen,
         *(step for step in steps if isinstance(step, transitions.Transition)),
         *lent.made,
-        *waves.plan(value, view.limits, view.now_s),
+        *waves.plan(value, surveyed.counts, view.now_s),
     )
     asked = tuple(step for step in steps if isinstance(step, calls.Call))
     return Plan(
--- a/libs/steward/src/jackdawlatch/steward/sightings.py
+++ b/libs/steward/src/jackdawlatch/steward/sightings.py
@@ -9,6 +9,7 @@
 
 # A host that the list has not named for longer is not known live.
 UNKNOWN_AFTER_S = 60
+FRESH_S = 10
 # A host that a fresh list has not named for longer is gone.
 FORGET_AFTER_S = 600
 
@@ -48,6 +49,10 @@
             seen_s_by_host={**recent, **dict.fromkeys(named, now_s)},
         )
 
+    def fresh(self, now_s: float) -> bool:
+        """Return whether the list has been read lately."""
+        return now_s - self.listed_s <= FRESH_S
+
     def age_s(self, host: str, now_s: float) -> float:
         """Return for how long the list has not named a host."""
         return now_s - self.seen_s_by_host.get(host, self.since_s)
@@ -90,5 +95,4 @@
 
 
 def _is_gone(seen: Sightings, age_s: float, now_s: float) -> bool:
-    fresh = now_s - seen.listed_s <= UNKNOWN_AFTER_S
-    return fresh and age_s > FORGET_AFTER_S
+    return seen.fresh(now_s) and age_s > FORGET_AFTER_S
--- a/libs/steward/src/jackdawlatch/steward/worker.py
+++ b/libs/steward/src/jackdawlatch/steward/worker.py
@@ -54,11 +54,13 @@
         self._gate = asyncio.Semaphore(MAX_CONCURRENT_CALLS)
         self._memory = reconcile.Memory()
         self._sightings: sighted.Sightings | None = None
+        self._settled: reconcile.View | None = None
 
     def forget(self) -> None:
         """Drop what was remembered, because another steward led since."""
         self._memory = reconcile.Memory()
         self._sightings = None
+        self._settled = None
 
     async def run_pass(
         self,
@@ -76,7 +78,10 @@
         value = read.unwrap()
         limits = budget.Limits.of(configuration)
         view = await self._look(value, limits)
+        if self._settled and reconcile.same(self._settled, view):
+            return Pass(value, written=True)
         plan = reconcile.reconcile(view, policy, self._memory)
+        self._settled = view if plan.waits_for_nothing(view) else None
         return await self._carry_out(plan, value, limits)
 
     async def _look(
--- a/libs/steward/tests/test_steward_worker.py
+++ b/libs/steward/tests/test_steward_worker.py
@@ -184,6 +184,18 @@
     assert isinstance(refused.failure(), refusals.BudgetExceeded)
 
 
+async def test_unlisted_host_is_unknown_then_forgotten(
+    fleet: steward_fleet.Fleet,
+) -> None:
+    await fleet.settle(passes=10)
+    host = _in_pool(fleet, SPARE)[0]
+    fleet.platform.publish((host,))
+    await fleet.run(passes=20, step_s=5)
+    assert fleet.value.unknown_hosts == (host,)
+    await fleet.run(passes=120, step_s=5)
+    assert host not in fleet.value.hosts_by_id
+
+
 async def test_overtaken_step_is_refused(fleet: steward_fleet.Fleet) -> None:
     await fleet.settle(passes=3)
     host = _in_pool(fleet, DESK)[0]
