--- a/libs/membership/src/jackdawlatch/membership/waves.py
+++ b/libs/membership/src/jackdawlatch/membership/waves.py
@@ -17,7 +17,8 @@
 )
 from jackdawlatch.model import hosts
 
-HALTED = 'failures eat the budget of {0}'
+FAILED = 'failures eat the budget of {0}'
+USED_UP = 'no host can be spared in {0}'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -63,17 +64,24 @@
     if wave.halted:
         return Standing((), wave.reason)
     drains: list[lifecycle.Drain] = []
-    short: list[str] = []
+    reasons: list[str] = []
     for pool, candidates in sorted(_candidates(wave, value).items()):
         in_work = places_by_pool.setdefault(pool, set())
         for host in _next_in_pool(candidates, counts.headroom(pool), in_work):
             counts.spend(pool)
             in_work.add(places.place(host))
             drains.append(lifecycle.Drain(host.id, wave.id))
-        if counts.failed(pool) and counts.headroom(pool) <= 0:
-            short.append(pool)
-    pools = ', '.join(short)
-    return Standing(tuple(drains), HALTED.format(pools) if pools else '')
+        if counts.headroom(pool) <= 0:
+            reasons.append(_reason(pool, counts, in_work))
+    return Standing(tuple(drains), ', '.join(filter(None, reasons)))
+
+
+def _reason(
+    pool: str, counts: budget.Counts, in_work: set[places.Place]
+) -> str:
+    if counts.failed(pool):
+        return FAILED.format(pool)
+    return '' if in_work else USED_UP.format(pool)
 
 
 def _candidates(
--- a/libs/steward/tests/steward_fleet.py
+++ b/libs/steward/tests/steward_fleet.py
@@ -155,8 +155,9 @@
         self.oracle = Oracle(self)
         self.configure('ordinary')
 
-    def configure(self, in_force):
-        self.configuration = configuration(in_force, self.budget)
+    def configure(self, in_force, budget=None):
+        allowed = self.budget if budget is None else budget
+        self.configuration = configuration(in_force, allowed)
         key = operators.CONFIG_KEY
         entry = self.store.content.get(key)
         revision = entry.revision if entry else 0
--- a/libs/steward/tests/test_steward_worker.py
+++ b/libs/steward/tests/test_steward_worker.py
@@ -173,6 +173,17 @@
     assert not fleet.value.waves_by_id['w'].reason
 
 
+async def test_wave_says_that_no_host_can_be_spared(
+    fleet: steward_fleet.Fleet,
+) -> None:
+    await fleet.settle(passes=3)
+    fleet.configure('ordinary', budget=0)
+    await fleet.operators.start_wave(DESK, 'w')
+    await fleet.run()
+    wave = fleet.value.waves_by_id['w']
+    assert wave.reason == 'no host can be spared in desk'
+
+
 async def test_unknown_hosts_are_unavailable(
     fleet: steward_fleet.Fleet,
 ) -> None:
