--- a/libs/steward/src/jackdawlatch/steward/reconcile.py
+++ b/libs/steward/src/jackdawlatch/steward/reconcile.py
@@ -49,11 +49,17 @@
     def waits_for_nothing(self, view: View) -> bool:
         """Return whether time alone changes nothing about this plan."""
         value = view.value
-        named = view.sightings.hosts_by_id.keys() >= value.hosts_by_id.keys()
         timers = self.memory.timers
-        running = any(wave.remaining for wave in value.waves_by_id.values())
-        timed = timers.short_since_s_by_pool or timers.surplus_since_s_by_pool
-        return named and not (self.made or running or timed or in_work(value))
+        waits = (
+            self.made,
+            value.unknown_hosts,
+            value.hosts_by_id.keys() - view.sightings.hosts_by_id.keys(),
+            [wave for wave in value.waves_by_id.values() if wave.remaining],
+            timers.short_since_s_by_pool,
+            timers.surplus_since_s_by_pool,
+            in_work(value),
+        )
+        return not any(waits)
 
 
 def same(before: View, after: View) -> bool:
--- a/libs/steward/tests/test_steward_worker.py
+++ b/libs/steward/tests/test_steward_worker.py
@@ -193,6 +193,9 @@
     host = _first(fleet.value, DESK)
     refused = await fleet.operators.drain(host)
     assert isinstance(refused.failure(), refusals.BudgetExceeded)
+    fleet.platform.away = False
+    await fleet.run(passes=2)
+    assert not fleet.value.unknown_hosts
 
 
 async def test_unlisted_host_is_unknown_then_forgotten(
@@ -250,6 +253,19 @@
     assert moves == [2, 0]
 
 
+async def test_lazy_policy_keeps_a_surplus() -> None:
+    sizes = []
+    for policy in ('hysteresis', 'lazy'):
+        fleet = steward_fleet.Fleet(policy)
+        await fleet.settle(passes=3)
+        fleet.configure('peak')
+        await fleet.settle(passes=15)
+        fleet.configure('ordinary')
+        await fleet.settle(passes=15)
+        sizes.append(len(_in_pool(fleet, DESK)))
+    assert sizes == [4, 5]
+
+
 def _first(value: hosts.Membership, pool: str) -> str:
     return min(steward_fleet.active(value, pool))
 
