--- a/libs/membership/src/jackdawlatch/membership/loans.py
+++ b/libs/membership/src/jackdawlatch/membership/loans.py
@@ -98,8 +98,7 @@
         if not due:
             return
         free = self._serving(self._limits.spare, shards.Service.READY)
-        domain = sizing.failure_domain(self._value, self._limits)
-        reserve = policy.reserve(domain)
+        reserve = self._reserve(policy)
         for need in sorted(due, key=_urgency):
             yield from self._lend(need, free, reserve)
 
@@ -120,9 +119,10 @@
     def _returns(
         self, policy: spares.SparePolicy, needs: list[spares.Need], since: Since
     ) -> Iterator[transitions.Transition]:
-        for need in needs:
-            if need.missing >= 0:
-                continue
+        surplus = [need for need in needs if need.missing < 0]
+        if not surplus or self._keeps_surplus(policy):
+            return
+        for need in surplus:
             if self._now_s - since[need.pool] >= policy.return_after_s():
                 yield from self._give_back(need)
 
@@ -132,6 +132,13 @@
         for _ in range(min(-need.missing, len(ready))):
             yield lending.GiveBack(spread.drop_most_crowded(ready))
 
+    def _reserve(self, policy: spares.SparePolicy) -> int:
+        return policy.reserve(sizing.failure_domain(self._value, self._limits))
+
+    def _keeps_surplus(self, policy: spares.SparePolicy) -> bool:
+        free = self._serving(self._limits.spare, shards.Service.READY)
+        return policy.keeps_surplus(len(free), self._reserve(policy))
+
     def _serving(self, pool: str, service: shards.Service) -> list[str]:
         return [
             host
--- a/libs/membership/src/jackdawlatch/membership/spares.py
+++ b/libs/membership/src/jackdawlatch/membership/spares.py
@@ -35,6 +35,13 @@
     def reserve(self, failure_domain: int) -> int:
         """Return the spare hosts that are kept for overspent budgets."""
 
+    def keeps_surplus(self, free: int, reserve: int) -> bool:
+        """Return whether pools keep hosts that they do not need for now.
+
+        ``free`` is the spare hosts there are, ``reserve`` those to keep.
+        """
+        return False
+
 
 class Eager(SparePolicy):
     """Moves a host as soon as there is a reason to; the baseline."""
@@ -75,11 +82,20 @@
         return failure_domain
 
 
+class Lazy(Hysteresis):
+    """Leaves hosts where they are until the spare pool needs them back."""
+
+    def keeps_surplus(self, free: int, reserve: int) -> bool:
+        """Keep hosts while enough others are spare."""
+        return free > reserve
+
+
 POLICIES_BY_NAME: Mapping[str, Callable[[float], SparePolicy]] = (
     types.MappingProxyType(
         {
             'eager': Eager,
             'hysteresis': Hysteresis,
+            'lazy': Lazy,
         }
     )
 )
--- a/libs/steward/src/jackdawlatch/steward/settings.py
+++ b/libs/steward/src/jackdawlatch/steward/settings.py
@@ -9,4 +9,4 @@
     """A daemon that reads the platform's host list at ``hosts_address``."""
 
     hosts_address: daemons.BaseUrl
-    spare_policy: Literal['eager', 'hysteresis'] = 'hysteresis'
+    spare_policy: Literal['eager', 'hysteresis', 'lazy'] = 'lazy'
--- a/libs/steward/tests/test_steward_racing.py
+++ b/libs/steward/tests/test_steward_racing.py
@@ -33,6 +33,11 @@
         self.fleet = steward_fleet.Fleet()
         self._run(self.fleet.settle(passes=4))
 
+    @stateful.initialize(policy=st.sampled_from(('hysteresis', 'lazy')))
+    def choose_policy(self, policy):
+        policies_by_name = steward_fleet.spares.POLICIES_BY_NAME
+        self.fleet.policy = policies_by_name[policy](30)
+
     @stateful.rule(
         which=WHICH,
         passes=st.integers(1, 6),
