Admit new hosts where their pool is least crowded

With 8 racks and 4 pools, taking racks in turn gave a pool three hosts of one rack, as the real processes showed. Among pools that lack as much, the one with fewest hosts in that rack, then zone, gets the host.

--- a/libs/membership/src/jackdawlatch/membership/budget.py
+++ b/libs/membership/src/jackdawlatch/membership/budget.py
@@ -73,6 +73,9 @@
         self._work_by_place: collections.Counter[places.Place] = (
             collections.Counter()
         )
+        self._bound_by_place: collections.Counter[tuple[str, ...]] = (
+            collections.Counter()
+        )
         self._failed_by_pool: collections.Counter[str] = collections.Counter()
         self._expected_by_pool: collections.Counter[str] = collections.Counter()
 
@@ -92,10 +95,20 @@
         if places.under_maintenance(assignment):
             self._work_by_place[(pool, host.zone)] += sign
         if service is not shards.Service.FAILED:
-            self._expected_by_pool[shards.destination(assignment)] += sign
+            bound = shards.destination(assignment)
+            self._expected_by_pool[bound] += sign
+            self._bound_by_place[(bound, host.zone)] += sign
+            self._bound_by_place[(bound, host.zone, host.rack)] += sign
             if not assignment.next_pool:
                 self._staying_by_pool[pool] += sign
 
+    def crowd(self, pool: str, host: hosts.Host) -> tuple[int, int]:
+        """Return the hosts of a pool in a host's rack, and in its zone."""
+        return (
+            self._bound_by_place[(pool, host.zone, host.rack)],
+            self._bound_by_place[(pool, host.zone)],
+        )
+
     def ready(self, pool: str) -> int:
         """Return how many hosts of a pool serve."""
         return self._ready_by_pool[pool]
--- a/libs/membership/src/jackdawlatch/membership/lifecycle.py
+++ b/libs/membership/src/jackdawlatch/membership/lifecycle.py
@@ -18,7 +18,7 @@
         """Admit the host, unless it is known already."""
         if self.host.id in draft.hosts_by_id():
             return transitions.not_needed(self.host.id, 'host is known')
-        pool = _shortest(draft)
+        pool = _shortest(draft, self.host)
         if not pool:
             return transitions.not_needed(self.host.id, 'there is no pool')
         joining = hosts.Assignment(pool=pool, since_s=draft.now_s)
@@ -136,9 +136,14 @@
     )
 
 
-def _shortest(draft: drafts.Draft) -> str:
-    pools = sorted(draft.limits.pools - {draft.limits.spare})
-    short = max(pools, key=draft.counts.missing, default='')
-    if short and draft.counts.missing(short) > 0:
-        return short
-    return draft.limits.spare or short
+def _shortest(draft: drafts.Draft, host: hosts.Host) -> str:
+    """Return the pool that lacks most, least crowded where the host is."""
+    counts = draft.counts
+    needs = [
+        (-counts.missing(pool), counts.crowd(pool, host), pool)
+        for pool in draft.limits.pools
+        if counts.missing(pool) > 0
+    ]
+    if needs:
+        return min(needs)[-1]
+    return draft.limits.spare or min(draft.limits.pools, default='')
--- a/libs/steward/tests/steward_fleet.py
+++ b/libs/steward/tests/steward_fleet.py
@@ -136,10 +136,10 @@
 class Fleet:
     """Two stewards, operators and their platform, on one store."""
 
-    def __init__(self, policy='hysteresis', budget=2):
+    def __init__(self, policy='hysteresis', budget=2, racks=3, per_rack=4):
         self.clock = clocks.ManualClock(1000)
         self.store = fakes.FakeStore(self.clock)
-        self.platform = Platform(self.clock)
+        self.platform = Platform(self.clock, racks, per_rack)
         self.budget = budget
         self.policy = spares.POLICIES_BY_NAME[policy](30)
         self.stewards = [
--- a/libs/steward/tests/test_steward_worker.py
+++ b/libs/steward/tests/test_steward_worker.py
@@ -31,11 +31,13 @@
     return sorted(steward_fleet.serving(fleet.value, pool))
 
 
-async def test_new_hosts_fill_the_pools(fleet: steward_fleet.Fleet) -> None:
+async def test_new_hosts_fill_the_pools() -> None:
+    fleet = steward_fleet.Fleet(racks=2, per_rack=6)
     await fleet.settle(passes=3)
     assert fleet.settled()
-    racks = {host[1] for host in _in_pool(fleet, DESK)}
-    assert len(racks) == 3
+    for pool in steward_fleet.POOLS:
+        racks = [host[1] for host in _in_pool(fleet, pool)]
+        assert sorted(racks) == ['0', '0', '1', '1']
 
 
 async def test_failed_host_is_replaced(fleet: steward_fleet.Fleet) -> None:
