--- a/libs/membership/src/jackdawlatch/membership/budget.py
+++ b/libs/membership/src/jackdawlatch/membership/budget.py
@@ -73,6 +73,9 @@
         self._work_by_place: collections.Counter[places.Place] = (
             collections.Counter()
         )
+        self._bound_by_place: collections.Counter[tuple[str, ...]] = (
+            collections.Counter()
+        )
         self._failed_by_pool: collections.Counter[str] = collections.Counter()
         self._expected_by_pool: collections.Counter[str] = collections.Counter()
 
@@ -87,15 +90,25 @@
         pool = assignment.pool
         if service is shards.Service.READY:
             self._ready_by_pool[pool] += sign
-        if service in {shards.Service.FAILED, shards.Service.UNKNOWN}:
+        elif service is not shards.Service.PLANNED_OUT:
             self._failed_by_pool[pool] += sign
         if places.under_maintenance(assignment):
             self._work_by_place[(pool, host.zone)] += sign
         if service is not shards.Service.FAILED:
-            self._expected_by_pool[shards.destination(assignment)] += sign
+            bound = shards.destination(assignment)
+            self._expected_by_pool[bound] += sign
+            self._bound_by_place[(bound, host.zone)] += sign
+            self._bound_by_place[(bound, host.zone, host.rack)] += sign
             if not assignment.next_pool:
                 self._staying_by_pool[pool] += sign
 
+    def crowd(self, pool: str, host: hosts.Host) -> tuple[int, int]:
+        """Return the hosts of a pool in a host's rack, and in its zone."""
+        return (
+            self._bound_by_place[(pool, host.zone, host.rack)],
+            self._bound_by_place[(pool, host.zone)],
+        )
+
     def ready(self, pool: str) -> int:
         """Return how many hosts of a pool serve."""
         return self._ready_by_pool[pool]
@@ -135,10 +148,24 @@
         return wanted - self._expected_by_pool[pool]
 
 
-def count(value: shards.Shard, limits: Limits, now_s: float) -> Counts:
-    """Return the counts of every pool of a shard."""
+@dataclasses.dataclass(frozen=True)
+class Survey:
+    """What every host does, and the counts that follow for each pool."""
+
+    services_by_host: Mapping[str, shards.Service]
+    counts: Counts
+
+
+def survey(value: shards.Shard, limits: Limits, now_s: float) -> Survey:
+    """Look at every host of a shard once."""
     counts = Counts(limits)
-    for host, service in shards.services(value, now_s).items():
+    services_by_host = shards.services(value, now_s)
+    for host, service in services_by_host.items():
         assignment = value.assignments_by_host[host]
         counts.add(assignment, value.hosts_by_id[host], service, 1)
-    return counts
+    return Survey(services_by_host, counts)
+
+
+def count(value: shards.Shard, limits: Limits, now_s: float) -> Counts:
+    """Return the counts of every pool of a shard."""
+    return survey(value, limits, now_s).counts
--- a/libs/membership/src/jackdawlatch/membership/loans.py
+++ b/libs/membership/src/jackdawlatch/membership/loans.py
@@ -40,14 +40,17 @@
     """Plans on one value; short-lived."""
 
     def __init__(
-        self, value: shards.Shard, limits: budget.Limits, now_s: float
+        self,
+        value: shards.Shard,
+        limits: budget.Limits,
+        surveyed: budget.Survey,
+        now_s: float,
     ) -> None:
+        self._value = value
         self._limits = limits
         self._now_s = now_s
-        self._counts = budget.count(value, limits, now_s)
-        self._domain = sizing.failure_domain(value, limits)
-        self._hosts_by_id = value.hosts_by_id
-        self._services_by_host = shards.services(value, now_s)
+        self._counts = surveyed.counts
+        self._services_by_host = surveyed.services_by_host
         self._ids_by_pool: dict[str, list[str]] = {}
         self._bound_by_pool: dict[str, list[str]] = {}
         for host, assignment in sorted(value.assignments_by_host.items()):
@@ -92,8 +95,10 @@
             if need.missing > 0
             and self._now_s - since[need.pool] >= policy.lend_after_s(need)
         ]
+        if not due:
+            return
         free = self._serving(self._limits.spare, shards.Service.READY)
-        reserve = policy.reserve(self._domain)
+        reserve = self._reserve(policy)
         for need in sorted(due, key=_urgency):
             yield from self._lend(need, free, reserve)
 
@@ -114,9 +119,10 @@
     def _returns(
         self, policy: spares.SparePolicy, needs: list[spares.Need], since: Since
     ) -> Iterator[transitions.Transition]:
-        for need in needs:
-            if need.missing >= 0:
-                continue
+        surplus = [need for need in needs if need.missing < 0]
+        if not surplus or self._keeps_surplus(policy):
+            return
+        for need in surplus:
             if self._now_s - since[need.pool] >= policy.return_after_s():
                 yield from self._give_back(need)
 
@@ -126,6 +132,13 @@
         for _ in range(min(-need.missing, len(ready))):
             yield lending.GiveBack(spread.drop_most_crowded(ready))
 
+    def _reserve(self, policy: spares.SparePolicy) -> int:
+        return policy.reserve(sizing.failure_domain(self._value, self._limits))
+
+    def _keeps_surplus(self, policy: spares.SparePolicy) -> bool:
+        free = self._serving(self._limits.spare, shards.Service.READY)
+        return policy.keeps_surplus(len(free), self._reserve(policy))
+
     def _serving(self, pool: str, service: shards.Service) -> list[str]:
         return [
             host
@@ -135,7 +148,7 @@
 
     def _spread(self, pool: str) -> spreads.Spread:
         return spreads.Spread(
-            self._hosts_by_id,
+            self._value.hosts_by_id,
             (
                 host
                 for host in self._bound_by_pool.get(pool, ())
--- a/libs/membership/src/jackdawlatch/membership/waves.py
+++ b/libs/membership/src/jackdawlatch/membership/waves.py
@@ -17,7 +17,8 @@
 )
 from jackdawlatch.model import hosts
 
-HALTED = 'failures eat the budget of {0}'
+FAILED = 'failures eat the budget of {0}'
+USED_UP = 'no host can be spared in {0}'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -29,15 +30,17 @@
 
 
 def plan(
-    value: shards.Shard, limits: budget.Limits, now_s: float
+    value: shards.Shard, counts: budget.Counts, now_s: float
 ) -> tuple[transitions.Transition, ...]:
     """Return the drains that running waves start next, and their reasons.
 
     A wave goes on in the rack of a pool where it has begun, and starts in
     another rack or zone only once that rack is through.  It starts nothing
-    in a pool whose budget is eaten up by failures.
+    in a pool whose budget is eaten up by failures.  ``counts`` are those of
+    the value, and are used up.
     """
-    counts = budget.count(value, limits, now_s)
+    if not value.waves_by_id:
+        return ()
     places_by_pool = places.in_work(value, now_s)
     made: list[transitions.Transition] = []
     for wave in sorted(value.waves_by_id.values(), key=_wave_id):
@@ -61,17 +64,24 @@
     if wave.halted:
         return Standing((), wave.reason)
     drains: list[lifecycle.Drain] = []
-    short: list[str] = []
+    reasons: list[str] = []
     for pool, candidates in sorted(_candidates(wave, value).items()):
         in_work = places_by_pool.setdefault(pool, set())
         for host in _next_in_pool(candidates, counts.headroom(pool), in_work):
             counts.spend(pool)
             in_work.add(places.place(host))
             drains.append(lifecycle.Drain(host.id, wave.id))
-        if counts.failed(pool) and counts.headroom(pool) <= 0:
-            short.append(pool)
-    pools = ', '.join(short)
-    return Standing(tuple(drains), HALTED.format(pools) if pools else '')
+        if counts.headroom(pool) <= 0:
+            reasons.append(_reason(pool, counts, in_work))
+    return Standing(tuple(drains), ', '.join(filter(None, reasons)))
+
+
+def _reason(
+    pool: str, counts: budget.Counts, in_work: set[places.Place]
+) -> str:
+    if counts.failed(pool):
+        return FAILED.format(pool)
+    return '' if in_work else USED_UP.format(pool)
 
 
 def _candidates(
