--- a/libs/placement/src/jackdawlatch/placement/queue.py
+++ b/libs/placement/src/jackdawlatch/placement/queue.py
@@ -1,4 +1,7 @@
-"""The baseline: one queue in order of submission, by declared sizes."""
+"""The baseline: one queue in order of submission, by declared sizes.
+
+It trusts every worker alike.
+"""
 
 import dataclasses
 from collections.abc import Iterator
@@ -9,6 +12,7 @@
     planners,
     rooms,
     situation,
+    workers,
 )
 
 
@@ -41,8 +45,7 @@
         if not ledger.allows(job.kind.team, job.declared):
             yield decisions.Wait(job.id, 'the quota of its team is used up')
             continue
-        avoid = free.avoidable(seen.failing_hosts(job.id))
-        room = free.find(job, job.declared, avoid)
+        room = free.find(job, job.declared, frozenset())
         if room is None:
             yield decisions.Wait(job.id, 'no host has room')
             continue
@@ -58,4 +61,10 @@
         )
         for host, tasks in pool.tasks_by_host.items()
     }
-    return dataclasses.replace(pool, tasks_by_host=tasks_by_host)
+    machines = tuple(
+        dataclasses.replace(machine, trust=workers.Trust.UNPROVEN)
+        for machine in pool.machines
+    )
+    return dataclasses.replace(
+        pool, machines=machines, tasks_by_host=tasks_by_host
+    )
--- a/libs/placement/src/jackdawlatch/placement/relief.py
+++ b/libs/placement/src/jackdawlatch/placement/relief.py
@@ -3,24 +3,38 @@
 from collections.abc import Iterator
 
 from jackdawlatch.model import hosts
-from jackdawlatch.placement import decisions, rooms, situation, victims, weights
+from jackdawlatch.placement import (
+    decisions,
+    rooms,
+    situation,
+    sizes,
+    victims,
+    weights,
+)
+
+# A throttle is lifted in steps of at least this part.
+LEAST_LIFT = 0.1
 
 
 def lift(room: rooms.Room) -> Iterator[decisions.Throttle]:
-    """Lift throttles for which there is room again."""
+    """Lift throttles as far as there is room again."""
     for task in room.tasks:
-        if task.fraction < 1 and task.settled:
-            processors = task.size.processors * (1 / task.fraction - 1)
-            if processors <= room.free.processors:
-                room.take(hosts.Capacity(processors=processors))
-                yield decisions.Throttle(task.job.id, room.machine.id, 1)
+        free = room.free.processors
+        if task.fraction < 1 and task.settled and free > 0:
+            full = task.size.processors / task.fraction
+            fraction = min(1, task.fraction + free / max(full, sizes.TINY))
+            if fraction - task.fraction >= LEAST_LIFT or fraction == 1:
+                gained = full * (fraction - task.fraction)
+                room.take(hosts.Capacity(processors=gained))
+                yield decisions.Throttle(task.job.id, room.machine.id, fraction)
 
 
 def relieve(room: rooms.Room) -> Iterator[decisions.Decision]:
     """Make a host that is over its capacity fit again.
 
-    Memory is freed by checkpoints, processors by throttles.  A task alone
-    on its host stays: it would fit nowhere better.
+    Memory is freed by checkpoints.  Processors are freed by throttles where
+    more urgent tasks would be slowed down; otherwise all share alike.  A
+    task alone on its host stays: it would fit nowhere better.
     """
     if len(room.tasks) < 2:
         return
@@ -28,23 +42,30 @@
         if room.over.memory_mb > 0 and task.movable:
             room.expect(task, task.size)
             yield decisions.Checkpoint(task.job.id, room.machine.id)
+    most_urgent = min(map(_rank, room.tasks), default=0)
     for task in sorted(room.tasks, key=_order):
-        yield from _slow_down(room, task)
+        if _rank(task) > most_urgent:
+            yield from _slow_down(room, task)
 
 
 def _slow_down(
     room: rooms.Room, task: situation.Task
 ) -> Iterator[decisions.Throttle]:
     full_speed = task.settled and task.fraction > victims.LEAST_FRACTION
-    if not full_speed or room.over.processors <= 0:
+    over = room.over.processors
+    if not full_speed or over <= 0:
         return
-    kept = victims.LEAST_FRACTION / task.fraction
-    freed = hosts.Capacity(processors=task.size.processors * (1 - kept))
+    full = task.size.processors / task.fraction
+    wanted = task.fraction - over / max(full, sizes.TINY)
+    fraction = max(victims.LEAST_FRACTION, wanted)
+    freed = hosts.Capacity(processors=full * (task.fraction - fraction))
     room.expect(task, freed)
-    yield decisions.Throttle(
-        task.job.id, room.machine.id, victims.LEAST_FRACTION
-    )
+    yield decisions.Throttle(task.job.id, room.machine.id, fraction)
 
 
 def _order(task: situation.Task) -> tuple[int, float]:
-    return (-weights.rank(task.job.kind.urgency), -task.job.started_s)
+    return (-_rank(task), -task.job.started_s)
+
+
+def _rank(task: situation.Task) -> int:
+    return weights.rank(task.job.kind.urgency)
--- a/libs/placement/src/jackdawlatch/placement/usage.py
+++ b/libs/placement/src/jackdawlatch/placement/usage.py
@@ -10,6 +10,7 @@
 import math
 
 from jackdawlatch.model import hosts, records, work
+from jackdawlatch.placement import sizes
 
 MIN_RATIO = 0.1
 MAX_RATIO = 10.0
@@ -28,6 +29,7 @@
 
     mean: float = 1
     variance: float = 0
+    log_mean: float = 0
     samples: int = 0
 
     def after(self, observed: float, declared: float) -> 'Ratio':
@@ -39,11 +41,16 @@
         rate = max(LEARNING_RATE, 1 / (self.samples + 1))
         gap = sample - self.mean
         return Ratio(
-            mean=self.mean + rate * gap,
+            mean=_nearer(self.mean, sample, rate),
             variance=(1 - rate) * (self.variance + rate * gap * gap),
+            log_mean=_nearer(self.log_mean, math.log(sample), rate),
             samples=self.samples + 1,
         )
 
+    def middle(self) -> float:
+        """Return the mean of the logarithms, as a ratio."""
+        return math.exp(self.log_mean)
+
     def high(self, spreads: float) -> float:
         """Return the mean and so many standard deviations."""
         return self.mean + spreads * math.sqrt(self.variance)
@@ -58,7 +65,12 @@
 
 
 class Estimator:
-    """Estimates the sizes of jobs; its memory may be lost at any time."""
+    """Estimates the sizes of jobs; its memory may be lost at any time.
+
+    Too many processors asked for slow all tasks of a host down and are seen
+    soon, so the middle will do; too much memory ends a task, so a margin is
+    added.
+    """
 
     def __init__(self) -> None:
         self._ratios_by_group: dict[tuple[str, str], Ratios] = {}
@@ -78,14 +90,21 @@
         ratios = self._ratios(job)
         return _times(
             job.declared,
-            ratios.processors.high(SPREADS),
+            ratios.processors.middle(),
             ratios.memory.high(spreads),
         )
 
     def likely(self, job: work.Job) -> hosts.Capacity:
-        """Return what a worker is asked to hold for a job."""
+        """Return what a worker is asked to hold for a job.
+
+        That is never more than declared, so that tasks which turn out small
+        leave their room to others.
+        """
         ratios = self._ratios(job)
-        return _times(job.declared, ratios.processors.mean, ratios.memory.mean)
+        likely = _times(
+            job.declared, ratios.processors.middle(), ratios.memory.mean
+        )
+        return sizes.least(likely, job.declared)
 
     def _ratios(self, job: work.Job) -> Ratios:
         return self._ratios_by_group.get(_group(job), Ratios())
@@ -117,6 +136,10 @@
     return (job.kind.service, job.kind.team)
 
 
+def _nearer(known: float, sample: float, rate: float) -> float:
+    return known + (sample - known) * rate
+
+
 def _times(
     declared: hosts.Capacity, processors: float, memory: float
 ) -> hosts.Capacity:
--- a/libs/placement/src/jackdawlatch/placement/victims.py
+++ b/libs/placement/src/jackdawlatch/placement/victims.py
@@ -19,7 +19,7 @@
 CHECKPOINT_COST = 1.0
 THROTTLE_COST = 0.5
 # Pools larger than this are searched by sample, to stay near linear.
-SAMPLE = 32
+SAMPLE = 8
 # After so many searches in vain a round gives up on making room.
 MAX_SEARCHES = 16
 
