Drain workers as well; name the policies; charge made-up teams together

Presets with an unknown policy were accepted and failed in the daemons. Each made-up team name took a full share. Ruled out: a shorter lag (the platform's); refusing unknown teams (bad input that costs nobody anything). Conclusion: worker first, then runner, then wait out the lag.

--- a/libs/command/src/jackdawlatch/command/configuration.py
+++ b/libs/command/src/jackdawlatch/command/configuration.py
@@ -6,7 +6,7 @@
 import msgspec
 from returns import result
 
-from jackdawlatch.command import editing, operation, session
+from jackdawlatch.command import editing, known, operation, session
 from jackdawlatch.config import difference, edits, files, validation
 from jackdawlatch.model import presets
 
@@ -36,7 +36,7 @@
         read = files.read(self.file, presets.Configuration)
         if isinstance(read, result.Failure):
             return read
-        checked = validation.check(read.unwrap())
+        checked = validation.check(read.unwrap(), known.POLICIES)
         if isinstance(checked, result.Failure):
             return checked
         report = operation.Report({'valid': True}, (f'{self.file}: ok',))
--- a/libs/command/src/jackdawlatch/command/editing.py
+++ b/libs/command/src/jackdawlatch/command/editing.py
@@ -6,7 +6,7 @@
 
 from returns import result
 
-from jackdawlatch.command import operation, session
+from jackdawlatch.command import known, operation, session
 from jackdawlatch.config import difference, edits, outcomes
 from jackdawlatch.config import editor as editors
 from jackdawlatch.model import failures, presets, records
@@ -56,7 +56,7 @@
 ) -> operation.Reported:
     """Make an edit, hand it to the live daemons and wait if asked to."""
     peers = await opened.daemons()
-    editor = editors.Editor(opened.store)
+    editor = editors.Editor(opened.store, known.POLICIES)
     outcome = await editor.edit(edit, based_on)
     if isinstance(outcome, result.Failure):
         return outcome
--- a/libs/command/tests/test_command_core.py
+++ b/libs/command/tests/test_command_core.py
@@ -104,6 +104,13 @@
     assert shown.stdout == 'ordinary (in force)\n'
 
 
+async def test_unknown_policy_is_refused(shell: Shell) -> None:
+    for field in ('admission', 'balancing', 'placement'):
+        ended = await shell.run('preset', 'edit', 'ordinary', f'{field}=none')
+        assert ended.status is status.ExitStatus.USAGE
+        assert field in ended.stderr
+
+
 async def test_outage_is_told_apart_from_a_lost_reply(shell: Shell) -> None:
     injector = shell.server.service.injector
     injector.set(keyvalue_faults.Faults(outage=keyvalue_faults.Outage.REFUSE))
--- a/libs/entry/src/jackdawlatch/entry/slots.py
+++ b/libs/entry/src/jackdawlatch/entry/slots.py
@@ -13,6 +13,7 @@
 from jackdawlatch.admission import tickets
 from jackdawlatch.entry import (
     brokerage,
+    charging,
     slot_lines,
     surroundings,
 )
@@ -69,7 +70,7 @@
             return slot_lines.expired()
         ticket = tickets.Ticket(
             id=uuid.uuid4().hex,
-            kind=request.kind,
+            kind=charging.charged(request.kind, self._around.fleet.preset),
             deadline_s=self._clock.monotonic_s() + left_s,
             entry=self._around.roster.own.id,
             idempotent=request.idempotent,
--- a/libs/model/src/jackdawlatch/model/presets.py
+++ b/libs/model/src/jackdawlatch/model/presets.py
@@ -78,10 +78,10 @@
     admission: str = 'fair'
     balancing: str = 'broker'
     placement: str = 'preempt'
-    queue_limit: Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)] = 200
+    queue_limit: Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)] = 1200
     retry_ratio: Fraction = 0.1
     ejection_cap: Fraction = 0.34
-    spare_hysteresis_s: Annotated[float, msgspec.Meta(ge=0, le=DAY_S)] = 30
+    spare_hysteresis_s: Annotated[float, msgspec.Meta(ge=0, le=DAY_S)] = 300
 
 
 class Configuration(
--- a/libs/steward/src/jackdawlatch/steward/http_backends.py
+++ b/libs/steward/src/jackdawlatch/steward/http_backends.py
@@ -56,12 +56,12 @@
         )
 
     async def drain(self, host: hosts.Host) -> backends.Done:
-        """Let the runner refuse new requests."""
-        return _done(await self._send(f'{host.runner}/-/drain', 'POST'))
+        """Let the worker refuse new tasks, then the runner new requests."""
+        return await self._tell_both(host, 'drain')
 
     async def resume(self, host: hosts.Host) -> backends.Done:
-        """Let the runner accept requests again."""
-        return _done(await self._send(f'{host.runner}/-/resume', 'POST'))
+        """Let the worker accept tasks again, then the runner requests."""
+        return await self._tell_both(host, 'resume')
 
     async def reboot(self, host: hosts.Host) -> backends.Done:
         """Ask the platform to reboot the host."""
@@ -71,6 +71,15 @@
         """Close every connection."""
         self._client.close()
 
+    async def _tell_both(self, host: hosts.Host, word: str) -> backends.Done:
+        # The runner comes last: its state is what tells that both were told.
+        for target in (host.worker, host.runner):
+            if target:
+                told = await self._send(f'{target}/-/{word}', 'POST')
+                if isinstance(told, result.Failure):
+                    return told
+        return result.Success(None)
+
     async def _running_tasks(
         self, host: hosts.Host
     ) -> result.Result[int, failures.Problem]:
@@ -99,9 +108,3 @@
 def _count_running(usage: tasks.Usage) -> int:
     running = tasks.TaskState.RUNNING
     return sum(task.state is running for task in usage.tasks)
-
-
-def _done(
-    answered: result.Result[exchange.Reply, failures.Problem],
-) -> backends.Done:
-    return answered.map(lambda _reply: None)
--- a/libs/steward/src/jackdawlatch/steward/progress.py
+++ b/libs/steward/src/jackdawlatch/steward/progress.py
@@ -15,6 +15,9 @@
 DRAIN_BOUND_S = 600
 # No request lives longer, so a silent host has none in flight after it.
 SILENT_BOUND_S = 3600
+# Workers report their tasks with a lag: one that was started just before the
+# drain shows only after it.
+USAGE_LAG_S = 3
 # How long a reboot that was accepted may take to begin.
 REBOOT_RETRY_S = 60
 
@@ -67,7 +70,7 @@
     if not seen.state.leaving:
         return False
     if seen.assignment.wave:
-        return seen.state.idle
+        return seen.state.idle and seen.age_s > USAGE_LAG_S
     # A move without a reboot cuts no request, and ends no task.
     return not seen.state.in_use or seen.age_s > DRAIN_BOUND_S
 
