--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 LIBS := $(notdir $(wildcard $(ROOT)/libs/*))
 SEED ?= 1
 
-.PHONY: help install demo test lint format measure soak
+.PHONY: help install demo test lint format measure red soak
 
 help: ## List the targets.
 	@grep -hE '^[a-z]+:.*##' Makefile | sed 's/:.*##/\t/'
@@ -43,5 +43,8 @@
 measure: install ## Measure what the users measure; writes docs/MEASURES.md.
 	$(PYTHON) -m measure
 
+red: install ## Undo each mechanism in a scratch copy and show its test red.
+	$(PYTHON) tools/show_red.py
+
 soak: install ## A long randomised run under faults: make soak SEED=1.
 	$(PYTHON) -m jackdawlatch.standins soak --seed $(SEED)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -5,6 +5,7 @@
 
 import argparse
 import importlib.util
+import os
 import pathlib
 import sys
 import types
@@ -12,7 +13,10 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 # The tree that is tested goes before the one that is installed.
-sys.path[:0] = [str(path) for path in sorted(ROOT.glob('libs/*/src'))]
+SOURCES = [str(path) for path in sorted(ROOT.glob('libs/*/src'))]
+sys.path[:0] = SOURCES
+# Processes that a test starts are to run the same tree.
+os.environ['PYTHONPATH'] = os.pathsep.join(SOURCES)
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 
 
--- /dev/null
+++ b/tools/show_red.py
@@ -0,0 +1,162 @@
+"""Undoes each mechanism in a scratch copy and shows that its test fails.
+
+Prints one line for each mechanism; the exit status is 1 if a test stayed
+green, or could not be run.
+"""
+
+import dataclasses
+import pathlib
+import shutil
+import subprocess  # noqa: S404 runs the tests of the scratch copy.
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+RED_LINE = ' failed'
+LIMIT_S = 200
+
+
+@dataclasses.dataclass(frozen=True)
+class Undoing:
+    """One mechanism: the change that undoes it, and the test it breaks."""
+
+    promise: str
+    path: str
+    present: str
+    undone: str
+    library: str
+    test: str
+
+
+UNDOINGS = (
+    Undoing(
+        '1 budget',
+        'membership/drafts.py',
+        'if after <= allowed:',
+        'if True:',
+        'steward',
+        'test_last_host_of_a_budget',
+    ),
+    Undoing(
+        '2 one pool',
+        'membership/phases.py',
+        'if present.since_s != self.since_s:',
+        'if False:',
+        'steward',
+        'test_overtaken_step_is_refused',
+    ),
+    Undoing(
+        '3 own answer',
+        'peers/link.py',
+        'self._waiting_by_exchange.pop(frame.exchange, None)',
+        'self._waiting_by_exchange.pop(min(self._waiting_by_exchange), None)',
+        'peers',
+        'test_replies_that_cross',
+    ),
+    Undoing(
+        '4 not run',
+        'store/editing.py',
+        'doubtful = self._doubtful_revision is not None',
+        'doubtful = False',
+        'store',
+        'test_put_that_may_land_late',
+    ),
+    Undoing(
+        '5 at most once',
+        'entry/intent_records.py',
+        'if known and known.token != intent.token:',
+        'if False:',
+        'entry',
+        'test_key_is_run_at_most_once',
+    ),
+    Undoing(
+        '6 leaving',
+        'routing/leaving.py',
+        'self._until_s_by_host[host] = max(known_s, until_s)',
+        'max(known_s, until_s)',
+        'entry',
+        'test_leaving_target_gets_no_new_work',
+    ),
+    Undoing(
+        '7 planned stop',
+        'entry/root.py',
+        '        await self._quiet()\n        await self.server',
+        '        await self.server',
+        'entry',
+        'test_planned_stop_cuts_no_request',
+    ),
+    Undoing(
+        '8 no revert',
+        'node/documents.py',
+        'if document.revision <= self.revision_of(document.key):',
+        'if document.revision == self.revision_of(document.key):',
+        'node',
+        'test_stale_document_is_not_applied',
+    ),
+    Undoing(
+        '8 everywhere',
+        'node/gossip.py',
+        'self._offer(newer.accepted)',
+        'self._offer(())',
+        'node',
+        'test_process_started_in_an_outage',
+    ),
+    Undoing(
+        'job once',
+        'placer/starters.py',
+        'if leads and waited_s <= START_BOUND_S:',
+        'if True:',
+        'placer',
+        'test_paused_placer_starts_nothing',
+    ),
+)
+
+
+def main() -> int:
+    """Show every mechanism; return the exit status."""
+    green = [undoing for undoing in UNDOINGS if not _is_red(undoing)]
+    sys.stdout.write(f'{len(UNDOINGS) - len(green)} of {len(UNDOINGS)} red\n')
+    return 1 if green else 0
+
+
+def _is_red(undoing: Undoing) -> bool:
+    with tempfile.TemporaryDirectory() as folder:
+        scratch = pathlib.Path(folder)
+        for part in ('libs', 'tools'):
+            shutil.copytree(ROOT / part, scratch / part)
+        before = _failures(scratch, undoing)
+        library = undoing.path.partition('/')[0]
+        source = scratch / f'libs/{library}/src/jackdawlatch/{undoing.path}'
+        text = source.read_text()
+        if undoing.present not in text:
+            sys.stdout.write(f'{undoing.promise}: the line is gone\n')
+            return False
+        source.write_text(text.replace(undoing.present, undoing.undone, 1))
+        after = _failures(scratch, undoing)
+    sys.stdout.write(f'{undoing.promise}: {before} -> {after}\n')
+    return ' 0 failed' in before and ' 0 failed' not in after
+
+
+def _failures(scratch: pathlib.Path, undoing: Undoing) -> str:
+    try:
+        ran = subprocess.run(  # noqa: S603 the words are ours.
+            [
+                sys.executable,
+                'tools/run_tests.py',
+                undoing.library,
+                '--match',
+                undoing.test,
+            ],
+            cwd=scratch,
+            capture_output=True,
+            check=False,
+            text=True,
+            timeout=LIMIT_S,
+        )
+    except subprocess.TimeoutExpired:
+        return 'no end in time'
+    return ran.stdout.splitlines()[-1]
+
+
+if __name__ == '__main__':
+    sys.exit(main())
