--- a/libs/admission/src/jackdawlatch/admission/accounts.py
+++ b/libs/admission/src/jackdawlatch/admission/accounts.py
@@ -3,9 +3,9 @@
 import dataclasses
 from collections.abc import Iterable, Iterator
 
-from jackdawlatch.admission import allotments, shares
+from jackdawlatch.admission import allotments
 from jackdawlatch.admission import usage as usages
-from jackdawlatch.model import presets, work
+from jackdawlatch.model import presets, shares, work
 
 # Beyond this many accounts, those of kinds without work are dropped.
 MAX_ACCOUNTS = 500
@@ -63,7 +63,7 @@
         if account is None:
             self._drop_idle()
             account = Account(
-                kind, self._weights.weight(kind), shares.rank(kind)
+                kind, self._weights.weight(kind), shares.rank(kind.urgency)
             )
             self._accounts_by_kind[kind] = account
         return account
--- a/libs/admission/src/jackdawlatch/admission/ordered.py
+++ b/libs/admission/src/jackdawlatch/admission/ordered.py
@@ -1,7 +1,7 @@
 """Baselines: one queue in arrival order, and strict priority."""
 
-from jackdawlatch.admission import queues, shares
-from jackdawlatch.model import work
+from jackdawlatch.admission import queues
+from jackdawlatch.model import shares, work
 
 
 class Fifo(queues.Policy):
@@ -35,4 +35,4 @@
     """Serves the most urgent tickets first, then in arrival order."""
 
     def _rank(self, kind: work.Kind) -> int:
-        return shares.rank(kind)
+        return shares.rank(kind.urgency)
--- a/libs/admission/tests/test_admission_fairness.py
+++ b/libs/admission/tests/test_admission_fairness.py
@@ -3,8 +3,8 @@
 import random
 import types
 
-from jackdawlatch.admission import fair, policies, shares, tickets
-from jackdawlatch.model import presets, work
+from jackdawlatch.admission import fair, policies, tickets
+from jackdawlatch.model import presets, shares, work
 from jackdawlatch.testing import functions
 
 SLOTS = 8
--- a/libs/admission/tests/test_admission_limits.py
+++ b/libs/admission/tests/test_admission_limits.py
@@ -1,7 +1,7 @@
 import collections
 
-from jackdawlatch.admission import limits, retries, shares
-from jackdawlatch.model import presets, work
+from jackdawlatch.admission import limits, retries
+from jackdawlatch.model import presets, shares, work
 from jackdawlatch.testing import functions
 
 
--- a/libs/node/tests/test_node_daemon.py
+++ b/libs/node/tests/test_node_daemon.py
@@ -63,10 +63,12 @@
 async def fleet() -> AsyncIterator[Fleet]:
     made = Fleet()
     await made.accept(1)
-    yield made
-    for node in made.nodes:
-        node.stopping.set()
-        await node.run(_nothing_in_flight)
+    try:
+        yield made
+    finally:
+        for node in made.nodes:
+            node.stopping.set()
+            await node.run(_nothing_in_flight)
 
 
 async def _nothing_in_flight() -> None:
--- a/libs/placement/src/jackdawlatch/placement/fairness.py
+++ b/libs/placement/src/jackdawlatch/placement/fairness.py
@@ -8,15 +8,15 @@
 import heapq
 from collections.abc import Iterable
 
-from jackdawlatch.model import hosts, work
-from jackdawlatch.placement import sizes, weights
+from jackdawlatch.model import hosts, shares, work
+from jackdawlatch.placement import sizes
 
 
 class Shares:
     """What each kind holds of one pool, as a dominant share."""
 
     def __init__(
-        self, total: hosts.Capacity, weights_of_kinds: weights.Weights
+        self, total: hosts.Capacity, weights_of_kinds: shares.Weights
     ) -> None:
         self._total = total
         self._weights = weights_of_kinds
@@ -77,4 +77,4 @@
         self, kind: work.Kind, order: int
     ) -> tuple[float, int, int, work.Kind]:
         level = self._shares.level(kind)
-        return (level, weights.rank(kind.urgency), order, kind)
+        return (level, shares.rank(kind.urgency), order, kind)
--- a/libs/placement/src/jackdawlatch/placement/relief.py
+++ b/libs/placement/src/jackdawlatch/placement/relief.py
@@ -2,14 +2,13 @@
 
 from collections.abc import Iterator
 
-from jackdawlatch.model import hosts
+from jackdawlatch.model import hosts, shares
 from jackdawlatch.placement import (
     decisions,
     rooms,
     situation,
     sizes,
     victims,
-    weights,
 )
 
 # A throttle is lifted in steps of at least this part.
@@ -68,4 +67,4 @@
 
 
 def _rank(task: situation.Task) -> int:
-    return weights.rank(task.job.kind.urgency)
+    return shares.rank(task.job.kind.urgency)
--- a/libs/placement/src/jackdawlatch/placement/situation.py
+++ b/libs/placement/src/jackdawlatch/placement/situation.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable, Mapping
 
-from jackdawlatch.model import hosts, presets, work
+from jackdawlatch.model import hosts, presets, shares, work
 from jackdawlatch.placement import sizes, weights, workers
 
 
@@ -84,8 +84,8 @@
     now_s: float
     pools: tuple[Pool, ...]
     rng: random.Random
-    kind_weights: weights.Weights = dataclasses.field(
-        default_factory=weights.Weights
+    kind_weights: shares.Weights = dataclasses.field(
+        default_factory=weights.of_shares
     )
     quotas_by_team: Mapping[str, presets.Quota] = dataclasses.field(
         default_factory=dict
--- a/libs/placement/src/jackdawlatch/placement/victims.py
+++ b/libs/placement/src/jackdawlatch/placement/victims.py
@@ -3,14 +3,13 @@
 import dataclasses
 from collections.abc import Iterator
 
-from jackdawlatch.model import hosts, work
+from jackdawlatch.model import hosts, shares, work
 from jackdawlatch.placement import (
     decisions,
     fairness,
     rooms,
     situation,
     sizes,
-    weights,
 )
 
 # Work that is not urgent waits so long before others make way for it.
@@ -117,7 +116,7 @@
             return False
         if self._now_s - job.submitted_s >= RECLAIM_S:
             return True
-        return weights.rank(other.kind.urgency) > weights.rank(job.kind.urgency)
+        return shares.rank(other.kind.urgency) > shares.rank(job.kind.urgency)
 
     def _level_without(self, task: situation.Task) -> float:
         share = self._shares.share(task.size)
@@ -141,7 +140,7 @@
 
 def _order(task: situation.Task) -> tuple[int, float]:
     # The least urgent goes first, and of those the latest started.
-    return (-weights.rank(task.job.kind.urgency), -task.job.started_s)
+    return (-shares.rank(task.job.kind.urgency), -task.job.started_s)
 
 
 def _checkpointed(task: situation.Task) -> Yielding | None:
--- a/libs/placer/src/jackdawlatch/placer/planning.py
+++ b/libs/placer/src/jackdawlatch/placer/planning.py
@@ -43,7 +43,7 @@
             now_s=self._own.clock.wall_s(),
             pools=self._pools(preset.ejection_cap),
             rng=self._own.rng,
-            kind_weights=weights.Weights(preset.shares),
+            kind_weights=weights.of_shares(preset.shares),
             quotas_by_team=preset.quotas_by_team,
             expected=self._own.tracker.estimator.expected,
             failing_hosts=self._own.health.failing_hosts,
