Show all ten mechanisms red; list the faults that the proofs found

Cause: two undoings of the list had not turned anything red: offering nothing to gossip still let a peer push, and the placer's tests were not matched by name. Conclusion: KNOWN-RED.txt is printed whole by each test run.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -39,7 +39,7 @@
             tests = unittest.defaultTestLoader.loadTestsFromModule(
                 _module(path)
             )
-            suite.addTests(test for test in _flat(tests) if match in str(test))
+            suite.addTests(test for test in _flat(tests) if match in _name(test))
     return suite
 
 
@@ -64,11 +64,11 @@
 
 
 def _report(outcome: unittest.TestResult) -> int:
-    known = _known_red()
+    known_by_name = _known_red()
     bad = outcome.failures + outcome.errors
-    red = [test for test, _ in bad if _name(test) in known]
-    for test in red:
-        sys.stdout.write(f'known red: {_name(test)}\n')
+    red = [test for test, _ in bad if _name(test) in known_by_name]
+    for line in known_by_name.values():
+        sys.stdout.write(f'known red: {line}\n')
     failed = len(bad) - len(red)
     passed = outcome.testsRun - len(bad)
     sys.stdout.write(f'{passed} passed, {failed} failed\n')
@@ -79,13 +79,13 @@
     return test.shortDescription() or str(test)
 
 
-def _known_red() -> frozenset[str]:
+def _known_red() -> dict[str, str]:
     if not KNOWN_RED.exists():
-        return frozenset()
+        return {}
     lines = KNOWN_RED.read_text().splitlines()
-    return frozenset(
-        line.split()[0] for line in lines if line and line[0] not in '# '
-    )
+    return {
+        line.split()[0]: line for line in lines if line and line[0] not in '# '
+    }
 
 
 if __name__ == '__main__':
--- a/tools/show_red.py
+++ b/tools/show_red.py
@@ -96,8 +96,8 @@
     Undoing(
         '8 everywhere',
         'node/gossip.py',
-        'self._offer(newer.accepted)',
-        'self._offer(())',
+        'for document in offered:',
+        'for document in ():',
         'node',
         'test_process_started_in_an_outage',
     ),
