--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -39,7 +39,9 @@
             tests = unittest.defaultTestLoader.loadTestsFromModule(
                 _module(path)
             )
-            suite.addTests(test for test in _flat(tests) if match in _name(test))
+            suite.addTests(
+                test for test in _flat(tests) if match in _name(test)
+            )
     return suite
 
 
