--- a/libs/standins/src/jackdawlatch/standins/hostlist.py
+++ b/libs/standins/src/jackdawlatch/standins/hostlist.py
@@ -1,6 +1,7 @@
 """The stand-in of the platform's list of hosts, which lags behind."""
 
 import asyncio
+import collections
 from typing import Annotated
 
 import msgspec
@@ -25,6 +26,16 @@
     lag_ms: runner_state.Milliseconds = 1000
     reboot_s: Seconds = 2
 
+    def __post_init__(self) -> None:
+        """Refuse a host that is listed twice.
+
+        msgspec tells the ``ValueError`` as a failed check of the field.
+        """
+        counts = collections.Counter(host.id for host in self.hosts)
+        twice = [host for host, count in counts.items() if count > 1]
+        if twice:
+            raise ValueError(f'hosts: each id once, not {twice[0]} twice')
+
 
 class Liveness(records.StrictRecord, frozen=True, kw_only=True):
     """What a host is to be listed as."""
--- a/libs/standins/tests/test_standins_driver.py
+++ b/libs/standins/tests/test_standins_driver.py
@@ -10,11 +10,13 @@
 from returns import result
 
 from jackdawlatch.config import validation
-from jackdawlatch.model import presets
+from jackdawlatch.model import hosts, presets
+from jackdawlatch.settings import loading
 from jackdawlatch.standins import (
     deployments,
     driver,
     examples,
+    hostlist,
     keyvalue_faults,
     ports,
     processes,
@@ -120,6 +122,13 @@
     assert len(set(taken)) == 300
 
 
+def test_host_that_is_listed_twice_is_refused() -> None:
+    host = hosts.Host(id='h1', zone='z1', rack='r1')
+    content = msgspec.json.encode({'hosts': [host, host]})
+    parsed = loading.parse(content, hostlist.Settings, 'hosts.json')
+    assert 'h1 twice' in parsed.failure().message
+
+
 def test_committed_examples_are_up_to_date() -> None:
     with tempfile.TemporaryDirectory() as directory:
         written = pathlib.Path(directory)
