--- a/libs/config/src/jackdawlatch/config/outcomes.py
+++ b/libs/config/src/jackdawlatch/config/outcomes.py
@@ -36,6 +36,14 @@
     present_version: int
     difference: Difference = ()
 
+    def line(self) -> str:
+        """Return the failure as one line, with what the rival changed."""
+        told = super().line()
+        if not self.difference:
+            return told
+        changes = '; '.join(change.line() for change in self.difference)
+        return f'{told} changed since: {changes}'
+
 
 class Refused(failures.Invalid, frozen=True, kw_only=True):
     """The result of the edit would not be valid; nothing was written."""
--- a/libs/config/tests/test_config_editor.py
+++ b/libs/config/tests/test_config_editor.py
@@ -91,6 +91,7 @@
             assert lines == [
                 '~ presets_by_name.peak.pools_by_name.desk.hosts: 8 -> 9'
             ]
+            assert lines[0] in lost.line()
     other = await _edited(store, edits.Put(_preset('ordinary', 5)), seen)
     assert isinstance(other, result.Success)
 
