Name the store's shared keys once; build the settings of daemons alike

The configuration's key stood in four modules and the membership's prefix in three, the wildcard of shares in three, and eight fields of every daemon's settings in three functions of the deployments; a constant of the operations context was dead. Ruled out: sharing the one-field data classes of decisions and calls (alike in shape, not in meaning), and the commands' option lists (cyclopts reads each function's own signature).

--- a/libs/config/src/jackdawlatch/config/editor.py
+++ b/libs/config/src/jackdawlatch/config/editor.py
@@ -3,11 +3,9 @@
 from returns import result
 
 from jackdawlatch.config import difference, edits, outcomes, validation
-from jackdawlatch.model import failures, presets
+from jackdawlatch.model import failures, keys, presets
 from jackdawlatch.store import editing, keyvalue
 
-KEY = 'fleet/config'
-
 Base = presets.Configuration | int | None
 
 
@@ -20,7 +18,9 @@
         known: validation.Known = validation.NOTHING_KNOWN,
     ) -> None:
         self._known = known
-        self._editor = editing.Editor(store, KEY, presets.Configuration())
+        self._editor = editing.Editor(
+            store, keys.CONFIG, presets.Configuration()
+        )
 
     @property
     def accepted(self) -> keyvalue.Entry | None:
--- a/libs/config/src/jackdawlatch/config/preset_checks.py
+++ b/libs/config/src/jackdawlatch/config/preset_checks.py
@@ -4,9 +4,7 @@
 from collections.abc import Iterator
 
 from jackdawlatch.config import faults
-from jackdawlatch.model import failures, presets, work
-
-ANY = '*'
+from jackdawlatch.model import failures, presets, shares, work
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,8 +67,8 @@
 def _shares(
     path: str, preset: presets.Preset, configuration: presets.Configuration
 ) -> Iterator[failures.Invalid]:
-    services = {ANY, *configuration.services_by_name}
-    urgencies = {ANY, *work.Urgency}
+    services = {shares.ANY, *configuration.services_by_name}
+    urgencies = {shares.ANY, *work.Urgency}
     seen: set[tuple[str, str, str]] = set()
     for index, share in enumerate(preset.shares):
         below = f'{path}.shares[{index}]'
--- a/libs/config/tests/test_config_racing.py
+++ b/libs/config/tests/test_config_racing.py
@@ -8,7 +8,7 @@
 from returns import result
 
 from jackdawlatch.config import editor, edits, outcomes
-from jackdawlatch.model import presets, records
+from jackdawlatch.model import keys, presets, records
 from jackdawlatch.standins import fakes
 from jackdawlatch.testing import functions
 
@@ -85,7 +85,7 @@
 
     def _accepted(self) -> dict[int, presets.Configuration]:
         """Return the versions written since, each one checked."""
-        changes = self.store.content.changes(editor.KEY, self.present.version)
+        changes = self.store.content.changes(keys.CONFIG, self.present.version)
         versions = {self.present.version: self.present}
         for entry in changes.entries:
             after = records.decode(entry.value, presets.Configuration)
--- a/libs/entry/src/jackdawlatch/entry/charging.py
+++ b/libs/entry/src/jackdawlatch/entry/charging.py
@@ -1,8 +1,7 @@
 """Which kind of work a request is charged to."""
 
-from jackdawlatch.model import presets, records, work
+from jackdawlatch.model import presets, records, shares, work
 
-ANY = '*'
 COMMON_TEAM = 'default'
 
 
@@ -13,8 +12,8 @@
     would take more than theirs: all names that the preset does not know are
     charged to one team together.  A preset that names no team knows all.
     """
-    shared = {share.team for share in preset.shares} - {ANY}
-    known = shared | preset.quotas_by_team.keys()
+    named = {share.team for share in preset.shares} - {shares.ANY}
+    known = named | preset.quotas_by_team.keys()
     if not known or kind.team in known:
         return kind
     return records.replace(kind, team=COMMON_TEAM)
--- a/libs/membership/src/jackdawlatch/membership/operators.py
+++ b/libs/membership/src/jackdawlatch/membership/operators.py
@@ -11,10 +11,9 @@
     transitions,
     wave_edits,
 )
-from jackdawlatch.model import clocks, failures, presets
+from jackdawlatch.model import clocks, failures, keys, presets
 from jackdawlatch.store import editing, keyvalue
 
-CONFIG_KEY = 'fleet/config'
 ID_DIGITS = 8
 
 Limits = result.Result[budget.Limits, failures.Problem]
@@ -33,7 +32,7 @@
     ) -> None:
         self._editor = editor.Editor(store, shard, clock)
         self._configuration = editing.Editor(
-            store, CONFIG_KEY, presets.Configuration()
+            store, keys.CONFIG, presets.Configuration()
         )
 
     async def move(
--- a/libs/membership/src/jackdawlatch/membership/shards.py
+++ b/libs/membership/src/jackdawlatch/membership/shards.py
@@ -2,9 +2,7 @@
 
 import enum
 
-from jackdawlatch.model import hosts
-
-KEY_PREFIX = 'fleet/membership/'
+from jackdawlatch.model import hosts, keys
 
 # A planned reboot that lasts longer counts as a failure.
 REBOOT_BOUND_S = 600
@@ -31,7 +29,7 @@
 
 def key(shard: str) -> str:
     """Return the key of a shard's value in the platform's store."""
-    return f'{KEY_PREFIX}{shard}'
+    return f'{keys.MEMBERSHIP_PREFIX}{shard}'
 
 
 def service(
--- a/libs/node/src/jackdawlatch/node/context.py
+++ b/libs/node/src/jackdawlatch/node/context.py
@@ -7,8 +7,6 @@
 from jackdawlatch.node import documents
 from jackdawlatch.telemetry import events, meters
 
-JSON = 'application/json'
-
 
 class Explanation(records.Record, frozen=True, kw_only=True):
     """Why something is as it is, in one line, with the events behind it."""
--- a/libs/node/src/jackdawlatch/node/documents.py
+++ b/libs/node/src/jackdawlatch/node/documents.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
-from jackdawlatch.model import hosts, presets, records
+from jackdawlatch.model import hosts, keys, presets, records
 
-CONFIG_KEY = 'fleet/config'
-MEMBERSHIP_PREFIX = 'fleet/membership/'
+CONFIG_KEY = keys.CONFIG
+MEMBERSHIP_PREFIX = keys.MEMBERSHIP_PREFIX
 
 RecordType = TypeVar('RecordType', bound=records.Record)
 Listener = Callable[[str], None]
--- a/libs/standins/src/jackdawlatch/standins/deployments.py
+++ b/libs/standins/src/jackdawlatch/standins/deployments.py
@@ -4,6 +4,8 @@
 import pathlib
 from collections.abc import Mapping
 
+import msgspec
+
 from jackdawlatch.command import settings as command_settings
 from jackdawlatch.entry import settings as entry_settings
 from jackdawlatch.settings import daemons
@@ -121,40 +123,32 @@
 
 
 def _entry(place: Place, free: ports.Ports) -> entry_settings.Entry:
+    shared = _daemon('entry', place, place.peer, free)
     return entry_settings.Entry(
-        id=f'entry-{place.number}',
-        zone=place.zone,
-        peer_address=place.peer,
-        operations_address=_address(free),
-        http_address=_address(free),
-        store_addresses=(place.store_url,),
-        seed_addresses=place.seeds,
-        peer_delay_ms=place.one_way_ms,
-        strict_invariants=place.strict,
+        **msgspec.structs.asdict(shared), http_address=_address(free)
     )
 
 
 def _steward(
     place: Place, free: ports.Ports, control: str
 ) -> steward_settings.Steward:
+    shared = _daemon('steward', place, _address(free), free)
     return steward_settings.Steward(
-        id=f'steward-{place.number}',
-        zone=place.zone,
-        peer_address=_address(free),
-        operations_address=_address(free),
-        store_addresses=(place.store_url,),
-        seed_addresses=place.seeds,
-        peer_delay_ms=place.one_way_ms,
-        strict_invariants=place.strict,
-        hosts_address=control,
+        **msgspec.structs.asdict(shared), hosts_address=control
     )
 
 
 def _placer(place: Place, free: ports.Ports) -> daemons.Daemon:
+    return _daemon('placer', place, _address(free), free)
+
+
+def _daemon(
+    role: str, place: Place, peer: str, free: ports.Ports
+) -> daemons.Daemon:
     return daemons.Daemon(
-        id=f'placer-{place.number}',
+        id=f'{role}-{place.number}',
         zone=place.zone,
-        peer_address=_address(free),
+        peer_address=peer,
         operations_address=_address(free),
         store_addresses=(place.store_url,),
         seed_addresses=place.seeds,
--- a/libs/standins/src/jackdawlatch/standins/observing.py
+++ b/libs/standins/src/jackdawlatch/standins/observing.py
@@ -4,7 +4,7 @@
 
 from returns import result
 
-from jackdawlatch.model import hosts, presets, records
+from jackdawlatch.model import hosts, keys, presets, records
 from jackdawlatch.node import daemon
 from jackdawlatch.standins import bench, budgets, oracle, pools
 from jackdawlatch.store import keyvalue
@@ -61,7 +61,7 @@
                 self._take(entry)
 
     def _take(self, entry: keyvalue.Entry) -> None:
-        if entry.key == pools.CONFIG_KEY:
+        if entry.key == keys.CONFIG:
             stored = records.decode(entry.value, presets.Configuration)
             self._budgets.configure(stored)
             self._judge_stored(stored.version)
--- a/libs/standins/src/jackdawlatch/standins/pools.py
+++ b/libs/standins/src/jackdawlatch/standins/pools.py
@@ -2,17 +2,16 @@
 
 import collections
 
-from jackdawlatch.model import hosts, presets, records
+from jackdawlatch.model import hosts, keys, presets, records
 from jackdawlatch.standins import waiting
 from jackdawlatch.store import keyvalue
 
-CONFIG_KEY = 'fleet/config'
-MEMBERSHIP_KEY = 'fleet/membership/main'
+MEMBERSHIP_KEY = f'{keys.MEMBERSHIP_PREFIX}main'
 
 
 async def configuration(store: keyvalue.Store) -> presets.Configuration:
     """Return the configuration, empty when it can't be read."""
-    found = (await store.get(CONFIG_KEY)).value_or(None)
+    found = (await store.get(keys.CONFIG)).value_or(None)
     if found is None:
         return presets.Configuration()
     return records.decode(found.value, presets.Configuration)
--- a/libs/steward/tests/steward_fleet.py
+++ b/libs/steward/tests/steward_fleet.py
@@ -6,7 +6,7 @@
 from returns import result
 
 from jackdawlatch.membership import editor, operators, shards, spares
-from jackdawlatch.model import clocks, failures, hosts, presets, records
+from jackdawlatch.model import clocks, failures, hosts, keys, presets, records
 from jackdawlatch.standins import fakes
 from jackdawlatch.steward import backends, worker
 
@@ -158,7 +158,7 @@
     def configure(self, in_force, budget=None):
         allowed = self.budget if budget is None else budget
         self.configuration = configuration(in_force, allowed)
-        key = operators.CONFIG_KEY
+        key = keys.CONFIG
         entry = self.store.content.get(key)
         revision = entry.revision if entry else 0
         stored = records.encode(self.configuration)
