Schedule jobs of steps and tasks from one unified daemon

Cause: the product had jobs of one task on one host, and three daemons a host. Lint and tests of the new libraries are not run yet.

--- a/libs/platform/src/jackdawlatch/platform/http_hostlist.py
+++ b/libs/backends/src/jackdawlatch/backends/http_hostlist.py
@@ -2,8 +2,8 @@
 
 from returns import result
 
+from jackdawlatch.backends import exchange, hostlist
 from jackdawlatch.model import hosts
-from jackdawlatch.platform import exchange, hostlist
 
 TIMEOUT_S = 2.0
 OK_STATUS = 200
--- a/libs/platform/src/jackdawlatch/platform/http_runners.py
+++ b/libs/backends/src/jackdawlatch/backends/http_runners.py
@@ -12,8 +12,8 @@
 from returns import result
 from tornado import curl_httpclient, httpclient, httputil
 
+from jackdawlatch.backends import hops, runners
 from jackdawlatch.model import clocks, failures, work
-from jackdawlatch.platform import hops, runners
 
 CONNECT_TIMEOUT_S = 1.0
 MIN_TIMEOUT_S = 0.001
--- a/libs/platform/src/jackdawlatch/platform/http_workers.py
+++ b/libs/backends/src/jackdawlatch/backends/http_workers.py
@@ -6,8 +6,8 @@
 import msgspec
 from returns import result
 
+from jackdawlatch.backends import exchange, tasks, workers
 from jackdawlatch.model import records
-from jackdawlatch.platform import exchange, tasks, workers
 
 TIMEOUT_S = 2.0
 
--- a/libs/platform/src/jackdawlatch/platform/workers.py
+++ b/libs/backends/src/jackdawlatch/backends/workers.py
@@ -11,8 +11,8 @@
 
 from returns import result
 
+from jackdawlatch.backends import tasks
 from jackdawlatch.model import failures
-from jackdawlatch.platform import tasks
 
 
 class NotStarted(failures.NotRun, frozen=True, kw_only=True):
--- a/libs/platform/tests/test_platform_adapters.py
+++ b/libs/backends/tests/test_backends_adapters.py
@@ -3,15 +3,15 @@
 
 from returns import result
 
-from jackdawlatch.model import hosts
-from jackdawlatch.platform import (
+from jackdawlatch.backends import (
     exchange,
     http_hostlist,
     http_workers,
     tasks,
     workers,
 )
-from jackdawlatch.platform import hostlist as lists
+from jackdawlatch.backends import hostlist as lists
+from jackdawlatch.model import hosts
 from jackdawlatch.standins import (
     hostlist,
     runner,
--- a/libs/platform/tests/test_platform_http_runners.py
+++ b/libs/backends/tests/test_backends_http_runners.py
@@ -3,8 +3,8 @@
 import time
 from collections.abc import AsyncIterator
 
+from jackdawlatch.backends import http_runners, runners
 from jackdawlatch.model import clocks, work
-from jackdawlatch.platform import http_runners, runners
 from jackdawlatch.testing import functions
 
 OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
--- a/libs/entry/src/jackdawlatch/entry/dispatch.py
+++ b/libs/entry/src/jackdawlatch/entry/dispatch.py
@@ -6,6 +6,7 @@
 from returns import result
 
 from jackdawlatch.admission import retries, tickets
+from jackdawlatch.backends import runners
 from jackdawlatch.entry import (
     departures,
     fleet,
@@ -16,7 +17,6 @@
     unsent,
 )
 from jackdawlatch.model import failures, work
-from jackdawlatch.platform import runners
 from jackdawlatch.routing import leaving
 from jackdawlatch.telemetry import events
 
--- a/libs/entry/src/jackdawlatch/entry/judging.py
+++ b/libs/entry/src/jackdawlatch/entry/judging.py
@@ -6,8 +6,8 @@
 from returns import result
 
 from jackdawlatch.admission import tickets
+from jackdawlatch.backends import runners
 from jackdawlatch.model import failures, work
-from jackdawlatch.platform import runners
 
 FIRST_SERVER_ERROR = 500
 # A target is not blamed for missing a deadline shorter than this.
--- a/libs/entry/src/jackdawlatch/entry/root.py
+++ b/libs/entry/src/jackdawlatch/entry/root.py
@@ -6,6 +6,7 @@
 
 from returns import result
 
+from jackdawlatch.backends import http_runners, runners
 from jackdawlatch.entry import explaining as explanations
 from jackdawlatch.entry import (
     fleet,
@@ -21,7 +22,6 @@
 from jackdawlatch.entry import surroundings as surroundings_of_entry
 from jackdawlatch.node import daemon
 from jackdawlatch.placement import book
-from jackdawlatch.platform import http_runners, runners
 from jackdawlatch.routing import leaving
 from jackdawlatch.store import keyvalue
 
--- a/libs/entry/src/jackdawlatch/entry/sending_parts.py
+++ b/libs/entry/src/jackdawlatch/entry/sending_parts.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from jackdawlatch.backends import runners
 from jackdawlatch.entry import (
     brokerage,
     departures,
@@ -9,7 +10,6 @@
     slots,
     surroundings,
 )
-from jackdawlatch.platform import runners
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/entry/tests/entry_processes.py
+++ b/libs/entry/tests/entry_processes.py
@@ -8,10 +8,10 @@
 import entry_faults
 from returns import result
 
+from jackdawlatch.backends import runners
 from jackdawlatch.entry import intents, keyed, outcomes
 from jackdawlatch.entry import surroundings as parts
 from jackdawlatch.model import clocks, work
-from jackdawlatch.platform import runners
 from jackdawlatch.standins import fakes
 from jackdawlatch.telemetry import invariants, meters
 
--- a/libs/entry/tests/test_entry_processes.py
+++ b/libs/entry/tests/test_entry_processes.py
@@ -4,7 +4,7 @@
 import entry_daemons
 from returns import result
 
-from jackdawlatch.platform import exchange
+from jackdawlatch.backends import exchange
 from jackdawlatch.testing import functions
 
 KEYS = 60
--- /dev/null
+++ b/libs/jobs/src/jackdawlatch/jobs/intake.py
@@ -0,0 +1,183 @@
+"""Takes jobs from callers and tells their state, over the store alone.
+
+A submission writes the job's key if it is absent.  A key that is there was
+written by an earlier copy of the same submission, so any entry answers a
+resent one alike and it stays one job.
+"""
+
+import dataclasses
+from typing import ClassVar
+
+import msgspec
+from absl import logging
+from returns import result
+
+from jackdawlatch.jobs import model, queues, stored
+from jackdawlatch.model import clocks, failures, records
+from jackdawlatch.store import keyvalue, transactions
+from jackdawlatch.telemetry import decisions
+
+# The store documents answers in milliseconds; a slow one takes about 0.25 s.
+RETRY_AFTER_S = 1
+WRITE_ATTEMPTS = 2
+
+
+class NotAccepted(failures.NotRun, frozen=True, kw_only=True):
+    """The store refused the write: the job is not stored and never runs."""
+
+    code: ClassVar[str] = 'job-not-accepted'
+
+
+class OutcomeUnknown(failures.OutcomeUnknown, frozen=True, kw_only=True):
+    """The write may take effect: the caller has to send the job again."""
+
+    code: ClassVar[str] = 'job-outcome-unknown'
+
+
+class NoSuchJob(failures.Problem, frozen=True, kw_only=True):
+    """No job with this id was accepted, or it was dropped after its end."""
+
+    code: ClassVar[str] = 'job-unknown'
+
+
+Failure = NotAccepted | OutcomeUnknown | NoSuchJob
+
+
+@dataclasses.dataclass(frozen=True)
+class Parts:
+    """What the intake works with."""
+
+    store: transactions.TransactionalStore
+    clock: clocks.Clock
+    log: decisions.DecisionLog
+
+
+class Intake:
+    """Answers callers; ``catalog`` is replaced when a version is accepted."""
+
+    def __init__(self, parts: Parts) -> None:
+        self.catalog = queues.Catalog()
+        self.pending_by_queue: dict[str, int] = {}
+        self._parts = parts
+
+    async def submit(
+        self, job: model.Job, request_id: str
+    ) -> result.Result[None, NotAccepted | OutcomeUnknown]:
+        """Store a checked job; success means that it is stored."""
+        stamped = records.replace(job, accepted_s=self._parts.clock.wall_s())
+        outcome = await self._write(
+            transactions.Transaction(
+                conditions=(
+                    transactions.Condition(
+                        key=f'{stored.JOBS_PREFIX}{job.id}',
+                        revision=keyvalue.ABSENT,
+                    ),
+                ),
+                puts=(
+                    transactions.Put(
+                        key=f'{stored.JOBS_PREFIX}{job.id}',
+                        content=records.pack(stamped),
+                    ),
+                ),
+            )
+        )
+        self._note('submit', job.id, request_id, outcome)
+        return outcome
+
+    async def cancel(
+        self, job_id: str, request_id: str
+    ) -> result.Result[None, Failure]:
+        """Store the wish to cancel a job that was accepted."""
+        found = await self._parts.store.get(f'{stored.JOBS_PREFIX}{job_id}')
+        if isinstance(found, result.Failure):
+            return result.Failure(_not_reached(found.failure()))
+        if found.unwrap() is None:
+            return result.Failure(NoSuchJob(message=job_id))
+        wish = stored.Cancel(asked_s=self._parts.clock.wall_s())
+        outcome = await self._write(
+            transactions.Transaction(
+                puts=(
+                    transactions.Put(
+                        key=f'{stored.CANCELS_PREFIX}{job_id}',
+                        content=records.encode(wish),
+                    ),
+                ),
+            )
+        )
+        self._note('cancel', job_id, request_id, outcome)
+        return outcome
+
+    async def phase(
+        self, job_id: str
+    ) -> result.Result[stored.JobPhase, Failure]:
+        """Return the state of a job."""
+        store = self._parts.store
+        found = await store.get(f'{stored.PROGRESS_PREFIX}{job_id}')
+        if isinstance(found, result.Failure):
+            return result.Failure(_not_reached(found.failure()))
+        entry = found.unwrap()
+        if entry is not None:
+            return _phase_of(entry)
+        accepted = await store.get(f'{stored.JOBS_PREFIX}{job_id}')
+        if isinstance(accepted, result.Failure):
+            return result.Failure(_not_reached(accepted.failure()))
+        if accepted.unwrap() is None:
+            return result.Failure(NoSuchJob(message=job_id))
+        return result.Success(stored.JobPhase.QUEUED)
+
+    def pending(self, queue: queues.Queue) -> int:
+        """Return how many jobs of a queue have not begun, as last told."""
+        return self.pending_by_queue.get(queue.name, 0)
+
+    async def _write(
+        self, transaction: transactions.Transaction
+    ) -> result.Result[None, NotAccepted | OutcomeUnknown]:
+        uncertain = False
+        for _ in range(WRITE_ATTEMPTS):
+            written = await self._parts.store.commit(transaction)
+            if isinstance(written, result.Success):
+                return result.Success(None)
+            failure = written.failure()
+            if isinstance(failure, keyvalue.Conflict):
+                return result.Success(None)
+            if not isinstance(failure, keyvalue.Uncertain):
+                break
+            uncertain = True
+        if uncertain:
+            return result.Failure(OutcomeUnknown(message=failure.message))
+        return result.Failure(_not_reached(failure))
+
+    def _note(
+        self,
+        name: str,
+        job_id: str,
+        request_id: str,
+        outcome: result.Result[None, Failure],
+    ) -> None:
+        told = 'stored'
+        if isinstance(outcome, result.Failure):
+            told = outcome.failure().line()
+        self._parts.log.note(
+            name,
+            request=request_id,
+            job=job_id,
+            version=self.catalog.version,
+            outcome=told,
+        )
+
+
+def _phase_of(
+    entry: keyvalue.Entry,
+) -> result.Result[stored.JobPhase, Failure]:
+    try:
+        progress = records.decode(entry.value, stored.Progress)
+    except msgspec.DecodeError as error:
+        logging.error('progress record %s is malformed: %s', entry.key, error)
+        return result.Failure(
+            NotAccepted(message=str(error), retry_after_s=RETRY_AFTER_S)
+        )
+    return result.Success(progress.phase)
+
+
+def _not_reached(failure: failures.Problem) -> NotAccepted:
+    return NotAccepted(message=failure.message, retry_after_s=RETRY_AFTER_S)
--- /dev/null
+++ b/libs/jobs/src/jackdawlatch/jobs/model.py
@@ -0,0 +1,106 @@
+"""Jobs as callers describe them: steps of tasks and what each task needs."""
+
+import dataclasses
+
+from jackdawlatch.model import records
+
+
+class Room(records.Record, frozen=True, kw_only=True):
+    """Processors in thousandths of a core, memory in MB, accelerators."""
+
+    processors_m: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def holds(self, need: 'Room') -> bool:
+        """Return whether ``need`` fits into this room."""
+        return (
+            need.processors_m <= self.processors_m
+            and need.memory_mb <= self.memory_mb
+            and need.accelerators <= self.accelerators
+        )
+
+    def less(self, need: 'Room') -> 'Room':
+        """Return what is left when ``need`` is taken away."""
+        return Room(
+            processors_m=self.processors_m - need.processors_m,
+            memory_mb=self.memory_mb - need.memory_mb,
+            accelerators=self.accelerators - need.accelerators,
+        )
+
+
+class Step(records.Record, frozen=True, kw_only=True):
+    """``count`` like tasks that start once the steps in ``after`` are done.
+
+    ``lasting`` tasks run until the job is cancelled; ``fills`` marks tasks
+    that use processors which others leave idle.  ``max_per_worker`` 0 sets
+    no limit.  ``tail_target_ms`` bounds the response times of a lasting task.
+    """
+
+    count: int
+    room: Room = Room()
+    estimate_s: float = 0
+    after: tuple[int, ...] = ()
+    checkpoints: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ''
+    data_rack: str = ''
+    max_per_worker: int = 0
+    speculative: bool = False
+    lasting: bool = False
+    image: str = ''
+    tail_target_ms: int = 0
+    fills: bool = False
+    max_unavailable: int = 0
+
+    @property
+    def held_room(self) -> Room:
+        """What a task takes of a worker's room; filling takes no processors."""
+        if self.fills:
+            return records.replace(self.room, processors_m=0)
+        return self.room
+
+
+class Job(records.Record, frozen=True, kw_only=True):
+    """An accepted job; ``accepted_s`` is wall-clock time.
+
+    With ``repeat_count`` above 0 the steps run that many times, occurrence
+    ``k`` from ``start_at_s + k * interval_s`` (wall-clock) on.
+    """
+
+    id: str
+    queue: str
+    service: str
+    spec: str = ''
+    steps: tuple[Step, ...]
+    repeat_count: int = 0
+    start_at_s: float = 0
+    interval_s: float = 0
+    accepted_s: float = 0
+
+    @property
+    def occurrences(self) -> int:
+        """How many times the steps run."""
+        return max(1, self.repeat_count)
+
+    def due_s(self, occurrence: int) -> float:
+        """Return the wall-clock time before which no task may start."""
+        if not self.repeat_count:
+            return 0
+        return self.start_at_s + occurrence * self.interval_s
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskId:
+    """One task of one occurrence of a job."""
+
+    job: str
+    occurrence: int
+    step: int
+    index: int
+
+    @property
+    def name(self) -> str:
+        """The id as text."""
+        return f'{self.job}.{self.occurrence}.{self.step}.{self.index}'
--- /dev/null
+++ b/libs/jobs/src/jackdawlatch/jobs/queues.py
@@ -0,0 +1,66 @@
+"""The queues and services of the configuration in force."""
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+NO_VERSION = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Queue:
+    """A path prefix of a host name to which jobs are submitted.
+
+    A lower ``priority`` goes first.  ``max_attempts`` bounds the failures of
+    a task that does not last.  ``advised`` queues need a ticket for each
+    start.  ``target_s`` and ``slack_factor`` give the latency objective:
+    ``slack_factor`` times the longest chain of work, and ``target_s`` more.
+    """
+
+    name: str
+    hostname: str
+    prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    slack_factor: float = 1
+    target_s: float = 0
+    advised: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """A pool of hosts; those of a ``standby`` service are switched off."""
+
+    name: str
+    standby: bool = False
+    enforces_room: bool = False
+
+
+class Catalog:
+    """All queues and services of one version of the configuration."""
+
+    def __init__(
+        self,
+        version: int = NO_VERSION,
+        queues: Iterable[Queue] = (),
+        services: Iterable[Service] = (),
+    ) -> None:
+        self.version = version
+        self.queues_by_name: Mapping[str, Queue] = {
+            queue.name: queue for queue in queues
+        }
+        self.services_by_name: Mapping[str, Service] = {
+            service.name: service for service in services
+        }
+        self._by_hostname: dict[str, list[Queue]] = {}
+        for queue in self.queues_by_name.values():
+            self._by_hostname.setdefault(queue.hostname, []).append(queue)
+        for found in self._by_hostname.values():
+            found.sort(key=lambda queue: len(queue.prefix), reverse=True)
+
+    def find(self, hostname: str, path: str) -> Queue | None:
+        """Return the queue with the longest prefix of ``path``."""
+        for queue in self._by_hostname.get(hostname, ()):
+            if path.startswith(queue.prefix):
+                return queue
+        return None
--- a/libs/model/src/jackdawlatch/model/clocks.py
+++ b/libs/model/src/jackdawlatch/model/clocks.py
@@ -28,6 +28,17 @@
         return time.time()
 
 
+class SuspendAwareClock(SystemClock):
+    """The clock of this host; its steady time counts time suspended.
+
+    A host that was suspended finds its leases over when it wakes.
+    """
+
+    def monotonic_s(self) -> float:
+        """Return seconds since the host booted."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock(Clock):
     """A clock that moves only when it is told to."""
 
--- a/libs/placer/src/jackdawlatch/placer/assembly.py
+++ b/libs/placer/src/jackdawlatch/placer/assembly.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from jackdawlatch.backends import workers
 from jackdawlatch.model import clocks, hosts, presets
 from jackdawlatch.placement import book, view
 from jackdawlatch.placement import workers as judgements
 from jackdawlatch.placer import daemon, planning, sites, tools, trackers
-from jackdawlatch.platform import workers
 from jackdawlatch.store import keyvalue
 from jackdawlatch.telemetry import events, invariants, meters
 
--- a/libs/placer/src/jackdawlatch/placer/core.py
+++ b/libs/placer/src/jackdawlatch/placer/core.py
@@ -3,9 +3,9 @@
 from absl import logging
 from returns import result
 
+from jackdawlatch.backends import http_workers
 from jackdawlatch.node import launching
 from jackdawlatch.placer import root
-from jackdawlatch.platform import http_workers
 from jackdawlatch.settings import daemons
 from jackdawlatch.store import remote
 
--- a/libs/placer/src/jackdawlatch/placer/leases.py
+++ b/libs/placer/src/jackdawlatch/placer/leases.py
@@ -6,10 +6,10 @@
 
 from returns import result
 
+from jackdawlatch.backends import tasks
 from jackdawlatch.model import hosts
 from jackdawlatch.placement import attempts, endings
 from jackdawlatch.placer import tools
-from jackdawlatch.platform import tasks
 
 ENDINGS_BY_STATE = types.MappingProxyType(
     {
--- a/libs/placer/src/jackdawlatch/placer/movers.py
+++ b/libs/placer/src/jackdawlatch/placer/movers.py
@@ -5,9 +5,9 @@
 
 from returns import result
 
+from jackdawlatch.backends import workers
 from jackdawlatch.placement import attempts, decisions, endings
 from jackdawlatch.placer import tools
-from jackdawlatch.platform import workers
 
 
 class Mover:
--- a/libs/placer/src/jackdawlatch/placer/root.py
+++ b/libs/placer/src/jackdawlatch/placer/root.py
@@ -4,10 +4,10 @@
 
 from returns import result
 
+from jackdawlatch.backends import workers
 from jackdawlatch.node import daemon as nodes
 from jackdawlatch.placement import book
 from jackdawlatch.placer import assembly, authorities, explaining
-from jackdawlatch.platform import workers
 from jackdawlatch.settings import daemons
 from jackdawlatch.store import keyvalue
 
--- a/libs/placer/src/jackdawlatch/placer/starters.py
+++ b/libs/placer/src/jackdawlatch/placer/starters.py
@@ -6,6 +6,7 @@
 
 from returns import result
 
+from jackdawlatch.backends import tasks, workers
 from jackdawlatch.placement import (
     attempts,
     endings,
@@ -14,7 +15,6 @@
     transitions,
 )
 from jackdawlatch.placer import tools
-from jackdawlatch.platform import tasks, workers
 
 # A process that was paused for longer after it asked for the record does
 # not tell the worker any more.  It is well under the lease of a task.
--- a/libs/placer/src/jackdawlatch/placer/tools.py
+++ b/libs/placer/src/jackdawlatch/placer/tools.py
@@ -7,12 +7,12 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from jackdawlatch.backends import workers
 from jackdawlatch.model import clocks, work
 from jackdawlatch.placement import book as books
 from jackdawlatch.placement import view as views
 from jackdawlatch.placement import workers as judgements
 from jackdawlatch.placer import sites, trackers
-from jackdawlatch.platform import workers
 from jackdawlatch.telemetry import events, invariants, meters
 
 
--- a/libs/placer/tests/placer_bench.py
+++ b/libs/placer/tests/placer_bench.py
@@ -5,10 +5,10 @@
 from collections.abc import Awaitable, Callable, Iterator, Sequence
 from typing import Any, TypeVar
 
+from jackdawlatch.backends import tasks, workers
 from jackdawlatch.model import clocks, hosts, presets, records, work
 from jackdawlatch.placement import book, buckets, drafts
 from jackdawlatch.placer import assembly, authorities
-from jackdawlatch.platform import tasks, workers
 from jackdawlatch.standins import fake_platform, fakes, worker_model
 from jackdawlatch.telemetry import events, invariants, meters
 
--- /dev/null
+++ b/libs/scheduler/src/jackdawlatch/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""The leader's part: places tasks on workers and maintains machines."""
--- /dev/null
+++ b/libs/scheduler/src/jackdawlatch/scheduler/election.py
@@ -0,0 +1,116 @@
+"""Competes for the leadership key, and tells how long it is held."""
+
+import asyncio
+import dataclasses
+import random
+
+from absl import logging
+from returns import result
+
+from jackdawlatch.jobs import stored
+from jackdawlatch.model import clocks, records
+from jackdawlatch.scheduler import ledger
+from jackdawlatch.store import keyvalue, transactions
+
+TTL_S = 2.0
+RENEWALS_PER_TTL = 4
+# Orders that are on their way when the lease ends need a margin.
+TRUSTED_FRACTION = 0.85
+POLL_S = 0.05
+JITTER_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True)
+class Candidate:
+    """Who competes; ``clock`` has to count time spent suspended."""
+
+    name: str
+    store: transactions.TransactionalStore
+    clock: clocks.Clock
+
+
+class Election:
+    """One process's candidacy."""
+
+    def __init__(self, candidate: Candidate) -> None:
+        self.vacant = False
+        self.term: ledger.Term | None = None
+        self._candidate = candidate
+        self._lease = ''
+        self._renewed_s: float = 0
+
+    @property
+    def leading(self) -> bool:
+        """Whether this process may give orders now."""
+        age_s = self._candidate.clock.monotonic_s() - self._renewed_s
+        return self.term is not None and age_s < TTL_S * TRUSTED_FRACTION
+
+    async def win(self) -> ledger.Term:
+        """Return once this process leads."""
+        while True:
+            while not self.vacant:
+                await asyncio.sleep(POLL_S)
+            await asyncio.sleep(random.uniform(0, JITTER_S))  # noqa: S311
+            if self.vacant and await self._compete():
+                break
+        self.vacant = False
+        assert self.term is not None  # noqa: S101
+        return self.term
+
+    async def keep(self) -> None:
+        """Renew the lease; return when it is lost."""
+        while self.term is not None:
+            await asyncio.sleep(TTL_S / RENEWALS_PER_TTL)
+            asked_s = self._candidate.clock.monotonic_s()
+            renewed = await self._candidate.store.renew(self._lease)
+            if isinstance(renewed, result.Success):
+                self._renewed_s = asked_s
+            elif isinstance(renewed.failure(), keyvalue.LeaseLost):
+                logging.info('leadership lost: the lease has ended')
+                self.term = None
+
+    async def resign(self) -> None:
+        """Give leadership up at once."""
+        if self.term is not None:
+            self.term = None
+            await self._candidate.store.revoke(self._lease)
+
+    def observe(self, entry: keyvalue.Entry) -> None:
+        """Take note of a change of the leadership key."""
+        self.vacant = entry.deleted
+        if entry.deleted and self.term is not None:
+            if entry.revision > self.term.token:
+                logging.info('leadership lost: the key was removed')
+                self.term = None
+
+    async def _compete(self) -> bool:
+        asked_s = self._candidate.clock.monotonic_s()
+        granted = await self._candidate.store.grant(TTL_S)
+        if isinstance(granted, result.Failure):
+            return False
+        self._lease = granted.unwrap().id
+        name = self._candidate.name
+        written = await self._candidate.store.commit(
+            transactions.Transaction(
+                conditions=(
+                    transactions.Condition(
+                        key=stored.LEADER_KEY, revision=keyvalue.ABSENT
+                    ),
+                ),
+                puts=(
+                    transactions.Put(
+                        key=stored.LEADER_KEY,
+                        content=records.encode(stored.Leader(name=name)),
+                        lease=self._lease,
+                    ),
+                ),
+            )
+        )
+        if isinstance(written, result.Failure):
+            # A write without an answer may have made this process leader of
+            # nothing: its lease is ended, and the key with it.
+            await self._candidate.store.revoke(self._lease)
+            return False
+        self._renewed_s = asked_s
+        self.term = ledger.Term(name, written.unwrap())
+        return True
--- /dev/null
+++ b/libs/scheduler/src/jackdawlatch/scheduler/orders.py
@@ -0,0 +1,219 @@
+"""Gives orders to workers, and settles those that were not answered."""
+
+import asyncio
+import dataclasses
+import functools
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any
+
+from absl import logging
+from returns import result
+
+from jackdawlatch.jobs import stored
+from jackdawlatch.scheduler import (
+    book,
+    clients,
+    ledger,
+    planner,
+    runs,
+    tasks,
+    workers,
+)
+
+# A start is refused by its worker this long after it was sent; orders that
+# go unanswered may be carried out up to 12 s late.
+START_EXPIRY_S = 2.0
+RETRY_S = 0.3
+# How long a worker that refused a start gets no other.
+REFUSED_PENALTY_S = 0.3
+UNHEALTHY_PENALTY_S = 1.5
+
+PENALTIES_S_BY_REASON = {
+    clients.Refusal.NO_ROOM: REFUSED_PENALTY_S,
+    clients.Refusal.UNHEALTHY: UNHEALTHY_PENALTY_S,
+    clients.Refusal.OTHER_BOOT: UNHEALTHY_PENALTY_S,
+    clients.Refusal.INVALID: UNHEALTHY_PENALTY_S,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Parts:
+    """What orders are given with; ``leading`` tells whether they may be."""
+
+    book: book.Book
+    ledger: ledger.Ledger
+    term: ledger.Term
+    client: clients.WorkerClient
+    leading: Callable[[], bool]
+    spawn: Callable[[Coroutine[Any, Any, None]], Any]
+
+
+class Orders:
+    """Starts, stops and looks; each order names one boot of a worker."""
+
+    def __init__(self, parts: Parts) -> None:
+        self._parts = parts
+        self._stopping: set[tuple[str, int, clients.RunName]] = set()
+        self._clock = parts.book.parts.clock
+
+    def place(self, placements: Iterable[planner.Placement]) -> None:
+        """Write the starts, then order each one."""
+        for placement in placements:
+            task, worker = placement.task, placement.worker
+            task.attempt = placement.attempt
+            run = runs.Run(task, worker, task.attempt, runs.RunPhase.WRITING)
+            run.checkpoint = task.checkpoint
+            task.run = run
+            task.phase = tasks.TaskPhase.PLACED
+            worker.add(run)
+            if task.job.phase is stored.JobPhase.QUEUED:
+                task.job.phase = stored.JobPhase.RUNNING
+            self._parts.ledger.mark(
+                task.job, functools.partial(self._order, run, placement.ticket)
+            )
+
+    def stop(self, worker: workers.Worker, name: clients.RunName) -> None:
+        """Stop a run; repeated until the worker has answered."""
+        key = (worker.entry.id, worker.entry.born_ms, name)
+        if key not in self._stopping:
+            self._stopping.add(key)
+            self._parts.spawn(self._stop(worker, name, key))
+
+    async def look(
+        self, worker: workers.Worker, lease_s: float | None, wait_s: float
+    ) -> bool:
+        """Ask for a worker's lists; return whether it answered."""
+        if not self._parts.leading():
+            return False
+        asked_s = self._clock.monotonic_s()
+        if lease_s is not None:
+            worker.extend_lease(lease_s, asked_s)
+            lease_s += worker.clock_s(asked_s)
+        looked = await self._parts.client.look(
+            worker.target,
+            clients.Look(
+                token=self._parts.term.token,
+                acked=worker.acked,
+                lease_s=lease_s,
+                wait_s=wait_s,
+            ),
+        )
+        if isinstance(looked, result.Failure):
+            self._failed(worker, looked.failure())
+            return False
+        lists = looked.unwrap()
+        worker.set_clock(lists.clock_s, self._clock.monotonic_s())
+        if lists.born_ms and lists.born_ms != worker.entry.born_ms:
+            self._parts.book.take_entry(
+                dataclasses.replace(worker.entry, born_ms=lists.born_ms)
+            )
+            return False
+        self._parts.book.take_lists(worker, lists, asked_s)
+        return True
+
+    def settle(self, run: runs.Run) -> None:
+        """Find out whether an order that was not answered took effect."""
+        run.phase = runs.RunPhase.UNSETTLED
+        self._parts.spawn(self._settle(run))
+
+    def _order(self, run: runs.Run, ticket: str) -> None:
+        if run.task.run is not run or run.phase is not runs.RunPhase.WRITING:
+            return
+        if run.task.job.ended or not self._parts.leading():
+            self._parts.book.release(run, 'not-ordered')
+            return
+        run.phase = runs.RunPhase.ORDERED
+        self._parts.spawn(self._start(run, ticket))
+
+    async def _start(self, run: runs.Run, ticket: str) -> None:
+        worker = run.worker
+        now_s = self._clock.monotonic_s()
+        worker.extend_lease(START_EXPIRY_S, now_s)
+        started = await self._parts.client.start(
+            worker.target,
+            clients.Start(
+                task=run.task.id,
+                attempt=run.attempt,
+                spec=run.task.job.job.spec,
+                token=self._parts.term.token,
+                expires_s=worker.clock_s(now_s) + START_EXPIRY_S,
+                checkpoint=run.checkpoint,
+                ticket=ticket,
+            ),
+        )
+        if run.phase is not runs.RunPhase.ORDERED:
+            return
+        if isinstance(started, result.Success):
+            run.phase = runs.RunPhase.RUNNING
+            run.began_s = self._clock.monotonic_s()
+            if run.task.job.ended:
+                self.stop(worker, clients.RunName(run.task.id, run.attempt))
+            return
+        self._not_started(run, started.failure())
+
+    def _not_started(self, run: runs.Run, failure: clients.CallFailure) -> None:
+        if isinstance(failure, clients.Unanswered):
+            self.settle(run)
+            return
+        self._failed(run.worker, failure)
+        self._parts.book.release(run, failure.line())
+
+    def _failed(
+        self, worker: workers.Worker, failure: clients.CallFailure
+    ) -> None:
+        if not isinstance(failure, clients.Refused):
+            if worker.reachable:
+                logging.info(
+                    'worker %s lost: %s', worker.entry.id, failure.line()
+                )
+            worker.reachable = False
+            return
+        if failure.reason is clients.Refusal.FENCED:
+            self._parts.ledger.deposed.set()
+        penalty_s = PENALTIES_S_BY_REASON.get(failure.reason, 0)
+        worker.penalty_until_s = max(
+            worker.penalty_until_s, self._clock.monotonic_s() + penalty_s
+        )
+
+    async def _settle(self, run: runs.Run) -> None:
+        name = clients.RunName(run.task.id, run.attempt)
+        while self._unsettled(run):
+            await self.look(run.worker, None, 0)
+            if not self._unsettled(run):
+                return
+            stopped = await self._parts.client.stop(
+                run.worker.target, name, self._parts.term.token
+            )
+            if isinstance(stopped, result.Success):
+                run.settled_after_s = self._clock.monotonic_s()
+                await self.look(run.worker, None, 0)
+            await asyncio.sleep(RETRY_S)
+
+    def _unsettled(self, run: runs.Run) -> bool:
+        return (
+            run.phase is runs.RunPhase.UNSETTLED
+            and run.worker.runs_by_task.get(run.task.id) is run
+            and self._parts.leading()
+        )
+
+    async def _stop(
+        self,
+        worker: workers.Worker,
+        name: clients.RunName,
+        key: tuple[str, int, clients.RunName],
+    ) -> None:
+        run = worker.runs_by_task.get(name.task)
+        if run is not None and run.attempt == name.attempt:
+            if run.phase is runs.RunPhase.RUNNING:
+                run.phase = runs.RunPhase.STOPPING
+        while self._parts.leading() and worker.listed:
+            stopped = await self._parts.client.stop(
+                worker.target, name, self._parts.term.token
+            )
+            if not isinstance(stopped, result.Failure):
+                break
+            if isinstance(stopped.failure(), clients.Refused):
+                self._failed(worker, stopped.failure())
+                break
+            await asyncio.sleep(RETRY_S)
+        self._stopping.discard(key)
--- /dev/null
+++ b/libs/scheduler/src/jackdawlatch/scheduler/runs.py
@@ -0,0 +1,65 @@
+"""A run: one attempt at a task on one boot of a worker."""
+
+import enum
+import typing
+
+if typing.TYPE_CHECKING:
+    from jackdawlatch.scheduler import tasks, workers
+
+SERVING_PERCENT = 100
+
+
+class RunPhase(enum.Enum):
+    """What is known of a run.
+
+    ``UNSETTLED``: an order was not answered, or an earlier leader gave it.
+    """
+
+    WRITING = 'writing'
+    ORDERED = 'ordered'
+    RUNNING = 'running'
+    UNSETTLED = 'unsettled'
+    STOPPING = 'stopping'
+
+
+class Run:
+    """One attempt; it takes room on its worker until it is known to end."""
+
+    __slots__ = (
+        'attempt',
+        'began_s',
+        'checkpoint',
+        'gauge',
+        'pace',
+        'percent',
+        'phase',
+        'settled_after_s',
+        'task',
+        'worker',
+    )
+
+    def __init__(
+        self,
+        task: 'tasks.Task',
+        worker: 'workers.Worker',
+        attempt: int,
+        phase: RunPhase,
+    ) -> None:
+        self.task = task
+        self.worker = worker
+        self.attempt = attempt
+        self.phase = phase
+        self.began_s: float = 0
+        self.checkpoint = ''
+        self.percent = 0
+        self.gauge = 0
+        self.pace = SERVING_PERCENT
+        # A look asked for after this time that lacks the run settles it.
+        self.settled_after_s: float | None = None
+
+    @property
+    def serving(self) -> bool:
+        """Whether a lasting task is at work."""
+        return (
+            self.phase is RunPhase.RUNNING and self.percent >= SERVING_PERCENT
+        )
--- /dev/null
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -0,0 +1,92 @@
+"""The state that the leader keeps of each boot of a worker."""
+
+import collections
+
+from jackdawlatch.jobs import model
+from jackdawlatch.scheduler import clients, runs
+
+# The documented error of a worker's steady clock.
+CLOCK_DRIFT = 0.02
+
+
+class Worker:
+    """One boot of a worker, with the runs that may be there."""
+
+    def __init__(self, entry: clients.WorkerEntry) -> None:
+        self.entry = entry
+        self.listed = True
+        self.reachable = False
+        self.cordoned = False
+        self.looked_s: float = 0
+        self.lease_end_s: float = 0
+        self.penalty_until_s: float = 0
+        self.runs_by_task: dict[model.TaskId, runs.Run] = {}
+        self.free = entry.room
+        self.acked = 0
+        self.seen = 0
+        self._offset_s: float | None = None
+        self._unacked: collections.deque[tuple[int, list[bool]]] = (
+            collections.deque()
+        )
+
+    @property
+    def target(self) -> clients.Target:
+        """How the worker is called."""
+        return clients.Target(self.entry.id, self.entry.address)
+
+    @property
+    def usable(self) -> bool:
+        """Whether new runs may be placed here."""
+        return (
+            self.listed
+            and self.reachable
+            and not self.cordoned
+            and not self.entry.draining
+        )
+
+    def clock_s(self, now_s: float) -> float:
+        """Return the worker's clock, as far as it is known."""
+        return now_s + (self._offset_s or 0)
+
+    def set_clock(self, clock_s: float, now_s: float) -> None:
+        """Note a reading of the worker's clock."""
+        self._offset_s = clock_s - now_s
+
+    def extend_lease(self, lease_s: float, now_s: float) -> None:
+        """Note by when a lease that was just asked for has surely ended."""
+        end_s = now_s + lease_s * (1 + CLOCK_DRIFT)
+        self.lease_end_s = max(self.lease_end_s, end_s)
+
+    def add(self, run: runs.Run) -> None:
+        """Take room for a run."""
+        self.runs_by_task[run.task.id] = run
+        self.free = self.free.less(run.task.step.held_room)
+
+    def drop(self, run: runs.Run) -> None:
+        """Give the room of a run back."""
+        if self.runs_by_task.get(run.task.id) is run:
+            self.runs_by_task.pop(run.task.id)
+            self._recount()
+
+    def update(self, entry: clients.WorkerEntry) -> None:
+        """Take over a newer entry of the same boot."""
+        self.entry = entry
+        self._recount()
+
+    def await_ack(self, number: int) -> list[bool]:
+        """Return a cell to set true once an end may be acknowledged."""
+        cell = [False]
+        self._unacked.append((number, cell))
+        self.seen = max(self.seen, number)
+        return cell
+
+    def advance_acked(self) -> None:
+        """Acknowledge up to the first end that is not stored yet."""
+        while self._unacked and self._unacked[0][1][0]:
+            self.acked = self._unacked.popleft()[0]
+
+    def _recount(self) -> None:
+        free = self.entry.room
+        for run in self.runs_by_task.values():
+            free = free.less(run.task.step.held_room)
+        self.free = free
--- a/libs/standins/src/jackdawlatch/standins/balancing.py
+++ b/libs/standins/src/jackdawlatch/standins/balancing.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from jackdawlatch.platform import exchange
+from jackdawlatch.backends import exchange
 from jackdawlatch.standins import bench, serving
 
 PERIOD_S = 0.2
--- a/libs/standins/src/jackdawlatch/standins/callers.py
+++ b/libs/standins/src/jackdawlatch/standins/callers.py
@@ -8,7 +8,7 @@
 
 from returns import result
 
-from jackdawlatch.platform import exchange
+from jackdawlatch.backends import exchange
 from jackdawlatch.standins import runner
 
 OUTCOME_HEADER = 'Jackdawlatch-Outcome'
--- a/libs/standins/src/jackdawlatch/standins/driver.py
+++ b/libs/standins/src/jackdawlatch/standins/driver.py
@@ -9,9 +9,9 @@
 import msgspec
 from returns import result
 
+from jackdawlatch.backends import exchange
 from jackdawlatch.model import failures, records
 from jackdawlatch.node import daemon
-from jackdawlatch.platform import exchange
 from jackdawlatch.standins import (
     deployments,
     examples,
--- a/libs/standins/src/jackdawlatch/standins/fake_platform.py
+++ b/libs/standins/src/jackdawlatch/standins/fake_platform.py
@@ -4,8 +4,8 @@
 
 from returns import result
 
+from jackdawlatch.backends import hostlist, tasks, workers
 from jackdawlatch.model import clocks, hosts, records
-from jackdawlatch.platform import hostlist, tasks, workers
 from jackdawlatch.standins import executions, worker_model
 
 
--- a/libs/standins/src/jackdawlatch/standins/hostlist.py
+++ b/libs/standins/src/jackdawlatch/standins/hostlist.py
@@ -8,9 +8,9 @@
 from returns import result
 from tornado import web
 
+from jackdawlatch.backends import exchange
 from jackdawlatch.model import clocks, records
 from jackdawlatch.model import hosts as machines
-from jackdawlatch.platform import exchange
 from jackdawlatch.standins import fake_platform, runner_state, serving
 
 DOWN_STATUS = 503
--- a/libs/standins/src/jackdawlatch/standins/running.py
+++ b/libs/standins/src/jackdawlatch/standins/running.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from jackdawlatch.platform import tasks
+from jackdawlatch.backends import tasks
 from jackdawlatch.standins import commands, executions
 
 FOREVER_S = float('inf')
--- a/libs/standins/src/jackdawlatch/standins/snapshots.py
+++ b/libs/standins/src/jackdawlatch/standins/snapshots.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from jackdawlatch.platform import tasks
+from jackdawlatch.backends import tasks
 from jackdawlatch.standins import task_table
 
 KEPT = 512
--- a/libs/standins/src/jackdawlatch/standins/task_table.py
+++ b/libs/standins/src/jackdawlatch/standins/task_table.py
@@ -6,8 +6,8 @@
 
 from collections.abc import Callable
 
+from jackdawlatch.backends import tasks
 from jackdawlatch.model import clocks, hosts
-from jackdawlatch.platform import tasks
 from jackdawlatch.standins import running
 
 NO_PROCESSORS = 1e-9
--- a/libs/standins/src/jackdawlatch/standins/worker.py
+++ b/libs/standins/src/jackdawlatch/standins/worker.py
@@ -4,8 +4,8 @@
 from returns import result
 from tornado import ioloop, web
 
+from jackdawlatch.backends import tasks, workers
 from jackdawlatch.model import clocks
-from jackdawlatch.platform import tasks, workers
 from jackdawlatch.standins import (
     executions,
     serving,
--- a/libs/standins/src/jackdawlatch/standins/worker_model.py
+++ b/libs/standins/src/jackdawlatch/standins/worker_model.py
@@ -4,8 +4,8 @@
 
 from returns import result
 
+from jackdawlatch.backends import tasks, workers
 from jackdawlatch.model import clocks, hosts
-from jackdawlatch.platform import tasks, workers
 from jackdawlatch.standins import (
     commands,
     executions,
--- a/libs/standins/tests/test_standins_oracle.py
+++ b/libs/standins/tests/test_standins_oracle.py
@@ -6,8 +6,8 @@
 import msgspec
 from tornado import httputil
 
+from jackdawlatch.backends import exchange
 from jackdawlatch.model import hosts
-from jackdawlatch.platform import exchange
 from jackdawlatch.standins import (
     budgets,
     callers,
--- a/libs/standins/tests/test_standins_runner.py
+++ b/libs/standins/tests/test_standins_runner.py
@@ -6,7 +6,7 @@
 import msgspec
 from returns import result
 
-from jackdawlatch.platform import exchange
+from jackdawlatch.backends import exchange
 from jackdawlatch.standins import executions, runner, runner_state, waiting
 from jackdawlatch.testing import functions
 
--- a/libs/standins/tests/test_standins_worker.py
+++ b/libs/standins/tests/test_standins_worker.py
@@ -3,8 +3,8 @@
 from hypothesis import strategies as st
 from returns import result
 
+from jackdawlatch.backends import tasks, workers
 from jackdawlatch.model import clocks, hosts
-from jackdawlatch.platform import tasks, workers
 from jackdawlatch.standins import executions, worker_model
 from jackdawlatch.testing import functions
 
--- a/libs/steward/src/jackdawlatch/steward/core.py
+++ b/libs/steward/src/jackdawlatch/steward/core.py
@@ -3,8 +3,8 @@
 from absl import logging
 from returns import result
 
+from jackdawlatch.backends import http_hostlist, http_workers
 from jackdawlatch.node import launching
-from jackdawlatch.platform import http_hostlist, http_workers
 from jackdawlatch.steward import http_backends, root
 from jackdawlatch.steward import settings as steward_settings
 from jackdawlatch.store import remote
--- a/libs/steward/src/jackdawlatch/steward/http_backends.py
+++ b/libs/steward/src/jackdawlatch/steward/http_backends.py
@@ -2,8 +2,8 @@
 
 from returns import result
 
+from jackdawlatch.backends import exchange, hostlist, tasks, workers
 from jackdawlatch.model import failures, hosts, records
-from jackdawlatch.platform import exchange, hostlist, tasks, workers
 from jackdawlatch.steward import backends
 
 TIMEOUT_S = 2
--- a/libs/store/src/jackdawlatch/store/calls.py
+++ b/libs/store/src/jackdawlatch/store/calls.py
@@ -5,8 +5,8 @@
 
 from returns import result
 
+from jackdawlatch.backends import exchange
 from jackdawlatch.model import records
-from jackdawlatch.platform import exchange
 from jackdawlatch.store import keyvalue, replies
 
 READ_ATTEMPTS = 2
--- /dev/null
+++ b/libs/store/src/jackdawlatch/store/following.py
@@ -0,0 +1,97 @@
+"""Follows all keys below a prefix: one read of all, then a watch."""
+
+import abc
+import asyncio
+import dataclasses
+from collections.abc import Iterable
+
+from absl import logging
+from returns import result
+
+from jackdawlatch.store import keyvalue
+
+RETRY_S = 0.1
+
+
+class Observer(abc.ABC):
+    """Is told what the keys below a prefix hold."""
+
+    @abc.abstractmethod
+    def reset(self, entries: Iterable[keyvalue.Entry]) -> None:
+        """Replace all that is known by these entries."""
+
+    @abc.abstractmethod
+    def change(self, entry: keyvalue.Entry) -> None:
+        """Take note of one key that was written or removed."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Pace:
+    """How long a watch waits, and the least time between two of them.
+
+    A short wait finds a connection that has gone silent; the pause bounds
+    the calls of a prefix that changes all the time.
+    """
+
+    wait_s: float = 1.5
+    pause_s: float = 0
+
+
+class Follower:
+    """Keeps an observer up to date until cancelled."""
+
+    def __init__(
+        self,
+        store: keyvalue.Store,
+        prefix: str,
+        observer: Observer,
+        pace: Pace,
+    ) -> None:
+        self.reachable = False
+        self.started = asyncio.Event()
+        self._store = store
+        self._prefix = prefix
+        self._observer = observer
+        self._pace = pace
+        self._revision: int | None = None
+
+    async def run(self) -> None:
+        """Follow for ever; failures of the store are tried again."""
+        while True:
+            if self._revision is None:
+                reached = await self._read_all()
+            else:
+                reached = await self._watch(self._revision)
+            if reached is not self.reachable:
+                self.reachable = reached
+                logging.info(
+                    'store %s for %s',
+                    'reachable' if reached else 'lost',
+                    self._prefix,
+                )
+            await asyncio.sleep(self._pace.pause_s if reached else RETRY_S)
+
+    async def _read_all(self) -> bool:
+        scanned = await self._store.scan(self._prefix)
+        if isinstance(scanned, result.Failure):
+            return False
+        self._take(scanned.unwrap())
+        self.started.set()
+        return True
+
+    async def _watch(self, revision: int) -> bool:
+        seen = await self._store.watch(
+            self._prefix, revision, self._pace.wait_s
+        )
+        if isinstance(seen, result.Failure):
+            return False
+        self._take(seen.unwrap())
+        return True
+
+    def _take(self, changes: keyvalue.Changes) -> None:
+        self._revision = changes.revision
+        if changes.reset:
+            self._observer.reset(changes.entries)
+            return
+        for entry in changes.entries:
+            self._observer.change(entry)
--- a/libs/store/src/jackdawlatch/store/replies.py
+++ b/libs/store/src/jackdawlatch/store/replies.py
@@ -7,8 +7,8 @@
 import msgspec
 from returns import result
 
+from jackdawlatch.backends import exchange
 from jackdawlatch.model import records
-from jackdawlatch.platform import exchange
 from jackdawlatch.store import keyvalue, limits
 
 OK_STATUS = 200
--- /dev/null
+++ b/libs/unified/src/jackdawlatch/unified/__init__.py
@@ -0,0 +1,1 @@
+"""One daemon that takes jobs and, while it leads, schedules them."""
--- /dev/null
+++ b/libs/unified/src/jackdawlatch/unified/settings.py
@@ -0,0 +1,53 @@
+"""The settings of the unified daemon, a JSON file."""
+
+from returns import result
+
+from jackdawlatch.model import records
+from jackdawlatch.settings import loading
+
+
+class Bounds(records.StrictRecord, frozen=True, kw_only=True):
+    """The platform's documented bounds.
+
+    ``lease_ms`` is the longest lease of a worker, ``stop_ms`` how long a stop
+    takes at most, ``drain_s`` how long a stopped daemon may go on.
+    """
+
+    lease_ms: int
+    stop_ms: int
+    drain_s: float
+    retention_s: float
+    maintenance_s: float
+    migration_s: float
+    notice_ms: int
+
+
+class Unified(records.StrictRecord, frozen=True, kw_only=True):
+    """Addresses are ``host:port``; an empty one is not used."""
+
+    name: str
+    zone: str
+    front_address: str
+    ready_address: str
+    metrics_port: int
+    store_address: str
+    machines_address: str = ''
+    advice_address: str = ''
+    bounds: Bounds
+
+
+def check(
+    settings: Unified, source: str
+) -> result.Result[Unified, loading.SettingsInvalid]:
+    """Check that every address has a port."""
+    addresses_by_field = {
+        'front_address': settings.front_address,
+        'ready_address': settings.ready_address,
+        'store_address': settings.store_address,
+    }
+    for field, address in addresses_by_field.items():
+        if not address.rpartition(':')[2].isdigit():
+            return result.Failure(
+                loading.invalid(source, field, 'host:port')
+            )
+    return result.Success(settings)
--- a/measure/path.py
+++ b/measure/path.py
@@ -7,7 +7,7 @@
 import uuid
 from collections.abc import Awaitable, Callable, Iterator, Sequence
 
-from jackdawlatch.platform import exchange
+from jackdawlatch.backends import exchange
 from jackdawlatch.standins import bench as benches
 from jackdawlatch.standins import callers, job_steps, keyvalue_server, profiles
 from measure import base, processes
--- a/measure/workplace.py
+++ b/measure/workplace.py
@@ -16,7 +16,7 @@
 from jackdawlatch.model import clocks, hosts, presets, records, work
 from jackdawlatch.placement import book, buckets, drafts
 from jackdawlatch.placer import assembly, tools
-from jackdawlatch.platform import tasks, workers
+from jackdawlatch.backends import tasks, workers
 from jackdawlatch.standins import fake_platform, fakes, worker_model
 from jackdawlatch.telemetry import events, invariants, meters
 
