--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PYTHON := $(VENV)/bin/python
 empty :=
 space := $(empty) $(empty)
-export PYTHONPATH := $(subst $(space),:,$(wildcard $(ROOT)/libs/*/src))
+export PYTHONPATH := $(subst $(space),:,$(wildcard $(ROOT)/libs/*/src) $(ROOT)/platform/src)
 export MYPYPATH := $(PYTHONPATH)
 LIBS := $(notdir $(wildcard $(ROOT)/libs/*))
 SEED ?= 1
@@ -14,11 +14,11 @@
 help: ## List the targets.
 	@grep -hE '^[a-z]+:.*##' Makefile | sed 's/:.*##/\t/'
 
-$(VENV)/.installed: constraints.txt $(wildcard libs/*/pyproject.toml)
+$(VENV)/.installed: constraints.txt $(wildcard libs/*/pyproject.toml) platform/pyproject.toml
 	python3 -m venv $(VENV)
 	$(PYTHON) -m pip install -q -c constraints.txt setuptools wheel
 	$(PYTHON) -m pip install -q -c constraints.txt --no-build-isolation \
-		$(foreach lib,$(LIBS),-e libs/$(lib)) -r requirements-dev.txt
+		$(foreach lib,$(LIBS),-e libs/$(lib)) -e platform -r requirements-dev.txt
 	touch $@
 
 install: $(VENV)/.installed ## Set up .venv with the binaries and the tools.
@@ -30,15 +30,15 @@
 	$(PYTHON) tools/run_tests.py
 
 lint: install ## Check format, style, types and imports.
-	$(VENV)/bin/ruff format --check libs tools measure
-	$(VENV)/bin/ruff check --no-cache libs
-	$(VENV)/bin/flake8 libs
+	$(VENV)/bin/ruff format --check libs platform tools measure
+	$(VENV)/bin/ruff check --no-cache libs platform
+	$(VENV)/bin/flake8 libs platform
 	$(PYTHON) tools/check_imports.py
-	$(VENV)/bin/mypy $(foreach lib,$(LIBS),-p jackdawlatch.$(lib))
+	$(VENV)/bin/mypy $(foreach lib,$(LIBS),-p jackdawlatch.$(lib)) -p jackdawlatch.platform
 
 format: install ## Format the code.
-	$(VENV)/bin/ruff format libs tools measure
-	$(VENV)/bin/ruff check --no-cache --fix libs
+	$(VENV)/bin/ruff format libs platform tools measure
+	$(VENV)/bin/ruff check --no-cache --fix libs platform
 
 measure: install ## Measure what the users measure; writes docs/MEASURES.md.
 	$(PYTHON) -m measure
--- a/libs/jobs/src/jackdawlatch/jobs/queues.py
+++ b/libs/jobs/src/jackdawlatch/jobs/queues.py
@@ -53,10 +53,10 @@
             service.name: service for service in services
         }
         self._by_hostname: dict[str, list[Queue]] = {}
-        for queue in self.queues_by_name.values():
+        for queue in sorted(
+            self.queues_by_name.values(), key=_prefix_length, reverse=True
+        ):
             self._by_hostname.setdefault(queue.hostname, []).append(queue)
-        for found in self._by_hostname.values():
-            found.sort(key=lambda queue: len(queue.prefix), reverse=True)
 
     def find(self, hostname: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix of ``path``."""
@@ -64,3 +64,7 @@
             if path.startswith(queue.prefix):
                 return queue
         return None
+
+
+def _prefix_length(queue: Queue) -> int:
+    return len(queue.prefix)
--- a/libs/scheduler/src/jackdawlatch/scheduler/election.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/election.py
@@ -16,7 +16,6 @@
 RENEWALS_PER_TTL = 4
 # Orders that are on their way when the lease ends need a margin.
 TRUSTED_FRACTION = 0.85
-POLL_S = 0.05
 JITTER_S = 0.05
 
 
@@ -33,7 +32,7 @@
     """One process's candidacy."""
 
     def __init__(self, candidate: Candidate) -> None:
-        self.vacant = False
+        self._vacancy = asyncio.Event()
         self.term: ledger.Term | None = None
         self._candidate = candidate
         self._lease = ''
@@ -48,14 +47,13 @@
     async def win(self) -> ledger.Term:
         """Return once this process leads."""
         while True:
-            while not self.vacant:
-                await asyncio.sleep(POLL_S)
+            await self._vacancy.wait()
             await asyncio.sleep(random.uniform(0, JITTER_S))  # noqa: S311
-            if self.vacant and await self._compete():
-                break
-        self.vacant = False
-        assert self.term is not None  # noqa: S101
-        return self.term
+            if self._vacancy.is_set():
+                term = await self._compete()
+                if term is not None:
+                    self._vacancy.clear()
+                    return term
 
     async def keep(self) -> None:
         """Renew the lease; return when it is lost."""
@@ -77,17 +75,24 @@
 
     def observe(self, entry: keyvalue.Entry) -> None:
         """Take note of a change of the leadership key."""
-        self.vacant = entry.deleted
+        self.note_vacancy(entry.deleted)
         if entry.deleted and self.term is not None:
             if entry.revision > self.term.token:
                 logging.info('leadership lost: the key was removed')
                 self.term = None
 
-    async def _compete(self) -> bool:
+    def note_vacancy(self, vacant: bool) -> None:
+        """Take note of whether the leadership key is absent."""
+        if vacant:
+            self._vacancy.set()
+        else:
+            self._vacancy.clear()
+
+    async def _compete(self) -> ledger.Term | None:
         asked_s = self._candidate.clock.monotonic_s()
         granted = await self._candidate.store.grant(TTL_S)
         if isinstance(granted, result.Failure):
-            return False
+            return None
         self._lease = granted.unwrap().id
         name = self._candidate.name
         written = await self._candidate.store.commit(
@@ -110,7 +115,7 @@
             # A write without an answer may have made this process leader of
             # nothing: its lease is ended, and the key with it.
             await self._candidate.store.revoke(self._lease)
-            return False
+            return None
         self._renewed_s = asked_s
         self.term = ledger.Term(name, written.unwrap())
-        return True
+        return self.term
--- a/libs/scheduler/src/jackdawlatch/scheduler/fillers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/fillers.py
@@ -6,7 +6,13 @@
 
 from returns import result
 
-from jackdawlatch.scheduler import clients, ledger, runs, workers
+from jackdawlatch.scheduler import (
+    calls,
+    clients,
+    ledger,
+    runs,
+    workers,
+)
 
 PERIOD_S = 0.5
 # Filling work is slowed before a target is missed.
@@ -59,9 +65,8 @@
         for run in filling:
             wanted = wanted_pace(run.pace, strain)
             if wanted != run.pace:
-                name = clients.RunName(run.task.id, run.attempt)
                 paced = await self._parts.client.pace(
-                    worker.target, name, wanted, self._parts.term.token
+                    worker.target, run.name, wanted, self._parts.term.token
                 )
                 if not isinstance(paced, result.Failure):
                     run.pace = wanted
--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -1,6 +1,7 @@
 """What a process does while it leads: one object for each term."""
 
 import asyncio
+import contextlib
 import dataclasses
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -9,30 +10,30 @@
 from returns import result
 
 from jackdawlatch.jobs import queues, stored
-from jackdawlatch.model import clocks, records
+from jackdawlatch.model import clocks
 from jackdawlatch.scheduler import (
+    acceptance,
     book,
     clients,
+    contacts,
     fillers,
-    ledger,
+    housekeeping,
+    job_order,
     observers,
     orders,
-    planner,
-    tasks,
+    reconcile,
+    roll,
     waves,
     workers,
 )
+from jackdawlatch.scheduler import ledger as ledgers
+from jackdawlatch.scheduler import planner as planners
 from jackdawlatch.store import following, keyvalue, transactions
 from jackdawlatch.telemetry import decisions
 
-LEASE_S = 6.0
-HOLD_WAIT_S = 2.0
-PROBE_S = 0.25
-TICK_S = 0.2
+POLL_S = 0.1
+# Gathers the news of one turn into one planning round.
 PLAN_PAUSE_S = 0.01
-PENDING_PERIOD_S = 1.0
-# Ended jobs are kept as long as callers may ask for them, and a little more.
-RETENTION_SLACK_S = 5
 REGISTRY_PACE = following.Pace(pause_s=0.1)
 
 
@@ -63,38 +64,43 @@
     """Places tasks and maintains machines until it is deposed."""
 
     def __init__(
-        self, parts: Parts, term: ledger.Term, catalog: queues.Catalog
+        self, parts: Parts, term: ledgers.Term, catalog: queues.Catalog
     ) -> None:
         self._parts = parts
         self._tasks: set[asyncio.Task[None]] = set()
-        self._lease_s = min(LEASE_S, parts.settings.bounds.lease_s)
         self._wake = asyncio.Event()
-        self._contacts: set[workers.Worker] = set()
-        self.ledger = ledger.Ledger(parts.store, term)
+        self._ledger = ledgers.Ledger(parts.store, term)
         self.book = book.Book(
             book.Parts(
-                parts.clock, self.ledger, parts.log, parts.settings.bounds
+                parts.clock, self._ledger, parts.log, parts.settings.bounds
             ),
             catalog,
         )
-        self._orders = orders.Orders(
+        self._roll = roll.Roll(self.book)
+        own_orders = orders.Orders(
             orders.Parts(
                 self.book,
-                self.ledger,
+                self._roll,
+                reconcile.Reconciler(self.book),
+                self._ledger,
                 term,
                 parts.worker_client,
                 self._leading,
                 self._spawn,
             )
         )
-        self._planner = planner.Planner(planner.ObjectiveOrder())
+        self.book.changed = self._wake.set
+        self.book.unwanted = own_orders.stop
+        self._orders = own_orders
+        self._contacts = contacts.Contacts(self.book, own_orders, self._spawn)
+        self._planner = planners.Planner(job_order.ObjectiveOrder())
         self._fillers = fillers.Fillers(
             fillers.Parts(parts.worker_client, term, self._leading)
         )
         self.waves = waves.Waves(
             waves.Parts(
                 self.book,
-                self._orders,
+                own_orders,
                 parts.machine_client,
                 parts.store,
                 term,
@@ -102,8 +108,6 @@
                 parts.settings.waves,
             )
         )
-        self.book.changed = self._wake.set
-        self.book.unwanted = self._orders.stop
 
     async def run(self) -> None:
         """Lead until deposed."""
@@ -114,36 +118,46 @@
                 task.cancel()
 
     async def _lead(self) -> None:
-        known = await self._progress()
-        work = following.Follower(
-            self._parts.store,
-            stored.WORK_PREFIX,
-            observers.WorkObserver(self.book, known),
-            following.Pace(),
-        )
         registry = following.Follower(
             self._parts.store,
             self._parts.directory.prefix,
             observers.WorkerObserver(
-                self.book, self._parts.directory, self._joined
+                self._roll, self._parts.directory, self._contacts.join
             ),
             REGISTRY_PACE,
         )
-        self._spawn(registry.run())
-        await registry.started.wait()
-        self._spawn(work.run())
-        await work.started.wait()
+        work = following.Follower(
+            self._parts.store,
+            stored.WORK_PREFIX,
+            observers.WorkObserver(
+                acceptance.Acceptance(self.book), await self._progress()
+            ),
+            following.Pace(),
+        )
+        for follower in (registry, work):
+            self._spawn(follower.run())
+            await follower.started.wait()
+        chores = housekeeping.Housekeeping(
+            housekeeping.Parts(
+                self.book,
+                self._roll,
+                self._parts.store,
+                self._leading,
+                self._parts.settings.retention_s,
+            )
+        )
         for loop in (
-            self.ledger.run(),
+            self._ledger.run(),
             self._plan_loop(),
-            self._tick_loop(),
-            self._pending_loop(),
+            chores.tick(),
+            chores.tell_pending(),
             self.waves.run(),
             self._fillers.run(self.book.workers_by_id),
         ):
             self._spawn(loop)
         while self._leading():
-            await asyncio.sleep(PROBE_S)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._ledger.deposed.wait(), POLL_S)
 
     async def _progress(self) -> dict[str, keyvalue.Entry]:
         while self._leading():
@@ -153,11 +167,11 @@
                     entry.key.removeprefix(stored.PROGRESS_PREFIX): entry
                     for entry in scanned.unwrap().entries
                 }
-            await asyncio.sleep(PROBE_S)
+            await asyncio.sleep(POLL_S)
         return {}
 
     def _leading(self) -> bool:
-        return self._parts.leading() and not self.ledger.deposed.is_set()
+        return self._parts.leading() and not self._ledger.deposed.is_set()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
@@ -168,28 +182,7 @@
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             logging.error('leader failed', exc_info=task.exception())
-            self.ledger.deposed.set()
-
-    def _joined(self, worker: workers.Worker) -> None:
-        if worker not in self._contacts:
-            self._contacts.add(worker)
-            self._spawn(self._contact(worker))
-
-    async def _contact(self, worker: workers.Worker) -> None:
-        known = self.book.workers_by_id
-        while known.get(worker.entry.id) is worker:
-            if not worker.listed and not worker.runs_by_task:
-                break
-            if worker.reachable:
-                answered = await self._orders.look(
-                    worker, self._lease_s, HOLD_WAIT_S
-                )
-            else:
-                answered = await self._orders.look(worker, None, 0)
-            if not answered:
-                worker.reachable = False
-                await asyncio.sleep(PROBE_S)
-        self._contacts.discard(worker)
+            self._ledger.deposed.set()
 
     async def _plan_loop(self) -> None:
         while True:
@@ -208,69 +201,6 @@
             self._planner.plan(
                 self.book.jobs_by_id.values(),
                 candidates,
-                planner.Moment(clock.monotonic_s(), clock.wall_s()),
+                job_order.Moment(clock.monotonic_s(), clock.wall_s()),
             )
         )
-
-    async def _tick_loop(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_S)
-            for worker in tuple(self.book.workers_by_id.values()):
-                self.book.expire(worker)
-            await self._drop_old()
-            self._wake.set()
-
-    async def _drop_old(self) -> None:
-        latest_s = self._parts.clock.wall_s() - (
-            self._parts.settings.retention_s + RETENTION_SLACK_S
-        )
-        old = [
-            job
-            for job in self.book.jobs_by_id.values()
-            if job.ended and job.ended_s < latest_s
-        ]
-        for job in old[:1]:
-            name = job.job.id
-            dropped = await self._parts.store.commit(
-                transactions.Transaction(
-                    deletes=(
-                        f'{stored.JOBS_PREFIX}{name}',
-                        f'{stored.CANCELS_PREFIX}{name}',
-                        f'{stored.PROGRESS_PREFIX}{name}',
-                    )
-                )
-            )
-            if not isinstance(dropped, result.Failure):
-                self.book.jobs_by_id.pop(name, None)
-
-    async def _pending_loop(self) -> None:
-        told: dict[str, int] | None = None
-        while True:
-            counts = _pending(self.book.jobs_by_id.values())
-            if counts != told and self._leading():
-                written = await self._parts.store.commit(
-                    transactions.Transaction(
-                        puts=(
-                            transactions.Put(
-                                key=stored.PENDING_KEY,
-                                content=records.encode(
-                                    stored.Pending(counts_by_queue=counts)
-                                ),
-                            ),
-                        )
-                    )
-                )
-                if not isinstance(written, result.Failure):
-                    told = counts
-            await asyncio.sleep(PENDING_PERIOD_S)
-
-
-def _pending(
-    jobs: Any,
-) -> dict[str, int]:
-    counts: dict[str, int] = {}
-    for job in jobs:
-        if job.phase is stored.JobPhase.QUEUED and not job.job.repeat_count:
-            name = job.job.queue
-            counts[name] = counts.get(name, 0) + 1
-    return counts
--- a/libs/scheduler/src/jackdawlatch/scheduler/observers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/observers.py
@@ -10,7 +10,7 @@
 
 from jackdawlatch.jobs import model, stored
 from jackdawlatch.model import failures, records
-from jackdawlatch.scheduler import book, clients, workers
+from jackdawlatch.scheduler import acceptance, reports, roll, workers
 from jackdawlatch.store import following, keyvalue
 
 Record = TypeVar('Record', bound=records.Record)
@@ -20,9 +20,11 @@
     """Sees accepted jobs and the wishes to cancel them."""
 
     def __init__(
-        self, own: book.Book, progress_by_id: dict[str, keyvalue.Entry]
+        self,
+        own: acceptance.Acceptance,
+        progress_by_id: dict[str, keyvalue.Entry],
     ) -> None:
-        self._book = own
+        self._acceptance = own
         self._progress_by_id = progress_by_id
 
     def reset(self, entries: Iterable[keyvalue.Entry]) -> None:
@@ -35,17 +37,19 @@
         if entry.deleted:
             return
         if entry.key.startswith(stored.CANCELS_PREFIX):
-            self._book.cancel(entry.key.removeprefix(stored.CANCELS_PREFIX))
+            self._acceptance.cancel(
+                entry.key.removeprefix(stored.CANCELS_PREFIX)
+            )
             return
         job = decode(entry, model.Job)
         if job is None:
             return
         known = self._progress_by_id.pop(job.id, None)
         if known is None:
-            self._book.add_job(job, None, keyvalue.ABSENT)
+            self._acceptance.add(job, None, keyvalue.ABSENT)
         else:
             progress = decode(known, stored.Progress)
-            self._book.add_job(job, progress, known.revision)
+            self._acceptance.add(job, progress, known.revision)
 
 
 class Directory(abc.ABC):
@@ -56,7 +60,7 @@
     @abc.abstractmethod
     def decode(
         self, entry: keyvalue.Entry
-    ) -> result.Result[clients.WorkerEntry, failures.Invalid]:
+    ) -> result.Result[reports.WorkerEntry, failures.Invalid]:
         """Return the worker that an entry names."""
 
     @abc.abstractmethod
@@ -69,11 +73,11 @@
 
     def __init__(
         self,
-        own: book.Book,
+        own: roll.Roll,
         directory: Directory,
         joined: Callable[[workers.Worker], None],
     ) -> None:
-        self._book = own
+        self._roll = own
         self._directory = directory
         self._joined = joined
 
@@ -83,23 +87,18 @@
         for entry in entries:
             listed.add(self._directory.worker_id(entry.key))
             self.change(entry)
-        for known in self._book.workers_by_id.values():
-            known.listed = known.listed and known.entry.id in listed
+        self._roll.keep(listed)
 
     def change(self, entry: keyvalue.Entry) -> None:
         """Take one worker's entry."""
         if entry.deleted:
-            known = self._book.workers_by_id.get(
-                self._directory.worker_id(entry.key)
-            )
-            if known is not None:
-                known.listed = False
+            self._roll.unlist(self._directory.worker_id(entry.key))
             return
         decoded = self._directory.decode(entry)
         if isinstance(decoded, result.Failure):
             logging.info('entry %s: %s', entry.key, decoded.failure().line())
             return
-        self._joined(self._book.take_entry(decoded.unwrap()))
+        self._joined(self._roll.take(decoded.unwrap()))
 
 
 def decode(entry: keyvalue.Entry, record_type: type[Record]) -> Record | None:
--- a/libs/scheduler/src/jackdawlatch/scheduler/orders.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/orders.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import functools
+import types
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 
@@ -12,13 +13,15 @@
 from jackdawlatch.jobs import stored
 from jackdawlatch.scheduler import (
     book,
+    calls,
     clients,
-    ledger,
     planner,
+    reconcile,
+    roll,
     runs,
-    tasks,
     workers,
 )
+from jackdawlatch.scheduler import ledger as ledgers
 
 # A start is refused by its worker this long after it was sent; orders that
 # go unanswered may be carried out up to 12 s late.
@@ -28,12 +31,14 @@
 REFUSED_PENALTY_S = 0.3
 UNHEALTHY_PENALTY_S = 1.5
 
-PENALTIES_S_BY_REASON = {
-    clients.Refusal.NO_ROOM: REFUSED_PENALTY_S,
-    clients.Refusal.UNHEALTHY: UNHEALTHY_PENALTY_S,
-    clients.Refusal.OTHER_BOOT: UNHEALTHY_PENALTY_S,
-    clients.Refusal.INVALID: UNHEALTHY_PENALTY_S,
-}
+PENALTIES_S_BY_REASON = types.MappingProxyType(
+    {
+        calls.Refusal.NO_ROOM: REFUSED_PENALTY_S,
+        calls.Refusal.UNHEALTHY: UNHEALTHY_PENALTY_S,
+        calls.Refusal.OTHER_BOOT: UNHEALTHY_PENALTY_S,
+        calls.Refusal.INVALID: UNHEALTHY_PENALTY_S,
+    }
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -41,8 +46,10 @@
     """What orders are given with; ``leading`` tells whether they may be."""
 
     book: book.Book
-    ledger: ledger.Ledger
-    term: ledger.Term
+    roll: roll.Roll
+    reconciler: reconcile.Reconciler
+    ledger: ledgers.Ledger
+    term: ledgers.Term
     client: clients.WorkerClient
     leading: Callable[[], bool]
     spawn: Callable[[Coroutine[Any, Any, None]], Any]
@@ -53,30 +60,35 @@
 
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
-        self._stopping: set[tuple[str, int, clients.RunName]] = set()
+        self._stopping: set[tuple[str, int, calls.RunName]] = set()
         self._clock = parts.book.parts.clock
 
     def place(self, placements: Iterable[planner.Placement]) -> None:
         """Write the starts, then order each one."""
         for placement in placements:
-            task, worker = placement.task, placement.worker
-            task.attempt = placement.attempt
-            run = runs.Run(task, worker, task.attempt, runs.RunPhase.WRITING)
-            run.checkpoint = task.checkpoint
-            task.run = run
-            task.phase = tasks.TaskPhase.PLACED
-            worker.add(run)
+            task = placement.task
+            run = self._parts.book.assign(
+                task,
+                placement.worker,
+                placement.attempt,
+                runs.RunPhase.WRITING,
+            )
             if task.job.phase is stored.JobPhase.QUEUED:
                 task.job.phase = stored.JobPhase.RUNNING
             self._parts.ledger.mark(
                 task.job, functools.partial(self._order, run, placement.ticket)
             )
 
-    def stop(self, worker: workers.Worker, name: clients.RunName) -> None:
+    def stop(self, worker: workers.Worker, name: calls.RunName) -> None:
         """Stop a run; repeated until the worker has answered."""
         key = (worker.entry.id, worker.entry.born_ms, name)
         if key not in self._stopping:
             self._stopping.add(key)
+            # At once: who stops several runs counts those that are leaving.
+            run = worker.runs_by_task.get(name.task)
+            if run is not None and run.attempt == name.attempt:
+                if run.phase is runs.RunPhase.RUNNING:
+                    run.phase = runs.RunPhase.STOPPING
             self._parts.spawn(self._stop(worker, name, key))
 
     async def look(
@@ -91,7 +103,7 @@
             lease_s += worker.clock_s(asked_s)
         looked = await self._parts.client.look(
             worker.target,
-            clients.Look(
+            calls.Look(
                 token=self._parts.term.token,
                 acked=worker.acked,
                 lease_s=lease_s,
@@ -104,11 +116,11 @@
         lists = looked.unwrap()
         worker.set_clock(lists.clock_s, self._clock.monotonic_s())
         if lists.born_ms and lists.born_ms != worker.entry.born_ms:
-            self._parts.book.take_entry(
+            self._parts.roll.take(
                 dataclasses.replace(worker.entry, born_ms=lists.born_ms)
             )
             return False
-        self._parts.book.take_lists(worker, lists, asked_s)
+        self._parts.reconciler.take(worker, lists, asked_s)
         return True
 
     def settle(self, run: runs.Run) -> None:
@@ -131,7 +143,7 @@
         worker.extend_lease(START_EXPIRY_S, now_s)
         started = await self._parts.client.start(
             worker.target,
-            clients.Start(
+            calls.Start(
                 task=run.task.id,
                 attempt=run.attempt,
                 spec=run.task.job.job.spec,
@@ -147,28 +159,28 @@
             run.phase = runs.RunPhase.RUNNING
             run.began_s = self._clock.monotonic_s()
             if run.task.job.ended:
-                self.stop(worker, clients.RunName(run.task.id, run.attempt))
+                self.stop(worker, run.name)
             return
         self._not_started(run, started.failure())
 
-    def _not_started(self, run: runs.Run, failure: clients.CallFailure) -> None:
-        if isinstance(failure, clients.Unanswered):
+    def _not_started(self, run: runs.Run, failure: calls.CallFailure) -> None:
+        if isinstance(failure, calls.Unanswered):
             self.settle(run)
             return
         self._failed(run.worker, failure)
         self._parts.book.release(run, failure.line())
 
     def _failed(
-        self, worker: workers.Worker, failure: clients.CallFailure
+        self, worker: workers.Worker, failure: calls.CallFailure
     ) -> None:
-        if not isinstance(failure, clients.Refused):
+        if not isinstance(failure, calls.Refused):
             if worker.reachable:
                 logging.info(
                     'worker %s lost: %s', worker.entry.id, failure.line()
                 )
             worker.reachable = False
             return
-        if failure.reason is clients.Refusal.FENCED:
+        if failure.reason is calls.Refusal.FENCED:
             self._parts.ledger.deposed.set()
         penalty_s = PENALTIES_S_BY_REASON.get(failure.reason, 0)
         worker.penalty_until_s = max(
@@ -176,7 +188,7 @@
         )
 
     async def _settle(self, run: runs.Run) -> None:
-        name = clients.RunName(run.task.id, run.attempt)
+        name = run.name
         while self._unsettled(run):
             await self.look(run.worker, None, 0)
             if not self._unsettled(run):
@@ -199,20 +211,16 @@
     async def _stop(
         self,
         worker: workers.Worker,
-        name: clients.RunName,
-        key: tuple[str, int, clients.RunName],
+        name: calls.RunName,
+        key: tuple[str, int, calls.RunName],
     ) -> None:
-        run = worker.runs_by_task.get(name.task)
-        if run is not None and run.attempt == name.attempt:
-            if run.phase is runs.RunPhase.RUNNING:
-                run.phase = runs.RunPhase.STOPPING
         while self._parts.leading() and worker.listed:
             stopped = await self._parts.client.stop(
                 worker.target, name, self._parts.term.token
             )
             if not isinstance(stopped, result.Failure):
                 break
-            if isinstance(stopped.failure(), clients.Refused):
+            if isinstance(stopped.failure(), calls.Refused):
                 self._failed(worker, stopped.failure())
                 break
             await asyncio.sleep(RETRY_S)
--- a/libs/scheduler/src/jackdawlatch/scheduler/planner.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/planner.py
@@ -1,16 +1,10 @@
 """Decides which waiting tasks start now, and where."""
 
-import abc
 import dataclasses
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Mapping
 
-from jackdawlatch.jobs import model, queues
-from jackdawlatch.scheduler import tasks, workers
-
-# A step's objective allows up to this many times its latency objective
-# before the rest of its worth is gone.
-DEFAULT_ESTIMATE_S = 1.0
-LAST_PRIORITY = 99
+from jackdawlatch.jobs import model
+from jackdawlatch.scheduler import job_order, tasks, workers
 
 
 @dataclasses.dataclass(frozen=True)
@@ -23,63 +17,17 @@
     ticket: str = ''
 
 
-@dataclasses.dataclass(frozen=True)
-class Moment:
-    """The time of a planning round on both clocks."""
-
-    steady_s: float
-    wall_s: float
-
-
-class Order(abc.ABC):
-    """Which job goes first; a lower key does."""
-
-    @abc.abstractmethod
-    def key(self, job: tasks.JobState, moment: Moment) -> tuple[float, ...]:
-        """Return the sort key of a job."""
-
-
-class ObjectiveOrder(Order):
-    """By priority; then what can meet its objective, least work first."""
-
-    def key(self, job: tasks.JobState, moment: Moment) -> tuple[float, ...]:
-        """Return the sort key of a job."""
-        queue = job.queue
-        priority = queue.priority if queue else LAST_PRIORITY
-        lasting = any(step.lasting for step in job.job.steps)
-        work = sum(
-            (state.step.count - state.done_count)
-            * state.step.estimate_s
-            * state.step.room.processors_m
-            for state in job.steps
-        )
-        late = moment.wall_s > self._objective_s(job, queue)
-        return (not lasting, late, priority, work)
-
-    def _objective_s(
-        self, job: tasks.JobState, queue: queues.Queue | None
-    ) -> float:
-        if queue is None:
-            return job.job.accepted_s
-        chain_s = sum(step.estimate_s for step in job.job.steps)
-        left_s = sum(
-            state.step.estimate_s for state in job.steps if not state.done
-        )
-        latest_s = queue.slack_factor * chain_s + queue.target_s - left_s
-        return job.job.accepted_s + latest_s
-
-
 class Planner:
     """Places ready tasks on the workers of their services."""
 
-    def __init__(self, order: Order) -> None:
+    def __init__(self, order: job_order.Order) -> None:
         self._order = order
 
     def plan(
         self,
         jobs: Iterable[tasks.JobState],
         candidates_by_service: Mapping[str, list[workers.Worker]],
-        moment: Moment,
+        moment: job_order.Moment,
     ) -> list[Placement]:
         """Return what starts now; the callers' state is not changed."""
         waiting = [
@@ -115,7 +63,6 @@
             for service, found in candidates_by_service.items()
         }
         self._free_by_worker: dict[str, model.Room] = {}
-        self.planned_by_step: dict[tuple[str, str, int, int], int] = {}
 
     def candidates(
         self, service: str, step: model.Step
@@ -150,15 +97,33 @@
 
 def _place_step(
     job: tasks.JobState, state: tasks.StepState, room: _Rooms
-) -> Iterator[Placement]:
-    service = job.queue.service if job.queue else job.job.service
+) -> list[Placement]:
     waiting = [
         task for task in state.tasks if task.phase is tasks.TaskPhase.WAITING
     ]
-    if state.step.gang and len(waiting) < len(state.tasks):
-        return
-    chosen: list[tuple[tasks.Task, workers.Worker]] = []
+    gang = state.step.gang
+    if gang and len(waiting) < len(state.tasks):
+        return []
+    chosen = _choose_all(job, state, waiting, room)
+    if gang and len(chosen) < len(waiting):
+        return []
+    # The members of a gang share the number of their attempt.
+    highest = max(task.attempt for task in state.tasks)
+    return [
+        Placement(task, worker, 1 + (highest if gang else task.attempt))
+        for task, worker in chosen
+    ]
+
+
+def _choose_all(
+    job: tasks.JobState,
+    state: tasks.StepState,
+    waiting: list[tasks.Task],
+    room: _Rooms,
+) -> list[tuple[tasks.Task, workers.Worker]]:
+    service = job.queue.service if job.queue else job.job.service
     counts = _counts(state)
+    chosen: list[tuple[tasks.Task, workers.Worker]] = []
     for task in waiting:
         worker = _choose(service, state.step, room, counts)
         if worker is None:
@@ -166,12 +131,7 @@
         counts[worker.entry.id] = counts.get(worker.entry.id, 0) + 1
         room.take(worker, state.step.held_room)
         chosen.append((task, worker))
-    if state.step.gang and len(chosen) < len(state.tasks):
-        return
-    highest = max((task.attempt for task in state.tasks), default=0)
-    for task, worker in chosen:
-        attempt = (highest if state.step.gang else task.attempt) + 1
-        yield Placement(task, worker, attempt)
+    return chosen
 
 
 def _counts(state: tasks.StepState) -> dict[str, int]:
--- /dev/null
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reports.py
@@ -0,0 +1,100 @@
+"""What workers, machines and the advice service tell."""
+
+import dataclasses
+import enum
+from typing import ClassVar
+
+from jackdawlatch.jobs import model
+from jackdawlatch.model import failures
+from jackdawlatch.scheduler import calls
+
+
+class EndKind(enum.Enum):
+    """How a run ended."""
+
+    DONE = 'done'
+    FAILED = 'failed'
+    STOPPED = 'stopped'
+    LAPSED = 'lapsed'
+    BROKEN = 'broken'
+    ALONE = 'alone'
+
+
+@dataclasses.dataclass(frozen=True)
+class WorkerEntry:
+    """What a worker says of itself; ``born_ms`` names one boot of ``id``."""
+
+    id: str
+    born_ms: int
+    address: str
+    service: str
+    zone: str
+    machine: str
+    room: model.Room
+    labels: tuple[str, ...] = ()
+    rack: str = ''
+    draining: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunReport:
+    """A run on a worker; ``percent`` 100 means that a lasting task serves.
+
+    ``gauge`` is the response-time tail in ms of a task that serves, and
+    thousandths of a core in use for any other.
+    """
+
+    name: calls.RunName
+    checkpoint: str
+    percent: int
+    gauge: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndReport:
+    """An end, numbered from 1 in each boot of a worker."""
+
+    number: int
+    name: calls.RunName
+    kind: EndKind
+    checkpoint: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Lists:
+    """What a worker runs, and which ends were not acknowledged yet."""
+
+    clock_s: float
+    born_ms: int
+    running: tuple[RunReport, ...]
+    ended: tuple[EndReport, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Machine:
+    """A machine of the platform; ``worker`` is empty while none runs."""
+
+    id: str
+    service: str
+    available: bool
+    worker: str = ''
+
+
+@dataclasses.dataclass(frozen=True)
+class Advice:
+    """Tickets by worker id, valid for ``valid_s``."""
+
+    tickets_by_worker: dict[str, str]
+    valid_s: float
+
+
+class MachineFailure(failures.Problem, frozen=True, kw_only=True):
+    """The call was refused or not answered."""
+
+    code: ClassVar[str] = 'machine-call-failed'
+
+
+class AdviceFailure(failures.Problem, frozen=True, kw_only=True):
+    """The advice service refused or did not answer."""
+
+    code: ClassVar[str] = 'advice-failed'
--- a/libs/scheduler/src/jackdawlatch/scheduler/runs.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/runs.py
@@ -3,6 +3,8 @@
 import enum
 import typing
 
+from jackdawlatch.scheduler import calls, reports
+
 if typing.TYPE_CHECKING:
     from jackdawlatch.scheduler import tasks, workers
 
@@ -57,6 +59,17 @@
         # A look asked for after this time that lacks the run settles it.
         self.settled_after_s: float | None = None
 
+    @property
+    def name(self) -> calls.RunName:
+        """How the worker is told of this run."""
+        return calls.RunName(self.task.id, self.attempt)
+
+    def take(self, report: reports.RunReport) -> None:
+        """Take over what the worker tells of this run."""
+        self.checkpoint = report.checkpoint or self.checkpoint
+        self.percent = report.percent
+        self.gauge = report.gauge
+
     @property
     def serving(self) -> bool:
         """Whether a lasting task is at work."""
--- a/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
@@ -117,6 +117,20 @@
         """Whether callers are told an end."""
         return self.phase in stored.ENDED
 
+    @property
+    def complete(self) -> bool:
+        """Whether every task of every occurrence is done."""
+        return all(state.done for state in self.steps)
+
+    def runs(self) -> list[runs.Run]:
+        """Return the attempts that may be running."""
+        return [
+            task.run
+            for state in self.steps
+            for task in state.tasks
+            if task.run is not None
+        ]
+
     def task(self, task_id: model.TaskId) -> Task | None:
         """Return a task of this job."""
         try:
@@ -150,8 +164,6 @@
             if member.phase is not TaskPhase.DONE:
                 member.phase = TaskPhase.DONE
                 state.done_count += 1
-        if all(step.done for step in self.steps):
-            self.phase = stored.JobPhase.DONE
 
     def restore(self, progress: stored.Progress) -> None:
         """Take over what an earlier leader wrote."""
--- a/libs/scheduler/src/jackdawlatch/scheduler/waves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waves.py
@@ -22,6 +22,8 @@
 PERIOD_S = 0.2
 # Orders about machines of two leaders must not be closer than this.
 HANDOVER_S = 3.0
+# A worker needs about a heartbeat to be listed after maintenance.
+DOWN_FACTOR = 1.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -128,7 +130,7 @@
     def _down(self, state: _WaveState) -> int:
         now_s = self._clock.monotonic_s()
         # A machine counts until its next worker has surely come up.
-        down_s = self._parts.settings.maintenance_s * 1.5
+        down_s = self._parts.settings.maintenance_s * DOWN_FACTOR
         return sum(
             now_s - begun_s < down_s
             for begun_s in state.begun_s_by_machine.values()
@@ -148,9 +150,8 @@
             logging.info('maintenance of %s: %s', machine, begun.failure())
             return
         state.begun_s_by_machine[machine] = self._clock.monotonic_s()
-        self._parts.book.parts.log.note(
-            'maintenance', machine=machine, wave=state.wave.number
-        )
+        log = self._parts.book.parts.log
+        log.note('maintenance', machine=machine, wave=state.wave.number)
         if worker is not None:
             for run in tuple(worker.runs_by_task.values()):
                 self._parts.book.release(run, 'maintenance')
@@ -163,9 +164,7 @@
             empty = False
             if run.task.step.lasting and run.phase is runs.RunPhase.RUNNING:
                 if may_leave(run.task):
-                    self._parts.orders.stop(
-                        worker, clients.RunName(run.task.id, run.attempt)
-                    )
+                    self._parts.orders.stop(worker, run.name)
         return empty
 
     async def _tell(self, state: _WaveState, done: bool) -> None:
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -1,9 +1,13 @@
 """The state that the leader keeps of each boot of a worker."""
 
-import collections
+from collections.abc import Callable
 
 from jackdawlatch.jobs import model
-from jackdawlatch.scheduler import clients, runs
+from jackdawlatch.scheduler import (
+    calls,
+    reports,
+    runs,
+)
 
 # The documented error of a worker's steady clock.
 CLOCK_DRIFT = 0.02
@@ -12,7 +16,7 @@
 class Worker:
     """One boot of a worker, with the runs that may be there."""
 
-    def __init__(self, entry: clients.WorkerEntry) -> None:
+    def __init__(self, entry: reports.WorkerEntry) -> None:
         self.entry = entry
         self.listed = True
         self.reachable = False
@@ -22,17 +26,14 @@
         self.penalty_until_s: float = 0
         self.runs_by_task: dict[model.TaskId, runs.Run] = {}
         self.free = entry.room
-        self.acked = 0
         self.seen = 0
         self._offset_s: float | None = None
-        self._unacked: collections.deque[tuple[int, list[bool]]] = (
-            collections.deque()
-        )
+        self._unstored: set[int] = set()
 
     @property
-    def target(self) -> clients.Target:
+    def target(self) -> calls.Target:
         """How the worker is called."""
-        return clients.Target(self.entry.id, self.entry.address)
+        return calls.Target(self.entry.id, self.entry.address)
 
     @property
     def usable(self) -> bool:
@@ -44,6 +45,13 @@
             and not self.entry.draining
         )
 
+    @property
+    def acked(self) -> int:
+        """The number up to which every end is stored."""
+        if self._unstored:
+            return min(self._unstored) - 1
+        return self.seen
+
     def clock_s(self, now_s: float) -> float:
         """Return the worker's clock, as far as it is known."""
         return now_s + (self._offset_s or 0)
@@ -68,22 +76,20 @@
             self.runs_by_task.pop(run.task.id)
             self._recount()
 
-    def update(self, entry: clients.WorkerEntry) -> None:
+    def update(self, entry: reports.WorkerEntry) -> None:
         """Take over a newer entry of the same boot."""
         self.entry = entry
         self._recount()
 
-    def await_ack(self, number: int) -> list[bool]:
-        """Return a cell to set true once an end may be acknowledged."""
-        cell = [False]
-        self._unacked.append((number, cell))
+    def await_ack(self, number: int) -> Callable[[], None]:
+        """Return what to call once an end may be acknowledged."""
         self.seen = max(self.seen, number)
-        return cell
+        self._unstored.add(number)
+
+        def acknowledge() -> None:
+            self._unstored.discard(number)
 
-    def advance_acked(self) -> None:
-        """Acknowledge up to the first end that is not stored yet."""
-        while self._unacked and self._unacked[0][1][0]:
-            self.acked = self._unacked.popleft()[0]
+        return acknowledge
 
     def _recount(self) -> None:
         free = self.entry.room
--- a/libs/telemetry/src/jackdawlatch/telemetry/decisions.py
+++ b/libs/telemetry/src/jackdawlatch/telemetry/decisions.py
@@ -40,8 +40,10 @@
         }
         if self.dropped:
             line['dropped_before'] = self.dropped
+        encoded = bytearray(msgspec.json.encode(line))
+        encoded.extend(b'\n')
         try:
-            os.write(self._descriptor, msgspec.json.encode(line) + b'\n')
+            os.write(self._descriptor, encoded)
         except BlockingIOError:
             self.dropped += 1
 
--- a/libs/unified/src/jackdawlatch/unified/core.py
+++ b/libs/unified/src/jackdawlatch/unified/core.py
@@ -37,7 +37,9 @@
     stderr: TextIO
 
     @classmethod
-    def of_process(cls, arguments: Sequence[str], **streams: TextIO) -> 'Environment':
+    def of_process(
+        cls, arguments: Sequence[str], **streams: TextIO
+    ) -> 'Environment':
         """Return the environment of this process."""
         return cls(arguments=arguments, variables=os.environ, **streams)
 
--- a/libs/unified/src/jackdawlatch/unified/root.py
+++ b/libs/unified/src/jackdawlatch/unified/root.py
@@ -63,31 +63,27 @@
     async def run(self) -> None:
         """Run until SIGTERM, then answer what is in flight."""
         self._log.note('start', zone=self._settings.zone)
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reloaded)
-        self._spawn(
-            following.Follower(
-                self._store,
-                operator.PREFIX,
-                self._orders,
-                following.Pace(),
-            ).run()
-        )
-        self._spawn(
-            following.Follower(
-                self._store,
-                stored.FLEET_PREFIX,
-                observers.FleetObserver(self._election, self._intake),
-                following.Pace(),
-            ).run()
-        )
+        self._handle_signals()
+        fleet = observers.FleetObserver(self._election, self._intake)
+        for prefix, observer in (
+            (operator.PREFIX, self._orders),
+            (stored.FLEET_PREFIX, fleet),
+        ):
+            follower = following.Follower(
+                self._store, prefix, observer, following.Pace()
+            )
+            self._spawn(follower.run())
         self._spawn(self._lead())
         await self._stopping.wait()
         await self._drain()
         self._log.note('stop', dropped_lines=self._log.dropped)
 
+    def _handle_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reloaded)
+
     async def _lead(self) -> None:
         while True:
             term = await self._election.win()
--- a/libs/unified/src/jackdawlatch/unified/settings.py
+++ b/libs/unified/src/jackdawlatch/unified/settings.py
@@ -47,7 +47,5 @@
     }
     for field, address in addresses_by_field.items():
         if not address.rpartition(':')[2].isdigit():
-            return result.Failure(
-                loading.invalid(source, field, 'host:port')
-            )
+            return result.Failure(loading.invalid(source, field, 'host:port'))
     return result.Success(settings)
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -13,9 +13,11 @@
 
 def main() -> int:
     """Print each offending import; return the exit status."""
-    sources = sorted(ROOT.glob('libs/*/**/*.py')) + sorted(
-        ROOT.glob('measure/*.py')
-    )
+    sources = [
+        path
+        for pattern in ('libs/*/**/*.py', 'platform/**/*.py', 'measure/*.py')
+        for path in sorted(ROOT.glob(pattern))
+    ]
     offences = [line for path in sources for line in _offences(path)]
     for line in offences:
         sys.stdout.write(f'{line}\n')
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -13,7 +13,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 # The tree that is tested goes before the one that is installed.
-SOURCES = [str(path) for path in sorted(ROOT.glob('libs/*/src'))]
+MEMBERS = (*sorted(ROOT.glob('libs/*')), ROOT / 'platform')
+SOURCES = [str(path / 'src') for path in MEMBERS]
 sys.path[:0] = SOURCES
 # Processes that a test starts are to run the same tree.
 os.environ['PYTHONPATH'] = os.pathsep.join(SOURCES)
@@ -32,10 +33,11 @@
 
 
 def _suite(libraries: list[str], match: str) -> unittest.TestSuite:
-    names = libraries or sorted(path.name for path in ROOT.glob('libs/*'))
     suite = unittest.TestSuite()
-    for name in names:
-        for path in sorted(ROOT.glob(f'libs/{name}/tests/test_*.py')):
+    for member in MEMBERS:
+        if libraries and member.name not in libraries:
+            continue
+        for path in sorted(member.glob('tests/test_*.py')):
             tests = unittest.defaultTestLoader.loadTestsFromModule(
                 _module(path)
             )
