--- a/libs/scheduler/src/jackdawlatch/scheduler/fillers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/fillers.py
@@ -7,7 +7,6 @@
 from returns import result
 
 from jackdawlatch.scheduler import (
-    calls,
     clients,
     ledger,
     runs,
--- a/libs/scheduler/src/jackdawlatch/scheduler/planner.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/planner.py
@@ -110,7 +110,7 @@
     # The members of a gang share the number of their attempt.
     highest = max(task.attempt for task in state.tasks)
     return [
-        Placement(task, worker, 1 + (highest if gang else task.attempt))
+        Placement(task, worker, 1 + max(task.attempt, highest * gang))
         for task, worker in chosen
     ]
 
