--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -134,7 +134,8 @@
             ),
             following.Pace(),
         )
-        for follower in (registry, work):
+        # Jobs first: an end of a job that is not known would be forgotten.
+        for follower in (work, registry):
             self._spawn(follower.run())
             await follower.started.wait()
         chores = housekeeping.Housekeeping(
