Wait for ends to be stored before the next look at a worker

Ruled out: too short a wait in the look itself. Tests of the leader over fake workers and a fake store come with this.

--- a/libs/scheduler/src/jackdawlatch/scheduler/contacts.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/contacts.py
@@ -11,6 +11,8 @@
 LEASE_S = 6.0
 HOLD_WAIT_S = 2.0
 PROBE_S = 0.25
+# Leases are extended also while the store takes no ends.
+STORING_S = 1.0
 
 
 class Contacts:
@@ -46,7 +48,10 @@
             else:
                 # A lease that is not extended bounds the wait for its runs.
                 answered = await self._orders.look(worker, None, 0)
-            if not answered:
+            if answered:
+                # A look answers at once while ends wait to be acknowledged.
+                await worker.all_stored(STORING_S)
+            else:
                 worker.reachable = False
                 await asyncio.sleep(PROBE_S)
         self._active.discard(worker)
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -1,5 +1,7 @@
 """The state that the leader keeps of each boot of a worker."""
 
+import asyncio
+import contextlib
 from collections.abc import Callable
 
 from jackdawlatch.jobs import model
@@ -29,6 +31,8 @@
         self.seen = 0
         self._offset_s: float | None = None
         self._unstored: set[int] = set()
+        self._all_stored = asyncio.Event()
+        self._all_stored.set()
 
     @property
     def target(self) -> calls.Target:
@@ -52,6 +56,11 @@
             return min(self._unstored) - 1
         return self.seen
 
+    async def all_stored(self, timeout_s: float) -> None:
+        """Return once every end is stored, or after ``timeout_s``."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._all_stored.wait(), timeout_s)
+
     def clock_s(self, now_s: float) -> float:
         """Return the worker's clock, as far as it is known."""
         return now_s + (self._offset_s or 0)
@@ -85,9 +94,12 @@
         """Return what to call once an end may be acknowledged."""
         self.seen = max(self.seen, number)
         self._unstored.add(number)
+        self._all_stored.clear()
 
         def acknowledge() -> None:
             self._unstored.discard(number)
+            if not self._unstored:
+                self._all_stored.set()
 
         return acknowledge
 
--- /dev/null
+++ b/libs/scheduler/tests/scheduler_bench.py
@@ -0,0 +1,216 @@
+"""A leader over a fake store and fake workers, for the scheduler's tests."""
+
+import asyncio
+import contextlib
+import io
+import os
+import tempfile
+from collections.abc import AsyncIterator, Callable
+
+from returns import result
+
+from jackdawlatch.jobs import model, queues, stored
+from jackdawlatch.model import clocks, failures, records
+from jackdawlatch.scheduler import (
+    book,
+    clients,
+    leader,
+    ledger,
+    observers,
+    reports,
+    waves,
+)
+from jackdawlatch.standins import fakes, task_workers
+from jackdawlatch.store import keyvalue, transactions
+from jackdawlatch.telemetry import decisions
+
+WAIT_S = 5
+POLL_S = 0.005
+QUEUE = queues.Queue(
+    'photos', 'host', '/photos/', 'photo', max_attempts=2, slack_factor=2
+)
+CATALOG = queues.Catalog(1, (QUEUE,), (queues.Service('photo'),))
+
+
+class Directory(observers.Directory):
+    """Workers list themselves as msgpack records would in a test store."""
+
+    prefix = 'workers/'
+
+    def __init__(self, entries_by_id: dict[str, reports.WorkerEntry]) -> None:
+        self._entries_by_id = entries_by_id
+
+    def decode(
+        self, entry: keyvalue.Entry
+    ) -> result.Result[reports.WorkerEntry, failures.Invalid]:
+        """Return the worker whose id is the value."""
+        return result.Success(self._entries_by_id[entry.value.decode()])
+
+    def worker_id(self, key: str) -> str:
+        """Return the id in a key."""
+        return key.removeprefix(self.prefix)
+
+
+class FakeMachines(clients.MachineClient):
+    """Takes every order about a machine; ``returned`` brings it back."""
+
+    def __init__(self, returned: Callable[[str], object]) -> None:
+        self.maintained: list[str] = []
+        self._returned = returned
+
+    async def list_all(
+        self,
+    ) -> result.Result[tuple[reports.Machine, ...], reports.MachineFailure]:
+        """Return no machine."""
+        return result.Success(())
+
+    async def move(
+        self, machine: str, service: str, token: int
+    ) -> result.Result[None, reports.MachineFailure]:
+        """Take the order."""
+        return result.Success(None)
+
+    async def maintain(
+        self, machine: str, wave: int, token: int
+    ) -> result.Result[None, reports.MachineFailure]:
+        """Take the order."""
+        self.maintained.append(machine)
+        self._returned(machine.removeprefix('m-'))
+        return result.Success(None)
+
+
+class Bench:
+    """One deployment; leaders come and go by ``lead``."""
+
+    def __init__(self) -> None:
+        self.store = fakes.FakeStore()
+        self.workers = task_workers.FakeWorkers()
+        self.machines = FakeMachines(self._reboot)
+        self.entries_by_id: dict[str, reports.WorkerEntry] = {}
+        self.leading = True
+        self._log = decisions.DecisionLog('test', clocks.SystemClock(), _sink())
+
+    def add_worker(
+        self, name: str, born_ms: int = 1
+    ) -> task_workers.FakeWorker:
+        """List a worker with room for four tasks of ``job``."""
+        entry = reports.WorkerEntry(
+            id=name,
+            born_ms=born_ms,
+            address=name,
+            service='photo',
+            zone='z',
+            machine=f'm-{name}',
+            room=model.Room(processors_m=4000, memory_mb=4000),
+        )
+        worker = task_workers.FakeWorker(entry)
+        self.workers.by_id[name] = worker
+        self.entries_by_id[name] = entry
+        self._put(f'workers/{name}', name.encode())
+        return worker
+
+    def _reboot(self, name: str) -> None:
+        self.add_worker(name, born_ms=2)
+
+    def submit(self, job: model.Job) -> None:
+        """Write an accepted job."""
+        self._put(f'{stored.JOBS_PREFIX}{job.id}', records.pack(job))
+
+    def cancel(self, job_id: str) -> None:
+        """Write a wish to cancel."""
+        self._put(
+            f'{stored.CANCELS_PREFIX}{job_id}',
+            records.encode(stored.Cancel(asked_s=0)),
+        )
+
+    def progress(self, job_id: str) -> stored.Progress | None:
+        """Return what is stored of a job."""
+        entry = self.store.content.get(f'{stored.PROGRESS_PREFIX}{job_id}')
+        if entry is None:
+            return None
+        return records.decode(entry.value, stored.Progress)
+
+    def phase(self, job_id: str) -> stored.JobPhase | None:
+        """Return the stored phase of a job."""
+        progress = self.progress(job_id)
+        return progress.phase if progress else None
+
+    @contextlib.asynccontextmanager
+    async def lead(self) -> AsyncIterator[leader.Leader]:
+        """Run a leader with a new token."""
+        self.leading = True
+        self._put(stored.LEADER_KEY, b'')
+        entry = self.store.content.get(stored.LEADER_KEY)
+        assert entry is not None
+        led = leader.Leader(
+            leader.Parts(
+                self.store,
+                clocks.SystemClock(),
+                self._log,
+                self.workers,
+                self.machines,
+                Directory(self.entries_by_id),
+                lambda: self.leading,
+                leader.Settings(
+                    book.Bounds(lease_s=0.5, stop_s=0.05),
+                    retention_s=60,
+                    waves=waves.Settings(0.1, 1, _status),
+                ),
+            ),
+            ledger.Term('leader', entry.revision),
+            CATALOG,
+        )
+        running = asyncio.create_task(led.run())
+        try:
+            yield led
+        finally:
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+
+    def _put(self, key: str, content: bytes) -> None:
+        self.store.content.commit(
+            transactions.Transaction(
+                puts=(transactions.Put(key=key, content=content),)
+            )
+        )
+
+
+async def until(holds: Callable[[], object]) -> None:
+    """Wait until something holds; raises ``TimeoutError``."""
+    async with asyncio.timeout(WAIT_S):
+        while not holds():  # noqa: ASYNC110 Fakes announce nothing.
+            await asyncio.sleep(POLL_S)
+
+
+def job(job_id: str = 'a', **step: object) -> model.Job:
+    """Return a job with one step; by default of one task."""
+    fields = {'count': 1, 'room': model.Room(processors_m=1000), **step}
+    return model.Job(
+        id=job_id,
+        queue='photos',
+        service='photo',
+        steps=(model.Step(**fields),),  # type: ignore[arg-type]
+    )
+
+
+def task(job_id: str = 'a', index: int = 0, step: int = 0) -> model.TaskId:
+    """Return the id of a task."""
+    return model.TaskId(job_id, 0, step, index)
+
+
+@contextlib.contextmanager
+def bench():
+    """Give a fresh deployment."""
+    yield Bench()
+
+
+def _status(status: waves.WaveStatus) -> transactions.Put:
+    return transactions.Put(
+        key=f'status/{status.number}', content=records.encode(status)
+    )
+
+
+def _sink() -> io.TextIOWrapper:
+    descriptor, path = tempfile.mkstemp()
+    os.unlink(path)
+    return os.fdopen(descriptor, 'w')
--- /dev/null
+++ b/libs/scheduler/tests/test_scheduler_leader.py
@@ -0,0 +1,176 @@
+"""A leader's promises, kept through changes of leaders and lost answers."""
+
+import asyncio
+
+import scheduler_bench as benches
+
+from jackdawlatch.jobs import model, stored
+from jackdawlatch.model import records
+from jackdawlatch.scheduler import calls, reports, waves
+from jackdawlatch.testing import functions
+
+DONE = reports.EndKind.DONE
+FAILED = reports.EndKind.FAILED
+
+
+async def test_job_runs_and_is_shown_as_done(bench):
+    worker = bench.add_worker('w1')
+    bench.submit(benches.job())
+    async with bench.lead():
+        await benches.until(lambda: worker.running)
+        worker.end(benches.task(), DONE)
+        await benches.until(lambda: bench.phase('a') is stored.JobPhase.DONE)
+        await benches.until(lambda: not worker.ends)
+
+
+async def test_start_is_stored_before_its_order(bench):
+    worker = bench.add_worker('w1')
+    bench.submit(benches.job())
+    async with bench.lead():
+        await benches.until(lambda: worker.running)
+        (known,) = bench.progress('a').tasks
+    assert (known.worker, known.attempt) == ('w1', 1)
+
+
+async def test_end_is_not_acknowledged_before_it_is_stored(bench):
+    worker = bench.add_worker('w1')
+    bench.submit(benches.job())
+    async with bench.lead():
+        await benches.until(lambda: worker.running)
+        bench.store.down = True
+        worker.end(benches.task(), DONE)
+        await asyncio.sleep(0.1)
+        assert worker.ends
+        bench.store.down = False
+        await benches.until(lambda: not worker.ends)
+    assert bench.phase('a') is stored.JobPhase.DONE
+
+
+async def test_next_leader_does_not_start_what_is_done(bench):
+    worker = bench.add_worker('w1')
+    bench.submit(benches.job(count=2))
+    async with bench.lead():
+        await benches.until(lambda: len(worker.running) == 2)
+    # This end waits for whoever looks first.
+    worker.end(benches.task(index=0), DONE)
+    async with bench.lead():
+        await benches.until(lambda: not worker.ends)
+        worker.end(benches.task(index=1), DONE)
+        await benches.until(lambda: bench.phase('a') is stored.JobPhase.DONE)
+    assert len(worker.begun) == 2
+
+
+async def test_next_leader_keeps_what_runs(bench):
+    worker = bench.add_worker('w1')
+    bench.submit(benches.job(lasting=True))
+    async with bench.lead():
+        await benches.until(lambda: worker.running)
+    async with bench.lead():
+        await asyncio.sleep(0.2)
+    assert len(worker.begun) == 1
+
+
+async def test_unanswered_start_is_not_repeated_elsewhere(bench):
+    first = bench.add_worker('w1')
+    first.lose_answers = 1
+    bench.submit(benches.job())
+    async with bench.lead():
+        await benches.until(lambda: first.running)
+        bench.add_worker('w2')
+        await asyncio.sleep(0.2)
+        first.end(benches.task(), DONE)
+        await benches.until(lambda: bench.phase('a') is stored.JobPhase.DONE)
+    assert not bench.workers.by_id['w2'].begun
+
+
+async def test_lost_worker_is_waited_for_until_its_lease_is_over(bench):
+    first = bench.add_worker('w1')
+    bench.submit(benches.job())
+    async with bench.lead():
+        await benches.until(lambda: first.running)
+        second = bench.add_worker('w2')
+        first.down = True
+        await asyncio.sleep(0.3)
+        assert not second.begun
+        await benches.until(lambda: second.running)
+
+
+async def test_worker_that_restarted_has_lost_its_runs(bench):
+    first = bench.add_worker('w1')
+    bench.submit(benches.job())
+    async with bench.lead():
+        await benches.until(lambda: first.running)
+        again = bench.add_worker('w1', born_ms=2)
+        await benches.until(lambda: again.running)
+    assert again.begun[0].attempt == 2
+
+
+async def test_failures_up_to_the_limit_fail_the_job(bench):
+    worker = bench.add_worker('w1')
+    bench.submit(benches.job())
+    async with bench.lead():
+        for _ in range(benches.QUEUE.max_attempts):
+            await benches.until(lambda: worker.running)
+            worker.end(benches.task(), FAILED)
+            await benches.until(lambda: not worker.ends)
+        assert bench.phase('a') is stored.JobPhase.FAILED
+        await asyncio.sleep(0.05)
+        assert not worker.running
+
+
+async def test_cancelled_job_is_stopped(bench):
+    worker = bench.add_worker('w1')
+    bench.submit(benches.job(lasting=True))
+    async with bench.lead():
+        await benches.until(lambda: worker.running)
+        bench.cancel('a')
+        await benches.until(lambda: not worker.running)
+    assert bench.phase('a') is stored.JobPhase.CANCELLED
+
+
+async def test_step_waits_for_the_steps_before_it(bench):
+    worker = bench.add_worker('w1')
+    steps = (model.Step(count=2), model.Step(count=1, after=(0,)))
+    bench.submit(records.replace(benches.job(), steps=steps))
+    async with bench.lead():
+        await benches.until(lambda: len(worker.running) == 2)
+        worker.end(benches.task(index=0), DONE)
+        await benches.until(lambda: not worker.ends)
+        assert benches.task(step=1) not in worker.running
+        worker.end(benches.task(index=1), DONE)
+        await benches.until(lambda: benches.task(step=1) in worker.running)
+
+
+async def test_deposed_leader_starts_nothing(bench):
+    worker = bench.add_worker('w1')
+    async with bench.lead():
+        await benches.until(lambda: worker.token)
+        async with bench.lead():
+            bench.submit(benches.job())
+            await benches.until(lambda: worker.running)
+            await asyncio.sleep(0.1)
+    assert worker.begun == [calls.RunName(benches.task(), 1)]
+
+
+async def test_wave_moves_one_task_of_a_step_at_a_time(bench):
+    for name in ('w1', 'w2', 'w3'):
+        bench.add_worker(name)
+    bench.submit(
+        benches.job(count=2, lasting=True, max_unavailable=1, max_per_worker=1)
+    )
+    fleet = bench.workers.by_id
+    async with bench.lead() as led:
+        await benches.until(
+            lambda: sum(len(one.running) for one in fleet.values()) == 2
+        )
+        led.waves.take(waves.Wave(1, ('m-w1', 'm-w2', 'm-w3'), 9, 3))
+        fewest = 2
+        async with asyncio.timeout(benches.WAIT_S + 3):
+            while len(bench.machines.maintained) < 3:
+                serving = sum(len(one.running) for one in fleet.values())
+                fewest = min(fewest, serving)
+                await asyncio.sleep(0.001)
+    assert fewest >= 1
+
+
+load_tests = functions.loader(__name__, {'bench': benches.bench})
--- a/libs/standins/src/jackdawlatch/standins/content.py
+++ b/libs/standins/src/jackdawlatch/standins/content.py
@@ -6,7 +6,7 @@
 from returns import result
 
 from jackdawlatch.model import clocks, records
-from jackdawlatch.store import keyvalue
+from jackdawlatch.store import keyvalue, transactions
 
 HISTORY_ENTRIES = 10_000
 
@@ -86,6 +86,34 @@
         self._remove((current,))
         return result.Success(None)
 
+    def commit(
+        self, transaction: transactions.Transaction
+    ) -> result.Result[int, keyvalue.WriteFailure]:
+        """Carry out all of a transaction under one revision."""
+        self.expire()
+        for put in transaction.puts:
+            if put.lease and put.lease not in self._expiry_s_by_lease:
+                return result.Failure(keyvalue.LeaseLost(message=put.lease))
+        conditions = transaction.conditions
+        present = [self._entries_by_key.get(row.key) for row in conditions]
+        if any(
+            _revision_of(current) != row.revision
+            for row, current in zip(conditions, present, strict=True)
+        ):
+            return result.Failure(
+                transactions.Rejected(
+                    message='a condition does not hold',
+                    entries=tuple(filter(None, present)),
+                )
+            )
+        self.revision += 1
+        for put in transaction.puts:
+            self._write(put)
+        for key in transaction.deletes:
+            if key in self._entries_by_key:
+                self._forget(key)
+        return result.Success(self.revision)
+
     def grant(self, ttl_s: float) -> keyvalue.Lease:
         """Return a new lease."""
         lease = f'lease-{next(self._numbers)}'
@@ -127,12 +155,25 @@
     def _remove(self, entries: Iterable[keyvalue.Entry]) -> None:
         for entry in entries:
             self.revision += 1
-            self._entries_by_key.pop(entry.key)
-            self._remember(
-                records.replace(
-                    entry, value=b'', revision=self.revision, deleted=True
-                )
+            self._forget(entry.key)
+
+    def _write(self, put: transactions.Put) -> None:
+        entry = keyvalue.Entry(
+            key=put.key,
+            value=put.content,
+            revision=self.revision,
+            lease=put.lease,
+        )
+        self._entries_by_key[put.key] = entry
+        self._remember(entry)
+
+    def _forget(self, key: str) -> None:
+        entry = self._entries_by_key.pop(key)
+        self._remember(
+            records.replace(
+                entry, value=b'', revision=self.revision, deleted=True
             )
+        )
 
     def _remember(self, entry: keyvalue.Entry) -> None:
         self._history.append(entry)
--- a/libs/standins/src/jackdawlatch/standins/fakes.py
+++ b/libs/standins/src/jackdawlatch/standins/fakes.py
@@ -9,14 +9,14 @@
 
 from jackdawlatch.model import clocks
 from jackdawlatch.standins import content as contents
-from jackdawlatch.store import keyvalue
+from jackdawlatch.store import keyvalue, transactions
 
 Outcome = TypeVar('Outcome')
 
 WATCH_POLL_S = 0.005
 
 
-class FakeStore(keyvalue.Store):
+class FakeStore(transactions.TransactionalStore):
     """The store's interface over ``Content``, without a network.
 
     ``down`` refuses every call.  ``lose_replies`` counts the coming writes
@@ -67,6 +67,16 @@
             return _unavailable()
         return self._replied(self.content.delete(key, revision))
 
+    async def commit(
+        self, transaction: transactions.Transaction
+    ) -> result.Result[int, keyvalue.WriteFailure]:
+        """Carry out all of a transaction."""
+        if not await self._reachable('commit'):
+            return _unavailable()
+        if self.before_put:
+            await self.before_put()
+        return self._replied(self.content.commit(transaction))
+
     async def watch(
         self, prefix: str, revision: int, timeout_s: float
     ) -> result.Result[keyvalue.Changes, keyvalue.Unavailable]:
--- /dev/null
+++ b/libs/standins/src/jackdawlatch/standins/task_workers.py
@@ -0,0 +1,157 @@
+"""In-process workers for tests of the scheduler, with faults to switch on.
+
+A worker fences lower tokens, lists ends until they are acknowledged, and
+refuses an attempt that is not higher than one that was stopped or ended.
+"""
+
+import asyncio
+import itertools
+
+from returns import result
+
+from jackdawlatch.jobs import model
+from jackdawlatch.scheduler import calls, clients, reports
+
+LOOK_POLL_S = 0.002
+
+
+class FakeWorker:
+    """One boot of a worker.
+
+    ``down`` leaves every call unanswered; ``lose_answers`` counts the calls
+    that are carried out and not answered.
+    """
+
+    def __init__(self, entry: reports.WorkerEntry) -> None:
+        self.entry = entry
+        self.token = 0
+        self.down = False
+        self.lose_answers = 0
+        self.begun: list[calls.RunName] = []
+        self.running: dict[model.TaskId, int] = {}
+        self.ends: list[reports.EndReport] = []
+        self._numbers = itertools.count(1)
+        self._ended: dict[model.TaskId, int] = {}
+
+    def start(self, order: calls.Start) -> calls.Refusal | None:
+        """Start a run, or tell why not."""
+        if not self.admit(order.token):
+            return calls.Refusal.FENCED
+        if self.running.get(order.task) == order.attempt:
+            return None
+        if order.attempt <= self._ended.get(order.task, 0):
+            return calls.Refusal.OUTDATED
+        self.running[order.task] = order.attempt
+        self.begun.append(calls.RunName(order.task, order.attempt))
+        return None
+
+    def end(self, task: model.TaskId, kind: reports.EndKind) -> None:
+        """End a run."""
+        attempt = self.running.pop(task)
+        self._ended[task] = attempt
+        self.ends.append(
+            reports.EndReport(
+                next(self._numbers), calls.RunName(task, attempt), kind, ''
+            )
+        )
+
+    def stop(self, name: calls.RunName) -> None:
+        """Stop a run, or keep it from ever starting."""
+        if self.running.get(name.task) == name.attempt:
+            self.end(name.task, reports.EndKind.STOPPED)
+        self._ended[name.task] = max(
+            self._ended.get(name.task, 0), name.attempt
+        )
+
+    def admit(self, token: int) -> bool:
+        """Return whether a token is not fenced; the highest is kept."""
+        self.token = max(self.token, token)
+        return token == self.token
+
+    def lists(self) -> reports.Lists:
+        """Return both lists."""
+        return reports.Lists(
+            clock_s=0,
+            born_ms=self.entry.born_ms,
+            running=tuple(
+                reports.RunReport(calls.RunName(task, attempt), '', 100)
+                for task, attempt in self.running.items()
+            ),
+            ended=tuple(self.ends),
+        )
+
+
+class FakeWorkers(clients.WorkerClient):
+    """Calls workers by id."""
+
+    def __init__(self) -> None:
+        self.by_id: dict[str, FakeWorker] = {}
+
+    async def start(
+        self, target: calls.Target, order: calls.Start
+    ) -> result.Result[None, calls.CallFailure]:
+        """Start a run."""
+        worker = self.by_id[target.id]
+        if worker.down:
+            return _unanswered()
+        refusal = worker.start(order)
+        return self._answer(worker, refusal)
+
+    async def stop(
+        self, target: calls.Target, name: calls.RunName, token: int
+    ) -> result.Result[None, calls.CallFailure]:
+        """Stop a run."""
+        worker = self.by_id[target.id]
+        if worker.down:
+            return _unanswered()
+        if not worker.admit(token):
+            return self._answer(worker, calls.Refusal.FENCED)
+        worker.stop(name)
+        return self._answer(worker, None)
+
+    async def look(
+        self, target: calls.Target, look: calls.Look
+    ) -> result.Result[reports.Lists, calls.CallFailure]:
+        """Return the lists, after an end or ``wait_s``."""
+        worker = self.by_id[target.id]
+        if worker.down:
+            await asyncio.sleep(LOOK_POLL_S)
+            return _unanswered()
+        if not worker.admit(look.token):
+            return result.Failure(_refused(calls.Refusal.FENCED))
+        worker.ends = [end for end in worker.ends if end.number > look.acked]
+        waited_s: float = 0
+        while not worker.ends and waited_s < look.wait_s:
+            await asyncio.sleep(LOOK_POLL_S)
+            waited_s += LOOK_POLL_S
+        if worker.down:
+            return _unanswered()
+        return result.Success(worker.lists())
+
+    async def pace(
+        self,
+        target: calls.Target,
+        name: calls.RunName,
+        percent: int,
+        token: int,
+    ) -> result.Result[None, calls.CallFailure]:
+        """Take any pace."""
+        return self._answer(self.by_id[target.id], None)
+
+    def _answer(
+        self, worker: FakeWorker, refusal: calls.Refusal | None
+    ) -> result.Result[None, calls.CallFailure]:
+        if worker.lose_answers:
+            worker.lose_answers -= 1
+            return _unanswered()
+        if refusal is not None:
+            return result.Failure(_refused(refusal))
+        return result.Success(None)
+
+
+def _unanswered() -> result.Failure[calls.CallFailure]:
+    return result.Failure(calls.Unanswered(message='no answer'))
+
+
+def _refused(reason: calls.Refusal) -> calls.Refused:
+    return calls.Refused(message='refused', reason=reason)
--- a/libs/telemetry/src/jackdawlatch/telemetry/decisions.py
+++ b/libs/telemetry/src/jackdawlatch/telemetry/decisions.py
@@ -22,10 +22,10 @@
         self.dropped = 0
         self._process = process
         self._clock = clock
-        self._descriptor = stream.fileno()
+        self._stream = stream
         self._allowance: float = BURST_LINES
         self._refilled_s = clock.monotonic_s()
-        os.set_blocking(self._descriptor, False)
+        os.set_blocking(stream.fileno(), False)
 
     def note(self, event: str, **details: str | float | int) -> None:
         """Write a line, unless the rate is used up or the pipe is full."""
@@ -43,7 +43,7 @@
         encoded = bytearray(msgspec.json.encode(line))
         encoded.extend(b'\n')
         try:
-            os.write(self._descriptor, encoded)
+            os.write(self._stream.fileno(), encoded)
         except BlockingIOError:
             self.dropped += 1
 
