--- a/libs/jobs/src/jackdawlatch/jobs/intake.py
+++ b/libs/jobs/src/jackdawlatch/jobs/intake.py
@@ -14,7 +14,7 @@
 
 from jackdawlatch.jobs import model, queues, stored
 from jackdawlatch.model import clocks, failures, records
-from jackdawlatch.store import keyvalue, transactions
+from jackdawlatch.store import keyvalue, monitored, transactions
 from jackdawlatch.telemetry import decisions
 
 # The store documents answers in milliseconds; a slow one takes about 0.25 s.
@@ -47,7 +47,7 @@
 class Parts:
     """What the intake works with."""
 
-    store: transactions.TransactionalStore
+    store: monitored.MonitoredStore
     clock: clocks.Clock
     log: decisions.DecisionLog
 
@@ -88,9 +88,9 @@
         self, job_id: str, request_id: str
     ) -> result.Result[None, Failure]:
         """Store the wish to cancel a job that was accepted."""
-        found = await self._parts.store.get(f'{stored.JOBS_PREFIX}{job_id}')
+        found = await self._get(f'{stored.JOBS_PREFIX}{job_id}')
         if isinstance(found, result.Failure):
-            return result.Failure(_not_reached(found.failure()))
+            return found
         if found.unwrap() is None:
             return result.Failure(NoSuchJob(message=job_id))
         wish = stored.Cancel(asked_s=self._parts.clock.wall_s())
@@ -111,16 +111,15 @@
         self, job_id: str
     ) -> result.Result[stored.JobPhase, Failure]:
         """Return the state of a job."""
-        store = self._parts.store
-        found = await store.get(f'{stored.PROGRESS_PREFIX}{job_id}')
+        found = await self._get(f'{stored.PROGRESS_PREFIX}{job_id}')
         if isinstance(found, result.Failure):
-            return result.Failure(_not_reached(found.failure()))
+            return found
         entry = found.unwrap()
         if entry is not None:
             return _phase_of(entry)
-        accepted = await store.get(f'{stored.JOBS_PREFIX}{job_id}')
+        accepted = await self._get(f'{stored.JOBS_PREFIX}{job_id}')
         if isinstance(accepted, result.Failure):
-            return result.Failure(_not_reached(accepted.failure()))
+            return accepted
         if accepted.unwrap() is None:
             return result.Failure(NoSuchJob(message=job_id))
         return result.Success(stored.JobPhase.QUEUED)
@@ -129,11 +128,26 @@
         """Return how many jobs of a queue have not begun, as last told."""
         return self.pending_by_queue.get(queue.name, 0)
 
+    async def _get(
+        self, key: str
+    ) -> result.Result[keyvalue.Entry | None, NotAccepted]:
+        if not self._parts.store.answering:
+            return result.Failure(
+                _not_reached(keyvalue.Unavailable(message='store away'))
+            )
+        found = await self._parts.store.get(key)
+        return found.alt(_not_reached)
+
     async def _write(
         self, transaction: transactions.Transaction
     ) -> result.Result[None, NotAccepted | OutcomeUnknown]:
         uncertain = False
+        failure: failures.Problem = keyvalue.Unavailable(
+            message='the store does not answer'
+        )
         for _ in range(WRITE_ATTEMPTS):
+            if not self._parts.store.answering:
+                break
             written = await self._parts.store.commit(transaction)
             if isinstance(written, result.Success):
                 return result.Success(None)
--- a/libs/scheduler/src/jackdawlatch/scheduler/acceptance.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/acceptance.py
@@ -25,7 +25,9 @@
             for progress in known.tasks:
                 if progress.worker and not progress.done:
                     self._restore_run(state, progress)
-        self._book.parts.log.note('job-seen', job=job.id, phase=state.phase)
+        self._book.parts.log.note(
+            'job-seen', job=job.id, queue=job.queue, phase=state.phase
+        )
         self._book.changed()
 
     def cancel(self, job_id: str) -> None:
--- a/libs/unified/src/jackdawlatch/unified/root.py
+++ b/libs/unified/src/jackdawlatch/unified/root.py
@@ -12,7 +12,7 @@
 from jackdawlatch.model import clocks
 from jackdawlatch.platform import ingress, machines, operator, store, workers
 from jackdawlatch.scheduler import book, election, leader, ledger, waves
-from jackdawlatch.store import following
+from jackdawlatch.store import following, monitored
 from jackdawlatch.telemetry import decisions
 from jackdawlatch.unified import observers
 from jackdawlatch.unified import settings as unified_settings
@@ -33,8 +33,11 @@
         self._settings = settings
         self._clock = clocks.SuspendAwareClock()
         self._log = decisions.DecisionLog(settings.name, self._clock)
-        self._store = store.PlatformStore(
-            settings.store_address, exchange.Client(STORE_CONNECTIONS)
+        self._store = monitored.MonitoredStore(
+            store.PlatformStore(
+                settings.store_address, exchange.Client(STORE_CONNECTIONS)
+            ),
+            self._clock,
         )
         self._stopping = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
