--- a/libs/scheduler/src/jackdawlatch/scheduler/runs.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/runs.py
@@ -72,7 +72,12 @@
 
     @property
     def serving(self) -> bool:
-        """Whether a lasting task is at work."""
+        """Whether a lasting task is at work, as far as is known.
+
+        A worker that does not answer may have lost what it ran.
+        """
         return (
-            self.phase is RunPhase.RUNNING and self.percent >= SERVING_PERCENT
+            self.phase is RunPhase.RUNNING
+            and self.percent >= SERVING_PERCENT
+            and self.worker.reachable
         )
--- a/libs/scheduler/tests/scheduler_bench.py
+++ b/libs/scheduler/tests/scheduler_bench.py
@@ -154,6 +154,7 @@
                 leader.Settings(
                     book.Bounds(lease_s=0.5, stop_s=0.05),
                     retention_s=60,
+                    migration_s=0.1,
                     waves=waves.Settings(0.1, 1, _status),
                 ),
             ),
--- a/libs/scheduler/tests/test_scheduler_leader.py
+++ b/libs/scheduler/tests/test_scheduler_leader.py
@@ -152,6 +152,23 @@
     assert worker.begun == [calls.RunName(benches.task(), 1)]
 
 
+async def test_task_of_a_silent_worker_counts_as_away(bench):
+    for name in ('w1', 'w2'):
+        bench.add_worker(name)
+    bench.submit(
+        benches.job(count=2, lasting=True, max_unavailable=1, max_per_worker=1)
+    )
+    first, second = bench.workers.by_id.values()
+    async with bench.lead() as led:
+        await benches.until(lambda: first.running and second.running)
+        tasks = led.book.jobs_by_id['a'].steps[0].tasks
+        await benches.until(lambda: all(one.serving for one in tasks))
+        first.down = True
+        await benches.until(lambda: sum(one.serving for one in tasks) == 1)
+        (serving,) = filter(lambda one: one.serving, tasks)
+        assert not waves.may_leave(serving)
+
+
 async def test_wave_moves_one_task_of_a_step_at_a_time(bench):
     for name in ('w1', 'w2', 'w3'):
         bench.add_worker(name)
