Move idle machines to the services that have work

Change: pools.Pools moves machines on which nothing runs to services that lack some, and back to standby when they idle; lasting tasks are packed.

--- /dev/null
+++ b/libs/scheduler/src/jackdawlatch/scheduler/demand.py
@@ -0,0 +1,42 @@
+"""How many machines each service could use now."""
+
+import collections
+import math
+from collections.abc import Iterable
+
+from jackdawlatch.jobs import model
+from jackdawlatch.scheduler import tasks
+
+# Tasks of several sizes do not fill a machine to its last core.
+PACKING = 1.3
+
+
+def machines_by_service(
+    jobs: Iterable[tasks.JobState], machine: model.Room
+) -> dict[str, int]:
+    """Return the machines of a size that the open jobs would fill.
+
+    Each job counts with its widest step that is not done, since the steps
+    that wait for others will need room next.
+    """
+    shares: dict[str, float] = collections.defaultdict(float)
+    for job in jobs:
+        if not job.ended:
+            shares[job.service] += max(
+                (
+                    (state.step.count - state.done_count)
+                    * _share(state.step.held_room, machine)
+                    for state in job.steps
+                ),
+                default=0,
+            )
+    return {
+        service: math.ceil(share * PACKING) for service, share in shares.items()
+    }
+
+
+def _share(need: model.Room, machine: model.Room) -> float:
+    return max(
+        need.processors_m / max(1, machine.processors_m),
+        need.memory_mb / max(1, machine.memory_mb),
+    )
--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -21,13 +21,14 @@
     job_order,
     observers,
     orders,
+    pools,
     reconcile,
     roll,
     waves,
-    workers,
 )
 from jackdawlatch.scheduler import ledger as ledgers
 from jackdawlatch.scheduler import planner as planners
+from jackdawlatch.scheduler import workers as worker_states
 from jackdawlatch.store import following, keyvalue, transactions
 from jackdawlatch.telemetry import decisions
 
@@ -43,6 +44,7 @@
 
     bounds: book.Bounds
     retention_s: float
+    migration_s: float
     waves: waves.Settings
 
 
@@ -109,6 +111,16 @@
             )
         )
 
+        self._pools = pools.Pools(
+            pools.Parts(
+                self.book,
+                parts.machine_client,
+                term,
+                self._leading,
+                parts.settings.migration_s,
+            )
+        )
+
     async def run(self) -> None:
         """Lead until deposed."""
         try:
@@ -153,6 +165,7 @@
             chores.tick(),
             chores.tell_pending(),
             self.waves.run(),
+            self._pools.run(),
             self._fillers.run(self.book.workers_by_id),
         ):
             self._spawn(loop)
@@ -194,7 +207,7 @@
                 self._plan()
 
     def _plan(self) -> None:
-        candidates: dict[str, list[workers.Worker]] = {}
+        candidates: dict[str, list[worker_states.Worker]] = {}
         for worker in self.book.workers_by_id.values():
             candidates.setdefault(worker.entry.service, []).append(worker)
         clock = self._parts.clock
--- a/libs/scheduler/src/jackdawlatch/scheduler/planner.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/planner.py
@@ -121,11 +121,10 @@
     waiting: list[tasks.Task],
     room: _Rooms,
 ) -> list[tuple[tasks.Task, workers.Worker]]:
-    service = job.queue.service if job.queue else job.job.service
     counts = _counts(state)
     chosen: list[tuple[tasks.Task, workers.Worker]] = []
     for task in waiting:
-        worker = _choose(service, state.step, room, counts)
+        worker = _choose(job.service, state.step, room, counts)
         if worker is None:
             break
         counts[worker.entry.id] = counts.get(worker.entry.id, 0) + 1
@@ -158,9 +157,7 @@
     def cost(worker: workers.Worker) -> tuple[float, ...]:
         remote = bool(step.data_rack) and worker.entry.rack != step.data_rack
         free_m = room.free(worker).processors_m
-        if step.lasting:
-            # Spread, so that one host's loss takes one task of a step.
-            return (remote, counts.get(worker.entry.id, 0), -free_m)
+        # Packed, so that whole machines stay free for other services.
         return (remote, free_m)
 
     return min(fitting, key=cost)
--- a/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
@@ -117,6 +117,11 @@
         """Whether callers are told an end."""
         return self.phase in stored.ENDED
 
+    @property
+    def service(self) -> str:
+        """The service of the queue, also when it was reconfigured."""
+        return self.queue.service if self.queue else self.job.service
+
     @property
     def complete(self) -> bool:
         """Whether every task of every occurrence is done."""
--- a/libs/unified/src/jackdawlatch/unified/root.py
+++ b/libs/unified/src/jackdawlatch/unified/root.py
@@ -122,6 +122,7 @@
                         stop_s=bounds.stop_ms / MILLISECONDS,
                     ),
                     retention_s=bounds.retention_s,
+                    migration_s=bounds.migration_s,
                     waves=waves.Settings(
                         maintenance_s=bounds.maintenance_s,
                         notice_s=bounds.notice_ms / MILLISECONDS,
