--- a/libs/scheduler/tests/test_scheduler_leader.py
+++ b/libs/scheduler/tests/test_scheduler_leader.py
@@ -165,6 +165,7 @@
         await benches.until(lambda: all(one.serving for one in tasks))
         first.down = True
         await benches.until(lambda: sum(one.serving for one in tasks) == 1)
+        assert all(one.run for one in tasks)
         (serving,) = filter(lambda one: one.serving, tasks)
         assert not waves.may_leave(serving)
 
