Maintain idle and spared hosts first, and stop what stands still

Change: hosts of services that lack room wait until the wave gets urgent; a machine counts as down for its maintenance and 0.3 s; an order that was not answered counts too; after 3 s the tasks that are left are stopped. Idle machines return after 4 s, at least 3 stay. Progress is gathered for 10 ms.

--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -99,25 +99,25 @@
         self._fillers = fillers.Fillers(
             fillers.Parts(parts.worker_client, term, self._leading)
         )
-        self.waves = waves.Waves(
-            waves.Parts(
+        self._pools = pools.Pools(
+            pools.Parts(
                 self.book,
-                own_orders,
                 parts.machine_client,
-                parts.store,
                 term,
                 self._leading,
-                parts.settings.waves,
+                parts.settings.migration_s,
             )
         )
-
-        self._pools = pools.Pools(
-            pools.Parts(
+        self.waves = waves.Waves(
+            waves.Parts(
                 self.book,
+                own_orders,
                 parts.machine_client,
+                parts.store,
                 term,
                 self._leading,
-                parts.settings.migration_s,
+                self._pools.lacks,
+                parts.settings.waves,
             )
         )
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/ledger.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/ledger.py
@@ -22,6 +22,8 @@
 JOBS_PER_WRITE = (transactions.MAX_ITEMS - 1) // 2
 # About ten answer times of the store; a refusal costs no more than a call.
 RETRY_S = 0.05
+# Changes of this time go into one write: about two answer times of the store.
+GATHER_S = 0.01
 
 
 @dataclasses.dataclass(frozen=True)
@@ -58,8 +60,7 @@
         """Write until the term ends."""
         while not self.deposed.is_set():
             await self._wake.wait()
-            # Changes of the same turn of the loop go into one write.
-            await asyncio.sleep(0)
+            await asyncio.sleep(GATHER_S)
             self._wake.clear()
             await self._round()
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/pools.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/pools.py
@@ -23,10 +23,10 @@
 
 PERIOD_S = 0.2
 # A machine that idles longer costs more than two moves of it.
-RETURN_IDLE_S = 2.0
+RETURN_IDLE_S = 4.0
 # A machine that another service waits for is let go sooner.
 LEND_IDLE_S = 0.4
-LEAST_MACHINES = 2
+LEAST_MACHINES = 3
 # How long the list of machines that are switched off is believed.
 LIST_AGE_S = 4.0
 REFUSED_PENALTY_S = 3.0
@@ -64,6 +64,12 @@
         self._standby: list[str] = []
         self._listed_s: float = 0
 
+    def lacks(self, service: str) -> bool:
+        """Whether a service could use more machines than it has."""
+        fleet = self._fleet()
+        wanted, counts = self._wanted(fleet), self._counts(fleet)
+        return wanted.get(service, 0) > counts.get(service, 0)
+
     async def run(self) -> None:
         """Move machines until cancelled."""
         # The last orders of another leader must be over.
--- a/libs/scheduler/src/jackdawlatch/scheduler/reports.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reports.py
@@ -89,10 +89,12 @@
 
 
 class MachineFailure(failures.Problem, frozen=True, kw_only=True):
-    """The call was refused or not answered."""
+    """The call did not succeed; ``refused`` says that it had no effect."""
 
     code: ClassVar[str] = 'machine-call-failed'
 
+    refused: bool = False
+
 
 class AdviceFailure(failures.Problem, frozen=True, kw_only=True):
     """The advice service refused or did not answer."""
--- a/libs/scheduler/src/jackdawlatch/scheduler/waves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waves.py
@@ -2,9 +2,8 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
-from absl import logging
 from returns import result
 
 from jackdawlatch.model import records
@@ -13,6 +12,7 @@
     clients,
     ledger,
     orders,
+    reports,
     runs,
     tasks,
     workers,
@@ -22,8 +22,14 @@
 PERIOD_S = 0.2
 # Orders about machines of two leaders must not be closer than this.
 HANDOVER_S = 3.0
-# A worker needs about a heartbeat to be listed after maintenance.
-DOWN_FACTOR = 1.5
+# The answer to an order comes after the machine went down.
+SLACK_S = 0.3
+# How much later an order that was not answered may still be carried out.
+UNANSWERED_SLACK_S = 3.0
+# Short tasks end by themselves in about this time.
+VACATE_S = 2.5
+# After that the tasks that are left are stopped: some stand still for ever.
+PATIENCE_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -54,7 +60,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Parts:
-    """What waves are carried out with."""
+    """What waves are carried out with.
+
+    ``lacks`` tells whether a service could use more machines than it has.
+    """
 
     book: book.Book
     orders: orders.Orders
@@ -62,15 +71,19 @@
     store: transactions.TransactionalStore
     term: ledger.Term
     leading: Callable[[], bool]
+    lacks: Callable[[str], bool]
     settings: Settings
 
 
 class _WaveState:
     """How far a wave has come."""
 
-    def __init__(self, wave: Wave) -> None:
+    def __init__(self, wave: Wave, now_s: float) -> None:
         self.wave = wave
-        self.begun_s_by_machine: dict[str, float] = {}
+        self.ends_s = now_s + wave.duration_s
+        self.begun: set[str] = set()
+        self.up_s_by_machine: dict[str, float] = {}
+        self.chosen_s_by_machine: dict[str, float] = {}
         self.told_done: bool | None = None
 
     @property
@@ -79,9 +92,19 @@
         return [
             machine
             for machine in self.wave.machines
-            if machine not in self.begun_s_by_machine
+            if machine not in self.begun
         ]
 
+    def slots(self, now_s: float) -> int:
+        """Return how many more machines may go down now."""
+        down = sum(up_s > now_s for up_s in self.up_s_by_machine.values())
+        return max(0, self.wave.max_count - down)
+
+    def urgent(self, now_s: float, round_s: float) -> bool:
+        """Whether the wave is late if it waits for quieter hours."""
+        rounds = -(-len(self.remaining) // max(1, self.wave.max_count))
+        return now_s + (rounds + 1) * round_s > self.ends_s
+
 
 class Waves:
     """The waves that are asked for."""
@@ -89,12 +112,13 @@
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
         self._states_by_number: dict[int, _WaveState] = {}
-        self._clock = parts.book.parts.clock
 
     def take(self, wave: Wave) -> None:
         """Carry out a wave, unless it is known."""
         if wave.number not in self._states_by_number:
-            self._states_by_number[wave.number] = _WaveState(wave)
+            self._states_by_number[wave.number] = _WaveState(
+                wave, self._parts.book.now_s
+            )
 
     async def run(self) -> None:
         """Carry out waves until cancelled."""
@@ -116,56 +140,94 @@
             for worker in self._parts.book.workers_by_id.values()
             if worker.listed
         }
-        slots = state.wave.max_count - self._down(state)
-        chosen = sorted(
-            state.remaining, key=lambda name: _effort(by_machine.get(name))
-        )[: max(0, slots)]
+        now_s = self._parts.book.now_s
+        chosen = self._choose(state, by_machine, now_s)
         for machine in state.remaining:
             worker = by_machine.get(machine)
             if worker is not None:
                 worker.cordoned = machine in chosen
+        state.chosen_s_by_machine = {
+            machine: state.chosen_s_by_machine.get(machine, now_s)
+            for machine in chosen
+        }
         for machine in chosen:
             await self._maintain(state, machine, by_machine.get(machine))
 
-    def _down(self, state: _WaveState) -> int:
-        now_s = self._clock.monotonic_s()
-        # A machine counts until its next worker has surely come up.
-        down_s = self._parts.settings.maintenance_s * DOWN_FACTOR
-        return sum(
-            now_s - begun_s < down_s
-            for begun_s in state.begun_s_by_machine.values()
+    def _choose(
+        self,
+        state: _WaveState,
+        by_machine: Mapping[str, workers.Worker],
+        now_s: float,
+    ) -> list[str]:
+        """Return the machines to vacate, those with least work first."""
+        urgent = state.urgent(
+            now_s, self._parts.settings.maintenance_s + VACATE_S
+        )
+        efforts_by_machine = {
+            machine: _effort(by_machine.get(machine))
+            for machine in state.remaining
+            if urgent or self._dispensable(by_machine.get(machine))
+        }
+        ordered = sorted(
+            efforts_by_machine, key=lambda name: efforts_by_machine[name]
         )
+        return ordered[: state.slots(now_s)]
+
+    def _dispensable(self, worker: workers.Worker | None) -> bool:
+        if worker is None or worker.cordoned or not worker.runs_by_task:
+            return True
+        return not self._parts.lacks(worker.entry.service)
 
     async def _maintain(
         self, state: _WaveState, machine: str, worker: workers.Worker | None
     ) -> None:
-        if worker is not None and not self._vacated(worker):
-            return
+        now_s = self._parts.book.now_s
+        if worker is not None:
+            waited_s = now_s - state.chosen_s_by_machine[machine]
+            if not self._vacated(worker, patient=waited_s < PATIENCE_S):
+                return
         if not self._parts.leading():
             return
         begun = await self._parts.client.maintain(
             machine, state.wave.number, self._parts.term.token
         )
-        if isinstance(begun, result.Failure):
-            logging.info('maintenance of %s: %s', machine, begun.failure())
-            return
-        state.begun_s_by_machine[machine] = self._clock.monotonic_s()
         log = self._parts.book.parts.log
-        log.note('maintenance', machine=machine, wave=state.wave.number)
-        if worker is not None:
-            for run in tuple(worker.runs_by_task.values()):
-                self._parts.book.release(run, 'maintenance')
+        outcome = 'begun'
+        if isinstance(begun, result.Failure):
+            outcome = begun.failure().line()
+        log.note(
+            'maintenance',
+            machine=machine,
+            wave=state.wave.number,
+            outcome=outcome,
+        )
+        self._note_down(state, machine, begun)
+        if worker is not None and not isinstance(begun, result.Failure):
             worker.listed = False
 
-    def _vacated(self, worker: workers.Worker) -> bool:
-        """Whether a worker may go down; asks lasting tasks to move."""
-        empty = True
+    def _note_down(
+        self,
+        state: _WaveState,
+        machine: str,
+        begun: result.Result[None, reports.MachineFailure],
+    ) -> None:
+        up_s = self._parts.book.now_s + self._parts.settings.maintenance_s
+        if not isinstance(begun, result.Failure):
+            state.begun.add(machine)
+            state.up_s_by_machine[machine] = up_s + SLACK_S
+        elif not begun.failure().refused:
+            # It may have begun all the same, or may do so soon.
+            state.up_s_by_machine[machine] = up_s + UNANSWERED_SLACK_S
+
+    def _vacated(self, worker: workers.Worker, patient: bool) -> bool:
+        """Whether nothing runs on a worker; asks lasting tasks to move."""
         for run in tuple(worker.runs_by_task.values()):
-            empty = False
-            if run.task.step.lasting and run.phase is runs.RunPhase.RUNNING:
-                if may_leave(run.task):
-                    self._parts.orders.stop(worker, run.name)
-        return empty
+            if run.phase is not runs.RunPhase.RUNNING:
+                continue
+            leaves = may_leave(run.task) if run.task.step.lasting else True
+            if leaves and (run.task.step.lasting or not patient):
+                self._parts.orders.stop(worker, run.name)
+        return not worker.runs_by_task
 
     async def _tell(self, state: _WaveState, done: bool) -> None:
         told = await self._parts.store.commit(
@@ -193,6 +255,6 @@
 
 def _effort(worker: workers.Worker | None) -> tuple[int, int]:
     """Order machines: those without runs first, then the already cordoned."""
-    if worker is None:
+    if worker is None or not worker.runs_by_task:
         return (0, 0)
-    return (not worker.cordoned, len(worker.runs_by_task))
+    return (1 if worker.cordoned else 2, len(worker.runs_by_task))
