--- a/libs/scheduler/src/jackdawlatch/scheduler/placing.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/placing.py
@@ -115,7 +115,8 @@
     def _cost(self, worker: workers.Worker) -> tuple[float, ...]:
         remote = self._is_remote(worker.entry.rack)
         # Packed, so that whole machines stay free for other services.
-        return (remote, self._room.free(worker).processors_m)
+        lasting = worker.lasting_count if self._step.lasting else 0
+        return (remote, -lasting, self._room.free(worker).processors_m)
 
 
 def _anywhere(_worker: workers.Worker) -> bool:
--- a/libs/scheduler/src/jackdawlatch/scheduler/pools.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/pools.py
@@ -13,10 +13,10 @@
 
 PERIOD_S = 0.2
 # A machine that idles longer costs more than two moves of it.
-RETURN_IDLE_S = 4.0
+RETURN_IDLE_S = 2.5
 # A machine that another service waits for is let go sooner.
 LEND_IDLE_S = 0.4
-LEAST_MACHINES = 3
+LEAST_MACHINES = 2
 
 
 class Pools:
--- a/libs/standins/src/jackdawlatch/standins/content.py
+++ b/libs/standins/src/jackdawlatch/standins/content.py
@@ -124,11 +124,6 @@
         for lease in lapsed:
             self.revoke(lease)
 
-    def _remove(self, entries: Iterable[keyvalue.Entry]) -> None:
-        for entry in entries:
-            self.revision += 1
-            self.forget(entry.key)
-
     def forget(self, key: str) -> None:
         """Remove a key at the present revision."""
         entry = self.entries_by_key.pop(key)
@@ -146,6 +141,11 @@
             self._forgotten_revision = self._history[half - 1].revision
             self._history = self._history[half:]
 
+    def _remove(self, entries: Iterable[keyvalue.Entry]) -> None:
+        for entry in entries:
+            self.revision += 1
+            self.forget(entry.key)
+
 
 def revision_of(entry: keyvalue.Entry | None) -> int:
     """Return the revision of an entry that may be absent."""
