--- a/libs/scheduler/src/jackdawlatch/scheduler/placing.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/placing.py
@@ -115,7 +115,7 @@
     def _cost(self, worker: workers.Worker) -> tuple[float, ...]:
         remote = self._is_remote(worker.entry.rack)
         # Packed, so that whole machines stay free for other services.
-        lasting = worker.lasting_count if self._step.lasting else 0
+        lasting = _lasting_count(worker) if self._step.lasting else 0
         return (remote, -lasting, self._room.free(worker).processors_m)
 
 
@@ -128,3 +128,7 @@
         return worker.entry.rack == rack
 
     return fits
+
+
+def _lasting_count(worker: workers.Worker) -> int:
+    return sum(run.task.step.lasting for run in worker.runs_by_task.values())
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -61,11 +61,6 @@
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._all_stored.wait(), timeout_s)
 
-    @property
-    def lasting_count(self) -> int:
-        """How many lasting tasks are here."""
-        return sum(run.task.step.lasting for run in self.runs_by_task.values())
-
     def clock_s(self, now_s: float) -> float:
         """Return the worker's clock, as far as it is known."""
         return now_s + (self._offset_s or 0)
--- a/libs/standins/src/jackdawlatch/standins/content.py
+++ b/libs/standins/src/jackdawlatch/standins/content.py
@@ -69,8 +69,7 @@
         entry = keyvalue.Entry(
             key=key, value=content, revision=self.revision, lease=lease
         )
-        self.entries_by_key[key] = entry
-        self.remember(entry)
+        self.record(entry)
         return result.Success(entry)
 
     def delete(
@@ -124,17 +123,12 @@
         for lease in lapsed:
             self.revoke(lease)
 
-    def forget(self, key: str) -> None:
-        """Remove a key at the present revision."""
-        entry = self.entries_by_key.pop(key)
-        self.remember(
-            records.replace(
-                entry, value=b'', revision=self.revision, deleted=True
-            )
-        )
-
-    def remember(self, entry: keyvalue.Entry) -> None:
-        """Add a change to the history."""
+    def record(self, entry: keyvalue.Entry) -> None:
+        """Write or remove a key, and add that to the history."""
+        if entry.deleted:
+            self.entries_by_key.pop(entry.key)
+        else:
+            self.entries_by_key[entry.key] = entry
         self._history.append(entry)
         if len(self._history) > HISTORY_ENTRIES:
             half = HISTORY_ENTRIES // 2
@@ -144,7 +138,12 @@
     def _remove(self, entries: Iterable[keyvalue.Entry]) -> None:
         for entry in entries:
             self.revision += 1
-            self.forget(entry.key)
+            self.record(removed(entry, self.revision))
+
+
+def removed(entry: keyvalue.Entry, revision: int) -> keyvalue.Entry:
+    """Return the removal of an entry."""
+    return records.replace(entry, value=b'', revision=revision, deleted=True)
 
 
 def revision_of(entry: keyvalue.Entry | None) -> int:
--- a/libs/standins/src/jackdawlatch/standins/transactional.py
+++ b/libs/standins/src/jackdawlatch/standins/transactional.py
@@ -33,8 +33,9 @@
         for put in transaction.puts:
             self._write(put)
         for key in transaction.deletes:
-            if key in self.entries_by_key:
-                self.forget(key)
+            current = self.entries_by_key.get(key)
+            if current is not None:
+                self.record(contents.removed(current, self.revision))
         return result.Success(self.revision)
 
     def _write(self, put: transactions.Put) -> None:
@@ -44,5 +45,4 @@
             revision=self.revision,
             lease=put.lease,
         )
-        self.entries_by_key[put.key] = entry
-        self.remember(entry)
+        self.record(entry)
