--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 	$(VENV)/bin/ruff check --no-cache libs platform
 	$(VENV)/bin/flake8 libs platform
 	$(PYTHON) tools/check_imports.py
+	$(PYTHON) tools/check_platform.py
 	$(VENV)/bin/mypy $(foreach lib,$(LIBS),-p jackdawlatch.$(lib)) -p jackdawlatch.platform
 
 format: install ## Format the code.
--- /dev/null
+++ b/libs/testing/src/jackdawlatch/testing/waiting.py
@@ -0,0 +1,24 @@
+"""Waits in tests for what no event announces."""
+
+import asyncio
+import inspect
+from collections.abc import Callable
+from typing import Any
+
+WAIT_S = 10
+POLL_S = 0.005
+
+
+async def until(holds: Callable[[], Any]) -> None:
+    """Wait until something, which may be awaitable, is true.
+
+    Raises ``TimeoutError`` after ``WAIT_S``.
+    """
+    async with asyncio.timeout(WAIT_S):
+        while True:
+            outcome = holds()
+            if inspect.isawaitable(outcome):
+                outcome = await outcome
+            if outcome:
+                return
+            await asyncio.sleep(POLL_S)
--- a/libs/unified/src/jackdawlatch/unified/root.py
+++ b/libs/unified/src/jackdawlatch/unified/root.py
@@ -93,6 +93,14 @@
         await self._stopping.wait()
         await self._drain()
         self._log.note('stop', dropped_lines=self._log.dropped)
+        self.close()
+
+    def close(self) -> None:
+        """Stop listening, and cancel all background work."""
+        for server in (self._front, self._ready, self._metrics):
+            server.stop()
+        for task in tuple(self._tasks):
+            task.cancel()
 
     def _handle_signals(self) -> None:
         loop = asyncio.get_running_loop()
