Keep a stopping daemon out of the election; answer what is in flight

Cause: found by reading: after SIGTERM the daemon resigned and at once stood for election again, and it closed connections 0.3 s after the balancer's time whether or not requests were in flight.

--- a/libs/jobs/src/jackdawlatch/jobs/intake.py
+++ b/libs/jobs/src/jackdawlatch/jobs/intake.py
@@ -52,11 +52,16 @@
 
 
 class Intake:
-    """Answers callers; ``catalog`` is replaced when a version is accepted."""
+    """Answers callers; ``catalog`` is replaced when a version is accepted.
+
+    ``in_flight`` counts the requests that were read and not answered.
+    """
 
     def __init__(self, parts: Parts) -> None:
         self.catalog = queues.Catalog()
         self.pending_by_queue: dict[str, int] = {}
+        self.draining = False
+        self.in_flight = 0
         self._parts = parts
 
     async def submit(
--- a/libs/scheduler/src/jackdawlatch/scheduler/election.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/election.py
@@ -36,6 +36,7 @@
         self.term: ledger.Term | None = None
         self._candidate = candidate
         self._lease = ''
+        self._withdrawn = False
         self._renewed_s: float = 0
 
     @property
@@ -49,7 +50,7 @@
         while True:
             await self._vacancy.wait()
             await asyncio.sleep(random.uniform(0, JITTER_S))  # noqa: S311
-            if self._vacancy.is_set():
+            if self._vacancy.is_set() and not self._withdrawn:
                 term = await self._compete()
                 if term is not None:
                     self._vacancy.clear()
@@ -67,6 +68,11 @@
                 logging.info('leadership lost: the lease has ended')
                 self.term = None
 
+    async def withdraw(self) -> None:
+        """Give leadership up and compete no more."""
+        self._withdrawn = True
+        await self.resign()
+
     async def resign(self) -> None:
         """Give leadership up at once."""
         if self.term is not None:
--- a/libs/unified/src/jackdawlatch/unified/root.py
+++ b/libs/unified/src/jackdawlatch/unified/root.py
@@ -30,6 +30,9 @@
 # The balancer stops sending after two misses, asked once a second.
 BALANCER_S = 2.5
 QUIET_S = 0.3
+POLL_S = 0.05
+# The platform kills a process at the end of its grace period.
+DRAIN_FRACTION = 0.8
 
 
 class Root:
@@ -163,11 +166,20 @@
         return configured and not self._stopping.is_set()
 
     async def _drain(self) -> None:
+        """Answer what is in flight, and what open connections still bring."""
         self._log.note('draining')
-        await self._election.resign()
+        self._intake.draining = True
+        ends_s = self._clock.monotonic_s() + (
+            self._settings.bounds.drain_s * DRAIN_FRACTION
+        )
+        await self._election.withdraw()
         await asyncio.sleep(BALANCER_S)
         self._front.stop()
-        await asyncio.sleep(QUIET_S)
+        quiet_s = self._clock.monotonic_s()
+        while self._clock.monotonic_s() < min(quiet_s + QUIET_S, ends_s):
+            await asyncio.sleep(POLL_S)
+            if self._intake.in_flight:
+                quiet_s = self._clock.monotonic_s()
         await self._front.close_all_connections()
 
     def _reloaded(self) -> None:
--- /dev/null
+++ b/libs/unified/tests/unified_bench.py
@@ -0,0 +1,144 @@
+"""A daemon over stand-ins of the platform, and its callers."""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import random
+import sys
+import types
+from collections.abc import Mapping
+
+from jackdawlatch.backends import exchange
+from jackdawlatch.jobs import model
+from jackdawlatch.scheduler import reports
+from jackdawlatch.standins import ports, task_workers
+from jackdawlatch.testing import waiting
+from jackdawlatch.unified import root
+from jackdawlatch.unified import settings as unified_settings
+
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+sys.path.insert(0, str(ROOT / 'platform' / 'tests'))
+import platform_standins as standins  # noqa: E402 Its folder was just added.
+
+JOB = '0123456789abcdef'
+PATH = f'/photos/{JOB}'
+BODY = types.MappingProxyType(
+    {'spec': 'x', 'steps': [{'count': 2, 'cpu': 500, 'mem-mb': 10}]}
+)
+
+
+class Bench:
+    """A daemon, its callers and its platform."""
+
+    def __init__(
+        self,
+        store: standins.Store,
+        worker: task_workers.FakeWorker,
+        daemon: unified_settings.Unified,
+        running: asyncio.Task[None],
+    ) -> None:
+        self.running = running
+        self.store = store
+        self.worker = worker
+        self._base = f'http://{daemon.front_address}'
+        self._ready = f'http://{daemon.ready_address}/ready'
+        self.metrics = f'http://127.0.0.1:{daemon.metrics_port}/metrics'
+        self._client = exchange.Client(4)
+
+    async def call(
+        self,
+        method: str,
+        path: str = PATH,
+        body: Mapping[str, object] | None = None,
+    ) -> exchange.Reply:
+        """Call as a requester does."""
+        replied = await self._client.send(
+            exchange.Outgoing(
+                self._base + path,
+                method=method,
+                body=None if body is None else json.dumps(dict(body)).encode(),
+                headers=(('Host', 'host.example'),),
+            )
+        )
+        return replied.unwrap()
+
+    async def get(self, url: str) -> exchange.Reply:
+        """Read any address."""
+        return (await self._client.send(exchange.Outgoing(url))).unwrap()
+
+    async def state(self) -> str:
+        """Return the job's state."""
+        return json.loads((await self.call('GET')).body).get('state', '')
+
+    async def until_ready(self) -> None:
+        """Wait for the daemon's configuration."""
+
+        async def ready() -> bool:
+            return (await self.get(self._ready)).status == 200
+
+        await waiting.until(ready)
+
+    async def until_state(self, state: str) -> None:
+        """Wait for the job's state."""
+
+        async def reached() -> bool:
+            return await self.state() == state
+
+        await waiting.until(reached)
+
+
+@contextlib.asynccontextmanager
+async def bench():
+    store = standins.Store()
+    entry = reports.WorkerEntry('i-1', 1, '', 'photo', 'z', 'm-1', model.Room())
+    worker = task_workers.FakeWorker(entry)
+    with contextlib.ExitStack() as stack:
+        address = stack.enter_context(
+            standins.serving(standins.RunnerHandler, worker=worker)
+        )
+        store_address = stack.enter_context(
+            standins.serving(standins.StoreHandler, store=store)
+        )
+        store.write('servers/i-1', standins.runner_entry(address))
+        store.write('servers/i-2', b'\xff')
+        free = ports.Ports(random.Random())
+        stack.callback(free.close)
+        settings = _settings(
+            store_address, (free.take(), free.take(), free.take())
+        )
+        daemon = root.Root(settings)
+        daemon.listen()
+        running = asyncio.create_task(daemon.run())
+        try:
+            yield Bench(store, worker, settings, running)
+        finally:
+            daemon.close()
+            await _cancel(running)
+
+
+async def _cancel(running: asyncio.Task[None]) -> None:
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+
+
+def _settings(store: str, found: tuple[int, ...]) -> unified_settings.Unified:
+    front, ready, metrics = found
+    return unified_settings.Unified(
+        name='u1',
+        zone='z',
+        front_address=f'127.0.0.1:{front}',
+        ready_address=f'127.0.0.1:{ready}',
+        metrics_port=metrics,
+        store_address=store,
+        machines_address='127.0.0.1:1',
+        bounds=unified_settings.Bounds(
+            lease_ms=10_000,
+            stop_ms=200,
+            drain_s=6,
+            retention_s=120,
+            maintenance_s=2,
+            migration_s=1.5,
+            notice_ms=4500,
+        ),
+    )
