--- a/libs/scheduler/src/jackdawlatch/scheduler/pools.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/pools.py
@@ -52,6 +52,8 @@
         for service, number in reversed(surplus.most_common()):
             if number < 0:
                 await self._supply(service, surplus)
+        if not self._demand_seen():
+            return
         for worker in self._idle_for(RETURN_IDLE_S):
             if surplus[worker.entry.service] > 0:
                 await self._return(worker, surplus)
@@ -80,6 +82,14 @@
                 surplus[worker.entry.service] -= 1
                 return
 
+    def _demand_seen(self) -> bool:
+        """Whether idling tells anything: not before the first short job."""
+        return any(
+            not step.lasting
+            for job in self._book.jobs_by_id.values()
+            for step in job.job.steps
+        )
+
     def _fleet(self) -> list[workers.Worker]:
         serving = self._book.catalog.serving_services()
         return [
--- /dev/null
+++ b/libs/scheduler/tests/test_scheduler_decisions.py
@@ -0,0 +1,156 @@
+"""Decisions of the scheduler, without a loop."""
+
+from jackdawlatch.jobs import model, queues
+from jackdawlatch.scheduler import (
+    demand,
+    fillers,
+    job_order,
+    placing,
+    reports,
+    rooms,
+    tasks,
+    workers,
+)
+from jackdawlatch.testing import functions
+
+QUEUE = queues.Queue('q', 'h', '/q/', 's', slack_factor=2, target_s=1)
+CORE = model.Room(processors_m=1000)
+
+
+def test_step_is_packed_on_the_fullest_worker():
+    fleet = [_worker('w1'), _worker('w2', cores=2)]
+    placed = _place(_job(model.Step(count=2, room=CORE)), fleet)
+    assert [one.worker.entry.id for one in placed] == ['w2', 'w2']
+
+
+def test_no_worker_holds_more_of_a_step_than_allowed():
+    fleet = [_worker('w1'), _worker('w2')]
+    placed = _place(
+        _job(model.Step(count=4, room=CORE, max_per_worker=1)), fleet
+    )
+    assert sorted(one.worker.entry.id for one in placed) == ['w1', 'w2']
+
+
+def test_data_rack_goes_first_and_label_is_required():
+    near, far = _worker('w1', rack='r2'), _worker('w2', cores=1)
+    step = model.Step(count=1, room=CORE, data_rack='r2')
+    assert _place(_job(step), [near, far])[0].worker is near
+    labelled = model.Step(count=1, room=CORE, required_label='gpu')
+    assert not _place(_job(labelled), [near, far])
+
+
+def test_same_rack_step_stays_in_one_rack():
+    fleet = [
+        _worker('w1', cores=2),
+        _worker('w2', rack='r2'),
+        _worker('w3', rack='r2'),
+    ]
+    step = model.Step(count=6, room=CORE, same_rack=True, gang=True)
+    placed = _place(_job(step), fleet)
+    assert len(placed) == 6
+    assert {one.worker.entry.rack for one in placed} == {'r2'}
+
+
+def test_cordoned_and_silent_workers_get_nothing():
+    for field in ('cordoned', 'reachable', 'listed'):
+        worker = _worker('w1')
+        setattr(worker, field, field == 'cordoned')
+        assert not _place(_job(model.Step(count=1, room=CORE)), [worker])
+
+
+def test_filling_task_takes_no_processors():
+    worker = _worker('w1', cores=1)
+    step = model.Step(count=3, room=CORE, fills=True)
+    assert len(_place(_job(step), [worker])) == 3
+
+
+def test_job_in_time_goes_before_a_late_one():
+    order = job_order.ObjectiveOrder()
+    moment = job_order.Moment(steady_s=100, wall_s=100)
+    short = model.Step(count=1, room=CORE, estimate_s=1)
+    late, fresh = _job(short), _job(short, short, accepted_s=99.5)
+    assert order.key(fresh, moment) < order.key(late, moment)
+
+
+def test_smaller_job_goes_first_and_lasting_before_all():
+    order = job_order.ObjectiveOrder()
+    moment = job_order.Moment(steady_s=0, wall_s=0)
+    small = _job(model.Step(count=1, room=CORE, estimate_s=1))
+    large = _job(model.Step(count=9, room=CORE, estimate_s=1))
+    lasting = _job(model.Step(count=9, room=CORE, lasting=True))
+    assert order.key(small, moment) < order.key(large, moment)
+    assert order.key(lasting, moment) < order.key(small, moment)
+
+
+def test_demand_counts_the_widest_open_step():
+    job = _job(
+        model.Step(count=2, room=CORE),
+        model.Step(count=8, room=CORE, after=(0,)),
+    )
+    machine = model.Room(processors_m=4000, memory_mb=4000)
+    assert demand.machines_by_service([job], machine) == {'s': 3}
+    job.phase = job.phase.CANCELLED
+    assert not demand.machines_by_service([job], machine)
+
+
+def test_filling_work_gives_way_and_comes_back():
+    assert fillers.wanted_pace(100, strain=1.2) == 0
+    assert fillers.wanted_pace(100, strain=0.95) == 50
+    assert fillers.wanted_pace(50, strain=0.8) == 50
+    assert fillers.wanted_pace(90, strain=0.2) == 100
+
+
+def test_occurrence_waits_for_its_time():
+    job = tasks.JobState(
+        model.Job(
+            id='a',
+            queue='q',
+            service='s',
+            steps=(model.Step(count=1),),
+            repeat_count=2,
+            start_at_s=10,
+            interval_s=5,
+        )
+    )
+    assert [len(job.ready_steps(now_s)) for now_s in (9, 10, 15)] == [0, 1, 2]
+
+
+def _job(*steps: model.Step, accepted_s: float = 0) -> tasks.JobState:
+    state = tasks.JobState(
+        model.Job(
+            id='a',
+            queue='q',
+            service='s',
+            steps=steps,
+            accepted_s=accepted_s,
+        )
+    )
+    state.queue = QUEUE
+    return state
+
+
+def _worker(name: str, cores: int = 4, rack: str = 'r1') -> workers.Worker:
+    worker = workers.Worker(
+        reports.WorkerEntry(
+            id=name,
+            born_ms=1,
+            address='',
+            service='s',
+            zone='z',
+            machine=name,
+            room=model.Room(processors_m=cores * 1000, memory_mb=4000),
+            rack=rack,
+        )
+    )
+    worker.reachable = True
+    return worker
+
+
+def _place(
+    job: tasks.JobState, fleet: list[workers.Worker]
+) -> list[placing.Placement]:
+    room = rooms.Rooms({'s': fleet}, now_s=0)
+    return placing.StepPlacer(job.steps[0], room, None).place()
+
+
+load_tests = functions.loader(__name__)
