--- a/tools/show_red.py
+++ b/tools/show_red.py
@@ -109,6 +109,62 @@
         'placer',
         'test_paused_placer_starts_nothing',
     ),
+    Undoing(
+        'an end is kept before it is acknowledged',
+        'scheduler/workers.py',
+        'self._unstored.add(number)',
+        'self._unstored.discard(number)',
+        'scheduler',
+        'test_end_is_not_acknowledged',
+    ),
+    Undoing(
+        'a lost worker is waited for',
+        'scheduler/roll.py',
+        'if self._book.now_s > worker.lease_end_s + slack_s:',
+        'if True:',
+        'scheduler',
+        'test_lost_worker_is_waited_for',
+    ),
+    Undoing(
+        'a wave keeps the budget of a step',
+        'scheduler/waves.py',
+        'return others_away < step.max_unavailable',
+        'return True',
+        'scheduler',
+        'test_wave_moves_one_task',
+    ),
+    Undoing(
+        'silent workers count as away',
+        'scheduler/runs.py',
+        'and self.worker.reachable',
+        'and self.percent',
+        'scheduler',
+        'test_task_of_a_silent_worker',
+    ),
+    Undoing(
+        'a job in doubt is not told as refused',
+        'jobs/intake.py',
+        'if isinstance(failure, keyvalue.Uncertain):',
+        'if isinstance(failure, keyvalue.LeaseLost):',
+        'jobs',
+        'test_lost_reply',
+    ),
+    Undoing(
+        'a store that is away is not asked',
+        'jobs/intake.py',
+        "if not self._parts.store.answering:\n            return result.Failure(\n                _not_reached(keyvalue.Unavailable(message='store away'))\n            )\n        written",
+        'written',
+        'jobs',
+        'test_store_that_fails',
+    ),
+    Undoing(
+        'a stopping daemon does not lead',
+        'scheduler/election.py',
+        'self._withdrawn = True',
+        'self._withdrawn = False',
+        'unified',
+        'test_stopping_daemon',
+    ),
 )
 
 
@@ -122,7 +178,7 @@
 def _is_red(undoing: Undoing) -> bool:
     with tempfile.TemporaryDirectory() as folder:
         scratch = pathlib.Path(folder)
-        for part in ('libs', 'tools'):
+        for part in ('libs', 'platform', 'tools'):
             shutil.copytree(ROOT / part, scratch / part)
         before = _failures(scratch, undoing)
         library = undoing.path.partition('/')[0]
