--- a/libs/scheduler/src/jackdawlatch/scheduler/contacts.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/contacts.py
@@ -10,6 +10,7 @@
 # the tasks of a lost worker are started again soon.
 LEASE_S = 6.0
 HOLD_WAIT_S = 2.0
+LOOKS_PER_LEASE = 3
 PROBE_S = 0.25
 # Leases are extended also while the store takes no ends.
 STORING_S = 1.0
@@ -28,6 +29,8 @@
         self._orders = own_orders
         self._spawn = spawn
         self._lease_s = min(LEASE_S, own.parts.bounds.lease_s)
+        # Several looks have to fit into one lease.
+        self._wait_s = min(HOLD_WAIT_S, self._lease_s / LOOKS_PER_LEASE)
         self._active: set[workers.Worker] = set()
 
     def join(self, worker: workers.Worker) -> None:
@@ -43,7 +46,7 @@
                 break
             if worker.reachable:
                 answered = await self._orders.look(
-                    worker, self._lease_s, HOLD_WAIT_S
+                    worker, self._lease_s, self._wait_s
                 )
             else:
                 # A lease that is not extended bounds the wait for its runs.
--- a/libs/scheduler/src/jackdawlatch/scheduler/election.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/election.py
@@ -57,16 +57,15 @@
                     return term
 
     async def keep(self) -> None:
-        """Renew the lease; return when it is lost."""
-        while self.term is not None:
-            await asyncio.sleep(TTL_S / RENEWALS_PER_TTL)
-            asked_s = self._candidate.clock.monotonic_s()
-            renewed = await self._candidate.store.renew(self._lease)
-            if isinstance(renewed, result.Success):
-                self._renewed_s = asked_s
-            elif isinstance(renewed.failure(), keyvalue.LeaseLost):
-                logging.info('leadership lost: the lease has ended')
-                self.term = None
+        """Renew the lease until it is lost.
+
+        A renewal does not wait for the answer to the one before, which may
+        have been lost.
+        """
+        async with asyncio.TaskGroup() as renewals:
+            while self.term is not None:
+                await asyncio.sleep(TTL_S / RENEWALS_PER_TTL)
+                renewals.create_task(self._renew(self._lease))
 
     async def withdraw(self) -> None:
         """Give leadership up and compete no more."""
@@ -94,6 +93,17 @@
         else:
             self._vacancy.clear()
 
+    async def _renew(self, lease: str) -> None:
+        asked_s = self._candidate.clock.monotonic_s()
+        renewed = await self._candidate.store.renew(lease)
+        if lease != self._lease:
+            return
+        if isinstance(renewed, result.Success):
+            self._renewed_s = max(self._renewed_s, asked_s)
+        elif isinstance(renewed.failure(), keyvalue.LeaseLost):
+            logging.info('leadership lost: the lease has ended')
+            self.term = None
+
     async def _compete(self) -> ledger.Term | None:
         asked_s = self._candidate.clock.monotonic_s()
         granted = await self._candidate.store.grant(TTL_S)
--- a/libs/scheduler/src/jackdawlatch/scheduler/pools.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/pools.py
@@ -9,9 +9,12 @@
 from collections.abc import Callable
 
 from jackdawlatch.jobs import model
-from jackdawlatch.scheduler import book, demand, mover, waves, workers
+from jackdawlatch.scheduler import book, demand, mover, workers
 
 PERIOD_S = 0.2
+# The last orders of another leader are answered by then; it gives no more
+# once its lease is no longer trusted.
+HANDOVER_S = 1.0
 # A machine that idles longer costs more than two moves of it.
 RETURN_IDLE_S = 2.5
 # A machine that another service waits for is let go sooner.
@@ -39,8 +42,7 @@
 
     async def run(self) -> None:
         """Move machines until cancelled."""
-        # The last orders of another leader must be over.
-        await asyncio.sleep(waves.HANDOVER_S)
+        await asyncio.sleep(HANDOVER_S)
         while True:
             if self._leading():
                 await self._round()
--- a/libs/scheduler/src/jackdawlatch/scheduler/waves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waves.py
@@ -20,7 +20,7 @@
 from jackdawlatch.store import transactions
 
 PERIOD_S = 0.2
-# Orders about machines of two leaders must not be closer than this.
+# Machines that another leader took down are up again by then.
 HANDOVER_S = 3.0
 # The answer to an order comes after the machine went down.
 SLACK_S = 0.3
--- /dev/null
+++ b/libs/scheduler/tests/test_scheduler_election.py
@@ -0,0 +1,93 @@
+"""One process leads at a time, and knows until when."""
+
+import asyncio
+import contextlib
+
+from returns import result
+
+from jackdawlatch.jobs import stored
+from jackdawlatch.model import clocks
+from jackdawlatch.scheduler import election
+from jackdawlatch.standins import fakes
+from jackdawlatch.store import keyvalue
+from jackdawlatch.testing import functions, waiting
+
+
+class Bench:
+    """Candidates over one store whose time a test moves."""
+
+    def __init__(self) -> None:
+        self.clock = clocks.ManualClock(start_s=10)
+        self.store = fakes.FakeStore(self.clock)
+
+    def candidate(self, name: str) -> election.Election:
+        """Return a candidate that sees a vacancy."""
+        made = election.Election(
+            election.Candidate(name, self.store, self.clock)
+        )
+        made.note_vacancy(vacant=True)
+        return made
+
+
+@contextlib.contextmanager
+def bench():
+    yield Bench()
+
+
+async def test_only_one_candidate_wins(bench):
+    first, second = bench.candidate('a'), bench.candidate('b')
+    term = await first.win()
+    losing = asyncio.create_task(second.win())
+    await waiting.until(lambda: bench.store.calls_by_name['commit'] > 1)
+    assert first.leading and not second.leading
+    assert term.token == bench.store.content.get(stored.LEADER_KEY).revision
+    losing.cancel()
+
+
+async def test_later_term_has_a_higher_token(bench):
+    first, second = bench.candidate('a'), bench.candidate('b')
+    earlier = await first.win()
+    await first.resign()
+    later = await second.win()
+    assert later.token > earlier.token
+
+
+async def test_holder_that_was_suspended_does_not_lead(bench):
+    holder = bench.candidate('a')
+    await holder.win()
+    bench.clock.advance(election.TTL_S)
+    assert not holder.leading
+
+
+async def test_lost_answer_does_not_delay_the_next_renewal(bench):
+    holder = bench.candidate('a')
+    await holder.win()
+    answers = []
+
+    async def renew(_lease: str):
+        answers.append(len(answers))
+        if len(answers) == 1:
+            await asyncio.sleep(waiting.WAIT_S)
+        return result.Success(None)
+
+    bench.store.renew = renew
+    keeping = asyncio.create_task(holder.keep())
+    bench.clock.advance(1)
+    await waiting.until(lambda: len(answers) > 1)
+    bench.clock.advance(1)
+    assert holder.leading
+    keeping.cancel()
+
+
+async def test_removed_key_ends_the_term(bench):
+    holder = bench.candidate('a')
+    term = await holder.win()
+    holder.observe(
+        keyvalue.Entry(
+            key=stored.LEADER_KEY, revision=term.token + 1, deleted=True
+        )
+    )
+    assert not holder.leading
+
+
+load_tests = functions.loader(__name__, {'bench': bench})
