Judge workers by what they finish; restart tasks that stand still

A worker that fails all it starts used up a task's attempts the same way, since the fullest worker was chosen again. Tests: test_task_that_stands_still_starts_elsewhere, test_task_is_retried_on_another_worker.

--- a/libs/scheduler/src/jackdawlatch/scheduler/book.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/book.py
@@ -73,7 +73,7 @@
     ) -> runs.Run:
         """Note that an attempt at a task may run on a worker."""
         run = runs.Run(task, worker, attempt, phase)
-        run.began_s = self.now_s
+        run.news_s = self.now_s
         run.checkpoint = task.checkpoint
         task.attempt = attempt
         task.run = run
--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -20,6 +20,7 @@
     fillers,
     housekeeping,
     job_order,
+    judging,
     mover,
     observers,
     orders,
@@ -179,6 +180,7 @@
             self.waves.run(),
             self._pools.run(),
             self._advisor.run(),
+            judging.Stalls(self.book, self._leading).run(),
             self._fillers.run(self.book.workers_by_id),
         ):
             self._spawn(loop)
--- a/libs/scheduler/src/jackdawlatch/scheduler/orders.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/orders.py
@@ -157,7 +157,7 @@
             return
         if isinstance(started, result.Success):
             run.phase = runs.RunPhase.RUNNING
-            run.began_s = self._clock.monotonic_s()
+            run.news_s = self._clock.monotonic_s()
             if run.task.job.ended:
                 self.stop(worker, run.name)
             return
@@ -183,9 +183,7 @@
         if failure.reason is calls.Refusal.FENCED:
             self._parts.ledger.deposed.set()
         penalty_s = PENALTIES_S_BY_REASON.get(failure.reason, 0)
-        worker.penalty_until_s = max(
-            worker.penalty_until_s, self._clock.monotonic_s() + penalty_s
-        )
+        worker.standing.suspend(self._clock.monotonic_s() + penalty_s)
 
     async def _settle(self, run: runs.Run) -> None:
         name = run.name
--- a/libs/scheduler/src/jackdawlatch/scheduler/placing.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/placing.py
@@ -85,7 +85,7 @@
     def _choose(self, waiting: list[tasks.Task], fits: Fits) -> Choice:
         chosen: Choice = []
         for task in waiting:
-            worker = self._best(fits)
+            worker = self._best(task, fits)
             if worker is None:
                 break
             self._counts[worker.entry.id] += 1
@@ -98,7 +98,7 @@
             self._counts[worker.entry.id] -= 1
             self._room.give_back(worker, self._step.held_room)
 
-    def _best(self, fits: Fits) -> workers.Worker | None:
+    def _best(self, task: tasks.Task, fits: Fits) -> workers.Worker | None:
         most = self._step.max_per_worker
         fitting = [
             worker
@@ -107,7 +107,14 @@
             and (not most or self._counts[worker.entry.id] < most)
             and (self._tickets is None or self._tickets.of(worker))
         ]
-        return min(fitting, key=self._cost, default=None)
+        return min(
+            fitting,
+            key=lambda worker: (
+                worker.entry.id == task.avoided,
+                *self._cost(worker),
+            ),
+            default=None,
+        )
 
     def _is_remote(self, rack: str) -> bool:
         return bool(self._step.data_rack) and rack != self._step.data_rack
--- a/libs/scheduler/src/jackdawlatch/scheduler/reconcile.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconcile.py
@@ -1,7 +1,15 @@
 """Compares what a worker tells with what the book believes."""
 
 from jackdawlatch.jobs import stored
-from jackdawlatch.scheduler import book, calls, reports, runs, tasks, workers
+from jackdawlatch.scheduler import (
+    book,
+    calls,
+    judging,
+    reports,
+    runs,
+    tasks,
+    workers,
+)
 
 # Failures of a task of a queue that is no longer configured.
 DEFAULT_ATTEMPTS = 1
@@ -44,10 +52,10 @@
         if run is None:
             self._book.unwanted(worker, report.name)
             return
-        run.take(report)
+        run.take(report, self._book.now_s)
         if run.phase in ORDERED:
             run.phase = runs.RunPhase.RUNNING
-            run.began_s = self._book.now_s
+            run.news_s = self._book.now_s
         if run.task.job.ended and run.phase is runs.RunPhase.RUNNING:
             self._book.stop(run)
 
@@ -80,8 +88,11 @@
                 task.release(self._book.now_s)
         task.checkpoint = end.checkpoint or task.checkpoint
         if end.kind is reports.EndKind.DONE:
+            judging.finished(worker)
             self._take_done(task)
         elif end.kind is reports.EndKind.FAILED:
+            judging.failed(worker, self._book.now_s)
+            task.avoided = worker.entry.id
             self._take_failed(task)
         self._book.parts.log.note(
             'run-ended',
@@ -116,7 +127,7 @@
 def _settled(run: runs.Run, asked_s: float) -> bool:
     """Whether a look that lacks the run shows that it does not exist."""
     if run.phase in STARTED:
-        return asked_s > run.began_s
+        return asked_s > run.news_s
     return (
         run.phase is runs.RunPhase.UNSETTLED
         and run.settled_after_s is not None
--- a/libs/scheduler/src/jackdawlatch/scheduler/rooms.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/rooms.py
@@ -18,7 +18,7 @@
             service: [
                 worker
                 for worker in found
-                if worker.usable and worker.penalty_until_s <= now_s
+                if worker.usable and worker.standing.barred_until_s <= now_s
             ]
             for service, found in candidates_by_service.items()
         }
--- a/libs/scheduler/src/jackdawlatch/scheduler/runs.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/runs.py
@@ -9,6 +9,7 @@
     from jackdawlatch.scheduler import tasks, workers
 
 SERVING_PERCENT = 100
+FULL_PACE = 100
 
 
 class RunPhase(enum.Enum):
@@ -29,7 +30,7 @@
 
     __slots__ = (
         'attempt',
-        'began_s',
+        'news_s',
         'checkpoint',
         'gauge',
         'pace',
@@ -51,11 +52,12 @@
         self.worker = worker
         self.attempt = attempt
         self.phase = phase
-        self.began_s: float = 0
+        # When it was last known to start or to progress.
+        self.news_s: float = 0
         self.checkpoint = ''
         self.percent = 0
         self.gauge = 0
-        self.pace = SERVING_PERCENT
+        self.pace = FULL_PACE
         # A look asked for after this time that lacks the run settles it.
         self.settled_after_s: float | None = None
 
@@ -64,9 +66,11 @@
         """How the worker is told of this run."""
         return calls.RunName(self.task.id, self.attempt)
 
-    def take(self, report: reports.RunReport) -> None:
+    def take(self, report: reports.RunReport, now_s: float) -> None:
         """Take over what the worker tells of this run."""
         self.checkpoint = report.checkpoint or self.checkpoint
+        if report.percent != self.percent:
+            self.news_s = now_s
         self.percent = report.percent
         self.gauge = report.gauge
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
@@ -15,10 +15,14 @@
 
 
 class Task:
-    """One task; ``run`` is the attempt that may be running."""
+    """One task; ``run`` is the attempt that may be running.
+
+    ``avoided`` is the worker on which it failed or stood still last.
+    """
 
     __slots__ = (
         'attempt',
+        'avoided',
         'checkpoint',
         'ended_s',
         'failures',
@@ -35,6 +39,7 @@
         self.step = job.job.steps[task_id.step]
         self.phase = TaskPhase.WAITING
         self.attempt = 0
+        self.avoided = ''
         self.failures = 0
         self.checkpoint = ''
         self.run: runs.Run | None = None
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -15,6 +15,18 @@
 CLOCK_DRIFT = 0.02
 
 
+class Standing:
+    """How a worker has done lately."""
+
+    def __init__(self) -> None:
+        self.barred_until_s: float = 0
+        self.failures_in_row = 0
+
+    def suspend(self, until_s: float) -> None:
+        """Have nothing placed there until then."""
+        self.barred_until_s = max(self.barred_until_s, until_s)
+
+
 class Worker:
     """One boot of a worker, with the runs that may be there."""
 
@@ -25,7 +37,7 @@
         self.cordoned = False
         self.looked_s: float = 0
         self.lease_end_s: float = 0
-        self.penalty_until_s: float = 0
+        self.standing = Standing()
         self.runs_by_task: dict[model.TaskId, runs.Run] = {}
         self.free = entry.room
         self.seen = 0
--- a/libs/scheduler/tests/test_scheduler_leader.py
+++ b/libs/scheduler/tests/test_scheduler_leader.py
@@ -153,6 +153,27 @@
     assert worker.begun == [calls.RunName(benches.task(), 1)]
 
 
+async def test_task_that_stands_still_starts_elsewhere(bench):
+    first = bench.add_worker('w1')
+    bench.submit(benches.job())
+    async with bench.lead():
+        await waiting.until(lambda: first.running)
+        second = bench.add_worker('w2')
+        await waiting.until(lambda: second.running)
+    assert not first.running
+
+
+async def test_task_is_retried_on_another_worker(bench):
+    workers = (bench.add_worker('w1'), bench.add_worker('w2'))
+    bench.submit(benches.job())
+    async with bench.lead():
+        await waiting.until(lambda: any(one.running for one in workers))
+        failing = workers[0] if workers[0].running else workers[1]
+        failing.end(benches.task(), FAILED)
+        await waiting.until(lambda: sum(len(one.begun) for one in workers) == 2)
+    assert len(failing.begun) == 1
+
+
 async def test_advised_task_runs_where_it_may(bench):
     bench.add_worker('w1')
     allowed = bench.add_worker('w2')
--- a/libs/standins/src/jackdawlatch/standins/task_workers.py
+++ b/libs/standins/src/jackdawlatch/standins/task_workers.py
@@ -19,7 +19,7 @@
     """One boot of a worker.
 
     ``down`` leaves every call unanswered; ``lose_answers`` counts the calls
-    that are carried out and not answered.
+    that are carried out and not answered.  Every run is at ``percent``.
     """
 
     def __init__(self, entry: reports.WorkerEntry) -> None:
@@ -27,6 +27,7 @@
         self.token = 0
         self.down = False
         self.lose_answers = 0
+        self.percent = 100
         self.begun: list[calls.RunName] = []
         self.running: dict[model.TaskId, int] = {}
         self.ends: list[reports.EndReport] = []
@@ -74,7 +75,9 @@
             clock_s=0,
             born_ms=self.entry.born_ms,
             running=tuple(
-                reports.RunReport(calls.RunName(task, attempt), '', 100)
+                reports.RunReport(
+                    calls.RunName(task, attempt), '', self.percent
+                )
                 for task, attempt in self.running.items()
             ),
             ended=tuple(self.ends),
