--- a/libs/unified/src/jackdawlatch/unified/root.py
+++ b/libs/unified/src/jackdawlatch/unified/root.py
@@ -163,7 +163,9 @@
 
     def _is_ready(self) -> bool:
         configured = self._intake.catalog.version != queues.NO_VERSION
-        return configured and not self._stopping.is_set()
+        serving = configured and not self._stopping.is_set()
+        # Other entries may reach a store that turns this host away.
+        return serving and self._store.answering
 
     async def _drain(self) -> None:
         """Answer what is in flight, and what open connections still bring."""
--- a/libs/unified/tests/test_unified_daemon.py
+++ b/libs/unified/tests/test_unified_daemon.py
@@ -53,6 +53,19 @@
     assert bench.store.content.get(f'work/jobs/{benches.JOB}') is None
 
 
+async def test_daemon_without_its_store_is_not_ready(bench):
+    bench.store.write('op/config', benches.standins.manifest())
+    await bench.until_ready()
+    bench.store.down = True
+
+    async def unready() -> bool:
+        return not await bench.ready()
+
+    await waiting.until(unready)
+    bench.store.down = False
+    await bench.until_ready()
+
+
 async def test_cancelled_job_is_stopped_and_shown(bench):
     bench.store.write('op/config', benches.standins.manifest())
     await bench.until_ready()
--- a/libs/unified/tests/unified_bench.py
+++ b/libs/unified/tests/unified_bench.py
@@ -21,6 +21,7 @@
 sys.path.insert(0, str(ROOT / 'platform' / 'tests'))
 import platform_standins as standins  # noqa: E402 Its folder was just added.
 
+OK = 200
 JOB = '0123456789abcdef'
 PATH = f'/photos/{JOB}'
 BODY = types.MappingProxyType(
@@ -71,13 +72,13 @@
         """Return the job's state."""
         return json.loads((await self.call('GET')).body).get('state', '')
 
+    async def ready(self) -> bool:
+        """Tell whether the balancer may send callers."""
+        return (await self.get(self._ready)).status == OK
+
     async def until_ready(self) -> None:
         """Wait for the daemon's configuration."""
-
-        async def ready() -> bool:
-            return (await self.get(self._ready)).status == 200
-
-        await waiting.until(ready)
+        await waiting.until(self.ready)
 
     async def until_state(self, state: str) -> None:
         """Wait for the job's state."""
