--- a/libs/jobs/src/jackdawlatch/jobs/stored.py
+++ b/libs/jobs/src/jackdawlatch/jobs/stored.py
@@ -33,6 +33,8 @@
 ):
     """A task that was started at least once.
 
+    An end is listed again to the next leader if it was not acknowledged, so
+    ``failed_attempts`` names each attempt that failed, not their number.
     ``worker`` and ``born_ms`` name the life of a worker on which ``attempt``
     may still run; empty when it does not.
     """
@@ -41,7 +43,7 @@
     step: int
     index: int
     attempt: int
-    failures: int = 0
+    failed_attempts: tuple[int, ...] = ()
     done: bool = False
     worker: str = ''
     born_ms: int = 0
--- a/libs/scheduler/src/jackdawlatch/scheduler/reconcile.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconcile.py
@@ -93,7 +93,7 @@
         elif end.kind is reports.EndKind.FAILED:
             judging.failed(worker, self._book.now_s)
             task.avoided = worker.entry.id
-            self._take_failed(task)
+            self._take_failed(task, end.name.attempt)
         self._book.parts.log.note(
             'run-ended',
             task=task.id.name,
@@ -115,12 +115,16 @@
         if job.complete:
             self._book.end_job(job, stored.JobPhase.DONE)
 
-    def _take_failed(self, task: tasks.Task) -> None:
+    def _take_failed(self, task: tasks.Task, attempt: int) -> None:
+        if task.step.lasting:
+            return
         job = task.job
-        task.failures += 1
+        task.failed_attempts.add(attempt)
+        failures = job.step_of(task.id.occurrence, task.id.step).failures_of(
+            task
+        )
         most = job.queue.max_attempts if job.queue else DEFAULT_ATTEMPTS
-        exhausted = task.failures >= most and not task.step.lasting
-        if exhausted and not job.ended:
+        if failures >= most and not job.ended:
             self._book.end_job(job, stored.JobPhase.FAILED)
 
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
@@ -25,7 +25,7 @@
         'avoided',
         'checkpoint',
         'ended_s',
-        'failures',
+        'failed_attempts',
         'id',
         'job',
         'phase',
@@ -40,7 +40,7 @@
         self.phase = TaskPhase.WAITING
         self.attempt = 0
         self.avoided = ''
-        self.failures = 0
+        self.failed_attempts: set[int] = set()
         self.checkpoint = ''
         self.run: runs.Run | None = None
         self.ended_s: float = 0
@@ -60,7 +60,7 @@
     def restore(self, known: stored.TaskProgress) -> None:
         """Take over what an earlier leader wrote."""
         self.attempt = known.attempt
-        self.failures = known.failures
+        self.failed_attempts = set(known.failed_attempts)
         self.checkpoint = known.checkpoint
         if known.done:
             self.phase = TaskPhase.DONE
@@ -73,7 +73,7 @@
             self.id.step,
             self.id.index,
             self.attempt,
-            self.failures,
+            tuple(sorted(self.failed_attempts)),
             self.phase is TaskPhase.DONE,
             run.worker.entry.id if run else '',
             run.worker.entry.born_ms if run else 0,
@@ -92,6 +92,12 @@
         self.tasks: list[Task] = []
         self.done_count = 0
 
+    def failures_of(self, task: Task) -> int:
+        """Return how many attempts failed; those of a gang are its own."""
+        if not self.step.gang:
+            return len(task.failed_attempts)
+        return len(set().union(*(one.failed_attempts for one in self.tasks)))
+
     @property
     def done(self) -> bool:
         """Whether every task has ended as done."""
--- a/libs/scheduler/tests/test_scheduler_leader.py
+++ b/libs/scheduler/tests/test_scheduler_leader.py
@@ -117,6 +117,21 @@
         assert not worker.running
 
 
+async def test_failure_that_is_listed_again_counts_once(bench):
+    worker = bench.add_worker('w1')
+    bench.submit(benches.job())
+    async with bench.lead():
+        await waiting.until(lambda: worker.running)
+        worker.end(benches.task(), FAILED)
+        unacknowledged = worker.ends[0]
+        await waiting.until(lambda: len(worker.begun) == 2)
+    worker.ends.append(unacknowledged)
+    async with bench.lead():
+        await waiting.until(lambda: not worker.ends)
+        await asyncio.sleep(0.1)
+    assert bench.phase('a') is stored.JobPhase.RUNNING
+
+
 async def test_cancelled_job_is_stopped(bench):
     worker = bench.add_worker('w1')
     bench.submit(benches.job(lasting=True))
