--- a/libs/scheduler/src/jackdawlatch/scheduler/reports.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reports.py
@@ -72,12 +72,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Machine:
-    """A machine of the platform; ``worker`` is empty while none runs."""
+    """A machine of the platform, and whether it can be moved."""
 
     id: str
     service: str
     available: bool
-    worker: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/scheduler/src/jackdawlatch/scheduler/waves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waves.py
@@ -54,7 +54,6 @@
     """How long a machine's maintenance takes, and how status is written."""
 
     maintenance_s: float
-    notice_s: float
     status: Callable[[WaveStatus], transactions.Put]
 
 
--- a/libs/scheduler/tests/scheduler_bench.py
+++ b/libs/scheduler/tests/scheduler_bench.py
@@ -171,7 +171,7 @@
                     book.Bounds(lease_s=0.5, stop_s=0.05),
                     retention_s=60,
                     migration_s=0.1,
-                    waves=waves.Settings(0.1, 1, _status),
+                    waves=waves.Settings(0.1, _status),
                 ),
             ),
             ledger.Term('leader', entry.revision),
--- a/libs/unified/src/jackdawlatch/unified/root.py
+++ b/libs/unified/src/jackdawlatch/unified/root.py
@@ -152,7 +152,6 @@
                     migration_s=bounds.migration_s,
                     waves=waves.Settings(
                         maintenance_s=bounds.maintenance_s,
-                        notice_s=bounds.notice_ms / MILLISECONDS,
                         status=operator.wave_status,
                     ),
                 ),
--- a/libs/unified/src/jackdawlatch/unified/settings.py
+++ b/libs/unified/src/jackdawlatch/unified/settings.py
@@ -19,7 +19,6 @@
     retention_s: float
     maintenance_s: float
     migration_s: float
-    notice_ms: int
 
 
 class Unified(records.StrictRecord, frozen=True, kw_only=True):
--- /dev/null
+++ b/libs/unified/tests/test_unified_core.py
@@ -0,0 +1,80 @@
+"""The command line and the settings of the unified daemon."""
+
+import io
+import json
+import pathlib
+import tempfile
+
+from jackdawlatch.testing import functions
+from jackdawlatch.unified import core
+
+WHOLE = (
+    ('name', 'u1'),
+    ('zone', 'z'),
+    ('front_address', '127.0.0.1:1'),
+    ('ready_address', '127.0.0.1:2'),
+    ('metrics_port', 3),
+    ('store_address', '127.0.0.1:4'),
+    (
+        'bounds',
+        {
+            'lease_ms': 10_000,
+            'stop_ms': 200,
+            'drain_s': 6,
+            'retention_s': 120,
+            'maintenance_s': 2,
+            'migration_s': 1.5,
+        },
+    ),
+)
+
+
+def test_no_settings_is_a_usage_error():
+    status, _, told = _run({})
+    assert status is core.ExitStatus.USAGE
+    assert 'JACKDAWLATCH_SETTINGS' in told
+
+
+def test_good_settings_are_ok():
+    status, told, _ = _check(dict(WHOLE))
+    assert status is core.ExitStatus.OK
+    assert told.endswith(': ok\n')
+
+
+def test_bad_settings_name_the_field():
+    for field, value in (
+        ('front_address', 'nowhere'),
+        ('metrics_port', 'x'),
+        ('unknown_field', 1),
+    ):
+        status, _, told = _check({**dict(WHOLE), field: value})
+        assert status is core.ExitStatus.USAGE
+        assert 'settings-invalid' in told
+        assert field in told
+
+
+def test_template_names_every_setting():
+    root = pathlib.Path(__file__).resolve().parents[3]
+    template = (root / 'deploy/settings.template.json').read_text()
+    for field, _ in WHOLE:
+        assert f'"{field}"' in template
+    for bound in dict(WHOLE)['bounds']:
+        assert f'"{bound}"' in template
+
+
+def _check(content: dict[str, object]) -> tuple[core.ExitStatus, str, str]:
+    with tempfile.NamedTemporaryFile('w', suffix='.json') as file:
+        json.dump(content, file)
+        file.flush()
+        return _run({core.SETTINGS_VARIABLE: file.name}, core.CHECK_FLAG)
+
+
+def _run(
+    variables: dict[str, str], *arguments: str
+) -> tuple[core.ExitStatus, str, str]:
+    stdout, stderr = io.StringIO(), io.StringIO()
+    status = core.main(core.Environment(arguments, variables, stdout, stderr))
+    return status, stdout.getvalue(), stderr.getvalue()
+
+
+load_tests = functions.loader(__name__)
--- a/libs/unified/tests/unified_bench.py
+++ b/libs/unified/tests/unified_bench.py
@@ -140,6 +140,5 @@
             retention_s=120,
             maintenance_s=2,
             migration_s=1.5,
-            notice_ms=4500,
         ),
     )
