Make two tests of the leader strict enough to go red

Both undoings (an end kept before its ack, a lost worker waited for) left their tests green: the tests looked before the next look, and before a silent worker is found.

--- a/libs/scheduler/tests/scheduler_bench.py
+++ b/libs/scheduler/tests/scheduler_bench.py
@@ -168,7 +168,7 @@
                 Directory(self.entries_by_id),
                 lambda: self.leading,
                 leader.Settings(
-                    book.Bounds(lease_s=0.5, stop_s=0.05),
+                    book.Bounds(lease_s=2, stop_s=0.05),
                     retention_s=60,
                     migration_s=0.1,
                     waves=waves.Settings(0.1, _status),
--- a/libs/scheduler/tests/test_scheduler_leader.py
+++ b/libs/scheduler/tests/test_scheduler_leader.py
@@ -6,7 +6,7 @@
 
 from jackdawlatch.jobs import model, stored
 from jackdawlatch.model import records
-from jackdawlatch.scheduler import calls, reports, waves
+from jackdawlatch.scheduler import calls, contacts, reports, waves
 from jackdawlatch.testing import functions, waiting
 
 DONE = reports.EndKind.DONE
@@ -39,7 +39,8 @@
         await waiting.until(lambda: worker.running)
         bench.store.down = True
         worker.end(benches.task(), DONE)
-        await asyncio.sleep(0.1)
+        # The next look comes meanwhile.
+        await asyncio.sleep(contacts.STORING_S + 0.3)
         assert worker.ends
         bench.store.down = False
         await waiting.until(lambda: not worker.ends)
@@ -90,7 +91,8 @@
         await waiting.until(lambda: first.running)
         second = bench.add_worker('w2')
         first.down = True
-        await asyncio.sleep(0.3)
+        # It is found silent long before, and its lease ends after that.
+        await asyncio.sleep(1.2)
         assert not second.begun
         await waiting.until(lambda: second.running)
 
