Settle orders to a worker that restarts under its id

Cause: Roll._replace marked a run whose start was being written, in flight or unsettled as unsettled on the worker's next boot, and nothing settled it: the task waited until the worker was lost. Found by reading. Ruled out: releasing the run at once; a late order names the worker's id, not its boot, and the boot's clock starts anew, so the order's expiry does not keep it out. The attempt has to be stopped there first. Change: the roll hands such runs to Orders.settle, which forgets what another boot answered and runs once for each run.

--- a/libs/scheduler/src/jackdawlatch/scheduler/book.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/book.py
@@ -35,7 +35,8 @@
     """Jobs and workers by id.
 
     ``changed`` is called when tasks may have become ready or room free,
-    ``unwanted`` with each run that has to be stopped.
+    ``unwanted`` with each run that has to be stopped, ``doubtful`` with each of
+    which it has to be found out whether its order took effect.
     """
 
     def __init__(self, parts: Parts, catalog: queues.Catalog) -> None:
@@ -44,6 +45,7 @@
         self.workers_by_id: dict[str, workers.Worker] = {}
         self.changed: Callable[[], None] = _ignore
         self.unwanted: Callable[[workers.Worker, calls.RunName], None] = _ignore
+        self.doubtful: Callable[[runs.Run], None] = _ignore
         self.parts = parts
 
     @property
--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -97,6 +97,7 @@
         )
         self.book.changed = self._wake.set
         self.book.unwanted = own_orders.stop
+        self.book.doubtful = own_orders.settle
         self._orders = own_orders
         self._contacts = contacts.Contacts(self.book, own_orders, self._spawn)
         self._advisor = advisor.Advisor(
--- a/libs/scheduler/src/jackdawlatch/scheduler/orders.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/orders.py
@@ -61,6 +61,7 @@
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
         self._stopping: set[tuple[str, int, calls.RunName]] = set()
+        self._settling: set[runs.Run] = set()
         self._clock = parts.book.parts.clock
 
     def place(self, placements: Iterable[placing.Placement]) -> None:
@@ -126,7 +127,11 @@
     def settle(self, run: runs.Run) -> None:
         """Find out whether an order that was not answered took effect."""
         run.phase = runs.RunPhase.UNSETTLED
-        self._parts.spawn(self._settle(run))
+        # What another life of the worker answered settles nothing.
+        run.settled_after_s = None
+        if run not in self._settling:
+            self._settling.add(run)
+            self._parts.spawn(self._settle(run))
 
     def _order(self, run: runs.Run, ticket: str) -> None:
         if run.task.run is not run or run.phase is not runs.RunPhase.WRITING:
@@ -190,14 +195,16 @@
         while self._unsettled(run):
             await self.look(run.worker, None, 0)
             if not self._unsettled(run):
-                return
+                break
+            worker = run.worker
             stopped = await self._parts.client.stop(
-                run.worker.target, name, self._parts.term.token
+                worker.target, name, self._parts.term.token
             )
-            if isinstance(stopped, result.Success):
+            if isinstance(stopped, result.Success) and run.worker is worker:
                 run.settled_after_s = self._clock.monotonic_s()
                 await self.look(run.worker, None, 0)
             await asyncio.sleep(RETRY_S)
+        self._settling.discard(run)
 
     def _unsettled(self, run: runs.Run) -> bool:
         return (
--- a/libs/scheduler/src/jackdawlatch/scheduler/roll.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/roll.py
@@ -69,8 +69,8 @@
                 # A late order may still reach the new boot.
                 old.drop(run)
                 run.worker = new
-                run.phase = runs.RunPhase.UNSETTLED
                 new.add(run)
+                self._book.doubtful(run)
             else:
                 self._book.release(run, 'worker-replaced')
 
--- a/libs/scheduler/tests/test_scheduler_leader.py
+++ b/libs/scheduler/tests/test_scheduler_leader.py
@@ -6,7 +6,7 @@
 
 from jackdawlatch.jobs import model, stored
 from jackdawlatch.model import records
-from jackdawlatch.scheduler import calls, contacts, reports, waves
+from jackdawlatch.scheduler import calls, contacts, reports, runs, waves
 from jackdawlatch.testing import functions, waiting
 
 DONE = reports.EndKind.DONE
@@ -107,6 +107,18 @@
     assert again.begun[0].attempt == 2
 
 
+async def test_order_to_a_worker_that_restarts_is_settled(bench):
+    first = bench.add_worker('w1')
+    first.swallows = asyncio.Event()
+    bench.submit(benches.job())
+    async with bench.lead() as led:
+        await waiting.until(lambda: _phases(led) == {runs.RunPhase.ORDERED})
+        again = bench.add_worker('w1', born_ms=2)
+        await waiting.until(lambda: again.running)
+        first.swallows.set()
+    assert again.begun[0].attempt == 2
+
+
 async def test_failures_up_to_the_limit_fail_the_job(bench):
     worker = bench.add_worker('w1')
     bench.submit(benches.job())
@@ -253,6 +265,12 @@
     assert fewest >= 1
 
 
+def _phases(led):
+    return {
+        run.phase for job in led.book.jobs_by_id.values() for run in job.runs()
+    }
+
+
 async def _fail(worker):
     await waiting.until(lambda: worker.running)
     worker.end(benches.task(), FAILED)
--- a/libs/standins/src/jackdawlatch/standins/task_workers.py
+++ b/libs/standins/src/jackdawlatch/standins/task_workers.py
@@ -19,7 +19,8 @@
     """One boot of a worker.
 
     ``down`` leaves every call unanswered; ``lose_answers`` counts the calls
-    that are carried out and not answered.  Every run is at ``percent``.
+    that are carried out and not answered.  Starts that arrive while
+    ``swallows`` is set are neither.  Every run is at ``percent``.
     """
 
     def __init__(self, entry: reports.WorkerEntry) -> None:
@@ -27,6 +28,7 @@
         self.token = 0
         self.down = False
         self.lose_answers = 0
+        self.swallows: asyncio.Event | None = None
         self.percent = 100
         self.begun: list[calls.RunName] = []
         self.running: dict[model.TaskId, int] = {}
@@ -97,6 +99,9 @@
         worker = self.by_id[target.id]
         if worker.down:
             return _unanswered()
+        if worker.swallows:
+            await worker.swallows.wait()
+            return _unanswered()
         refusal = worker.start(order)
         return self._answer(worker, refusal)
 
