Tell of readiness only once the callers' address listens

Cause: a node answered /readyz with 200 as soon as it knew the configuration, and its role listened for callers only afterwards, so callers sent in between were refused. Traced with test_planned_stop_answers_what_is_in_flight, which now prints the outcomes and errors: 'Connection refused' at entries, also at those that were not being stopped. Ruled out: the drain (entries that were not stopped refused too). Change: a node is ready while its role runs.

--- a/libs/entry/tests/entry_daemons.py
+++ b/libs/entry/tests/entry_daemons.py
@@ -35,6 +35,7 @@
     driver: driver.Driver
     client: httpclient.AsyncHTTPClient
     entries: list[str]
+    errors: list[str] = dataclasses.field(default_factory=list)
 
     async def post(
         self, entry: str, key: str, query: str = '', timeout_s: float = 10
@@ -42,7 +43,7 @@
         """Send a dispatch; None when the connection ended without answer."""
         url = f'{self.url(entry, POOL)}{query}'
         headers = {'Idempotency-Key': key, 'Request-Timeout': str(timeout_s)}
-        with contextlib.suppress(OSError, httpclient.HTTPError):
+        try:
             return await self.client.fetch(
                 url,
                 method='POST',
@@ -51,6 +52,8 @@
                 raise_error=False,
                 request_timeout=timeout_s + 5,
             )
+        except (OSError, httpclient.HTTPError) as error:
+            self.errors.append(f'{entry}: {error!r}')
         return None
 
     def url(self, entry: str, service: str) -> str:
--- a/libs/entry/tests/test_entry_processes.py
+++ b/libs/entry/tests/test_entry_processes.py
@@ -1,8 +1,10 @@
 import asyncio
+import collections
 import random
 
 import entry_daemons
 from returns import result
+from tornado import httpclient
 
 from jackdawlatch.backends import exchange
 from jackdawlatch.testing import functions
@@ -58,10 +60,8 @@
     await asyncio.sleep(0.3)
     assert await daemons.stop(stopped) == 0
     answers = await asyncio.gather(*asked)
-    assert all(
-        answer and answer.headers['Jackdawlatch-Outcome'] == 'answered'
-        for answer in answers
-    )
+    told = collections.Counter(map(_outcome, answers))
+    assert told == {'answered': len(asked)}, (told, daemons.errors)
     assert set((await daemons.runs_by_key()).values()) == {1}
 
 
@@ -91,4 +91,11 @@
     assert not cut, cut[0]
 
 
+def _outcome(answer: httpclient.HTTPResponse | None) -> str:
+    if answer is None:
+        return 'no answer'
+    outcome = answer.headers['Jackdawlatch-Outcome']
+    return outcome if outcome == 'answered' else f'{outcome} {answer.body!r}'
+
+
 load_tests = functions.loader(__name__, {'daemons': entry_daemons.daemons})
--- a/libs/node/src/jackdawlatch/node/daemon.py
+++ b/libs/node/src/jackdawlatch/node/daemon.py
@@ -70,6 +70,7 @@
         self.explain: context.Explain = _explain_nothing
         self.details: Callable[[], dict[str, Any]] = dict
         self.failed = False
+        self._serving = False
         self._watcher = watchers.Watcher(self.parts)
         self._presence = presence.Presence(
             store, self.parts.roster.own, settings.lease_ttl_s
@@ -84,9 +85,9 @@
 
     @property
     def ready(self) -> bool:
-        """Whether callers may be sent here."""
+        """Whether callers may be sent here: not before the role listens."""
         configured = self.parts.documents.configuration.version > 0
-        return configured and not self.stopping.is_set()
+        return configured and self._serving and not self.stopping.is_set()
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run background work until shutdown."""
@@ -140,8 +141,10 @@
     async def run(self, drain: Callable[[], Awaitable[None]]) -> None:
         """Serve until SIGTERM or SIGINT, then drain and stop.
 
-        ``drain`` must return once nothing of the role is in flight.
+        The role has to listen on its own addresses by now.  ``drain`` must
+        return once nothing of the role is in flight.
         """
+        self._serving = True
         await self.stopping.wait()
         self.journal.change('stopping')
         # Peers learn of the stop before the drain begins.
--- a/libs/node/tests/test_node_daemon.py
+++ b/libs/node/tests/test_node_daemon.py
@@ -132,4 +132,14 @@
     assert not all(one.held for one in candidacies)
 
 
+async def test_node_is_not_ready_before_its_role_listens(fleet: Fleet) -> None:
+    node = await fleet.start()
+    assert node.parts.documents.configuration.version
+    assert not node.ready
+    serving = asyncio.create_task(node.run(_nothing_in_flight))
+    await _until(lambda: node.ready)
+    node.stopping.set()
+    await serving
+
+
 load_tests = functions.loader(__name__, {'fleet': fleet})
