--- a/libs/scheduler/src/jackdawlatch/scheduler/mover.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/mover.py
@@ -9,10 +9,12 @@
 from jackdawlatch.scheduler import book, clients, ledger, workers
 
 # How long the list of machines that are switched off is believed.
-LIST_AGE_S = 4.0
+LIST_AGE_S = 1.5
 REFUSED_PENALTY_S = 3.0
 # A worker needs about a heartbeat to be listed after a move.
 ARRIVAL_SLACK_S = 2.0
+# A move that was answered late ends a little after its documented time.
+RETURN_SLACK_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,6 +44,7 @@
         self._arrivals_by_machine: dict[str, _Arrival] = {}
         self._barred_s_by_machine: dict[str, float] = {}
         self._standby: list[str] = []
+        self._returned_s_by_machine: dict[str, float] = {}
         self._listed_s: float = 0
 
     def expected(self) -> list[tuple[str, str]]:
@@ -67,6 +70,7 @@
 
     async def move_standby(self, service: str) -> bool:
         """Move a machine that is switched off, if there is one."""
+        self._take_returned()
         if not self._standby:
             await self._list_standby()
         if not self._standby:
@@ -87,13 +91,28 @@
             outcome = moved.failure().line()
             self._barred_s_by_machine[machine] = now_s + REFUSED_PENALTY_S
         else:
-            self._arrivals_by_machine[machine] = _Arrival(
-                service, now_s + self._parts.migration_s + ARRIVAL_SLACK_S
-            )
+            self._note_moved(machine, service, now_s)
         log = self._parts.book.parts.log
         log.note('move', machine=machine, service=service, outcome=outcome)
         return not isinstance(moved, result.Failure)
 
+    def _note_moved(self, machine: str, service: str, now_s: float) -> None:
+        due_s = now_s + self._parts.migration_s
+        if service in self._parts.book.catalog.standby_services():
+            self._returned_s_by_machine[machine] = due_s + RETURN_SLACK_S
+        else:
+            self._arrivals_by_machine[machine] = _Arrival(
+                service, due_s + ARRIVAL_SLACK_S
+            )
+
+    def _take_returned(self) -> None:
+        """Count machines that were switched off as standby again."""
+        now_s = self._parts.book.now_s
+        for machine, due_s in tuple(self._returned_s_by_machine.items()):
+            if due_s <= now_s:
+                self._returned_s_by_machine.pop(machine)
+                self._standby.append(machine)
+
     async def _list_standby(self) -> None:
         now_s = self._parts.book.now_s
         if now_s - self._listed_s < LIST_AGE_S:
@@ -111,4 +130,5 @@
             if machine.available
             and machine.service in standby
             and machine.id not in expected
+            and machine.id not in self._returned_s_by_machine
         ]
--- a/libs/scheduler/src/jackdawlatch/scheduler/pools.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/pools.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from jackdawlatch.jobs import model
-from jackdawlatch.scheduler import book, demand, mover, workers
+from jackdawlatch.scheduler import book, demand, forecast, mover, workers
 
 PERIOD_S = 0.2
 # The last orders of another leader are answered by then; it gives no more
@@ -35,6 +35,7 @@
         self._mover = own_mover
         self._leading = leading
         self._idle_since_s: dict[workers.Worker, float] = {}
+        self._peak = forecast.PeakDemand()
 
     def lacking(self) -> frozenset[str]:
         """Return the services that could use more machines than they have."""
@@ -47,19 +48,27 @@
         await asyncio.sleep(HANDOVER_S)
         while True:
             if self._leading():
-                await self._round()
+                await self.round()
             await asyncio.sleep(PERIOD_S)
 
-    async def _round(self) -> None:
+    async def round(self) -> None:
+        """Move what has to move now."""
         self._note_idle()
         surplus = self._surplus()
         for service, number in reversed(surplus.most_common()):
             if number < 0:
                 await self._supply(service, surplus)
-        if not self._demand_seen():
-            return
+        if self._demand_seen():
+            self._peak.note(self._book.now_s, sum(self._wanted().values()))
+        if self._peak.known:
+            await self._shrink(surplus)
+
+    async def _shrink(self, surplus: collections.Counter[str]) -> None:
+        """Switch off what not even the forecast demand would use."""
+        spare = len(self._fleet()) - self._peak.machines()
         for worker in self._idle_for(RETURN_IDLE_S):
-            if surplus[worker.entry.service] > 0:
+            if spare > 0 and surplus[worker.entry.service] > 0:
+                spare -= 1
                 await self._return(worker, surplus)
 
     async def _supply(
@@ -130,12 +139,18 @@
         for machine, service in self._mover.expected():
             if machine not in machines:
                 surplus[service] += 1
+        surplus.subtract(self._wanted())
+        return surplus
+
+    def _wanted(self) -> dict[str, int]:
+        """Return how many machines each service could use."""
         wanted = demand.machines_by_service(
-            self._book.jobs_by_id.values(), _largest(fleet)
+            self._book.jobs_by_id.values(), _largest(self._fleet())
         )
-        for service in self._book.catalog.serving_services():
-            surplus[service] -= max(LEAST_MACHINES, wanted.get(service, 0))
-        return surplus
+        return {
+            service: max(LEAST_MACHINES, wanted.get(service, 0))
+            for service in self._book.catalog.serving_services()
+        }
 
 
 def _largest(fleet: list[workers.Worker]) -> model.Room:
--- a/libs/scheduler/tests/scheduler_bench.py
+++ b/libs/scheduler/tests/scheduler_bench.py
@@ -101,12 +101,7 @@
         self.advice = FakeAdvice()
         self.entries_by_id: dict[str, reports.WorkerEntry] = {}
         self.leading = True
-        self._log = decisions.DecisionLog(
-            'test',
-            clocks.SystemClock(),
-            meters.Meters('test', 'test'),
-            _sink(),
-        )
+        self._log = decision_log()
 
     def add_worker(
         self, name: str, born_ms: int = 1
@@ -217,6 +212,13 @@
     yield Bench()
 
 
+def decision_log() -> decisions.DecisionLog:
+    """Return a log that nobody reads."""
+    return decisions.DecisionLog(
+        'test', clocks.SystemClock(), meters.Meters('test', 'test'), _sink()
+    )
+
+
 def _status(status: waves.WaveStatus) -> transactions.Put:
     return transactions.Put(
         key=f'status/{status.number}', content=records.encode(status)
--- a/libs/scheduler/tests/test_scheduler_election.py
+++ b/libs/scheduler/tests/test_scheduler_election.py
@@ -20,9 +20,7 @@
         self.clock = clocks.ManualClock(start_s=10)
         self.store = fakes.FakeStore(self.clock)
 
-    def candidate(
-        self, name: str, handicap_s: float = 0
-    ) -> election.Election:
+    def candidate(self, name: str, handicap_s: float = 0) -> election.Election:
         """Return a candidate that sees a vacancy."""
         made = election.Election(
             election.Candidate(name, self.store, self.clock, handicap_s)
--- /dev/null
+++ b/libs/scheduler/tests/test_scheduler_pools.py
@@ -0,0 +1,167 @@
+"""Machines go where they are wanted, and are kept while they will be."""
+
+import contextlib
+
+import scheduler_bench as benches
+from returns import result
+
+from jackdawlatch.jobs import model, queues
+from jackdawlatch.model import clocks, records
+from jackdawlatch.scheduler import (
+    acceptance,
+    book,
+    forecast,
+    ledger,
+    mover,
+    pools,
+    reports,
+    roll,
+)
+from jackdawlatch.testing import functions
+
+MIGRATION_S = 1.5
+CATALOG = queues.Catalog(
+    1,
+    (queues.Queue('photos', 'host', '/photos/', 'photo'),),
+    (
+        queues.Service('photo'),
+        queues.Service('desk'),
+        queues.Service('spare', standby=True),
+    ),
+)
+
+
+class Machines(benches.FakeMachines):
+    """Notes moves; the list shows none."""
+
+    def __init__(self) -> None:
+        super().__init__(lambda _: None)
+        self.moves: list[tuple[str, str]] = []
+
+    async def move(
+        self, machine: str, service: str, token: int
+    ) -> result.Result[None, reports.MachineFailure]:
+        """Take the order."""
+        self.moves.append((machine, service))
+        return result.Success(None)
+
+
+class Bench:
+    """Pools over a book, on a clock that a test moves."""
+
+    def __init__(self) -> None:
+        self.clock = clocks.ManualClock(start_s=100)
+        self.machines = Machines()
+        self.book = book.Book(
+            book.Parts(
+                self.clock,
+                ledger.Ledger(benches.Bench().store, ledger.Term('a', 1)),
+                benches.decision_log(),
+                book.Bounds(lease_s=2, stop_s=0.1),
+            ),
+            CATALOG,
+        )
+        self.mover = mover.Mover(
+            mover.Parts(
+                self.book,
+                self.machines,
+                ledger.Term('a', 1),
+                lambda: True,
+                MIGRATION_S,
+            )
+        )
+        self.pools = pools.Pools(self.book, self.mover, lambda: True)
+
+    def add_workers(self, service: str, count: int) -> None:
+        """List idle workers with room for four tasks each."""
+        for number in range(count):
+            name = f'{service}{number}'
+            worker = roll.Roll(self.book).take(
+                reports.WorkerEntry(
+                    id=name,
+                    born_ms=1,
+                    address=name,
+                    service=service,
+                    zone='z',
+                    machine=f'm-{name}',
+                    room=model.Room(processors_m=4000, memory_mb=4000),
+                )
+            )
+            worker.reachable = True
+
+    def submit(self, job_id: str, count: int) -> None:
+        """Accept a job for the service ``photo``."""
+        job = records.replace(
+            benches.job(job_id, count=count),
+            accepted_s=self.clock.wall_s(),
+        )
+        acceptance.Acceptance(self.book).add(job, None, 0)
+
+    async def rounds(self, seconds: float) -> None:
+        """Let the pools work for a time."""
+        for _ in range(round(seconds / pools.PERIOD_S)):
+            self.clock.advance(pools.PERIOD_S)
+            await self.pools.round()
+
+
+@contextlib.contextmanager
+def bench():
+    """Give fresh pools."""
+    yield Bench()
+
+
+async def test_machines_are_kept_when_the_first_job_comes(bench):
+    bench.add_workers('photo', 4)
+    bench.add_workers('desk', 8)
+    await bench.rounds(9)
+    bench.submit('a', count=1)
+    await bench.rounds(forecast.WINDOW_S - 1)
+    assert not bench.machines.moves
+
+
+async def test_idle_machines_are_switched_off_after_the_window(bench):
+    bench.add_workers('photo', 4)
+    bench.add_workers('desk', 8)
+    bench.submit('a', count=1)
+    await bench.rounds(forecast.WINDOW_S + 1)
+    moved_to = {service for _, service in bench.machines.moves}
+    assert moved_to == {'spare'}
+    # Both services keep what they always have.
+    assert len(bench.machines.moves) == 12 - 2 * pools.LEAST_MACHINES
+
+
+async def test_machines_of_the_last_peak_are_kept(bench):
+    bench.add_workers('photo', 4)
+    bench.add_workers('desk', 8)
+    bench.submit('a', count=28)
+    await bench.rounds(forecast.WINDOW_S)
+    bench.book.jobs_by_id.clear()
+    bench.submit('b', count=1)
+    bench.machines.moves.clear()
+    await bench.rounds(forecast.WINDOW_S - 1)
+    assert not bench.machines.moves
+
+
+async def test_machine_that_was_switched_off_is_called_back(bench):
+    bench.add_workers('photo', 2)
+    bench.add_workers('desk', 3)
+    bench.submit('a', count=1)
+    await bench.rounds(forecast.WINDOW_S + 1)
+    assert bench.machines.moves == [('m-desk0', 'spare')]
+    # The platform's list does not show it yet.
+    bench.submit('b', count=40)
+    await bench.rounds(MIGRATION_S + 1)
+    assert ('m-desk0', 'photo') in bench.machines.moves
+
+
+def test_peak_is_forgotten_after_the_window():
+    peak = forecast.PeakDemand(window_s=4)
+    for now_s, machines in ((0, 3), (1, 9), (2, 5), (4, 1)):
+        peak.note(now_s, machines)
+    assert peak.machines() == 9
+    assert peak.known
+    peak.note(5.5, 2)
+    assert peak.machines() == 5
+
+
+load_tests = functions.loader(__name__, {'bench': bench})
