Go on with a leadership that is confirmed again; move machines at once

A renewal that succeeds shows that the lease never ended, so nobody else can have led. Change 1: a leader gives no orders while its lease is not confirmed, and ends its term only once the lease or the key is known to be gone. Orders that wait to be settled or stopped wait for that too. Change 2: all moves of a round go out at once, no more than the platform takes a second (a setting now).

--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -43,17 +43,22 @@
 
 @dataclasses.dataclass(frozen=True)
 class Settings:
-    """Bounds of the platform, in seconds."""
+    """Bounds of the platform, in seconds and moves of machines a second."""
 
     bounds: book.Bounds
     retention_s: float
     migration_s: float
+    moves_per_s: float
     waves: waves.Settings
 
 
 @dataclasses.dataclass(frozen=True)
 class Parts:
-    """What a term works with; ``leading`` tells whether it still lasts."""
+    """What a term works with.
+
+    ``leading`` tells whether orders may be given now, ``held`` whether the
+    leadership is not known to be lost: it may be confirmed again.
+    """
 
     store: transactions.TransactionalStore
     clock: clocks.Clock
@@ -63,6 +68,7 @@
     advice_client: clients.AdviceClient
     directory: observers.Directory
     leading: Callable[[], bool]
+    held: Callable[[], bool]
     settings: Settings
 
 
@@ -92,6 +98,7 @@
                 term,
                 parts.worker_client,
                 self._leading,
+                self._held,
                 self._spawn,
             )
         )
@@ -121,6 +128,7 @@
                 )
             ),
             self._leading,
+            parts.settings.moves_per_s,
         )
         self.waves = waves.Waves(
             waves.Parts(
@@ -185,12 +193,12 @@
             self._fillers.run(self.book.workers_by_id),
         ):
             self._spawn(loop)
-        while self._leading():
+        while self._held():
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._ledger.deposed.wait(), POLL_S)
 
     async def _progress(self) -> dict[str, keyvalue.Entry]:
-        while self._leading():
+        while self._parts.held():
             scanned = await self._parts.store.scan(stored.PROGRESS_PREFIX)
             if not isinstance(scanned, result.Failure):
                 return {
@@ -203,6 +211,9 @@
     def _leading(self) -> bool:
         return self._parts.leading() and not self._ledger.deposed.is_set()
 
+    def _held(self) -> bool:
+        return self._parts.held() and not self._ledger.deposed.is_set()
+
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
--- a/libs/scheduler/src/jackdawlatch/scheduler/mover.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/mover.py
@@ -68,14 +68,19 @@
             worker.reachable = False
         return moved
 
-    async def move_standby(self, service: str) -> bool:
-        """Move a machine that is switched off, if there is one."""
+    async def refresh_standby(self) -> None:
+        """Learn which machines are switched off, unless some are known."""
         self._take_returned()
         if not self._standby:
             await self._list_standby()
-        if not self._standby:
-            return False
-        return await self._move(self._standby.pop(), service)
+
+    def take_standby(self) -> str:
+        """Return a machine that is switched off, empty if none is known."""
+        return self._standby.pop() if self._standby else ''
+
+    async def move_standby(self, machine: str, service: str) -> bool:
+        """Move a machine that is switched off."""
+        return await self._move(machine, service)
 
     async def _move(self, machine: str, service: str) -> bool:
         now_s = self._parts.book.now_s
--- a/libs/scheduler/src/jackdawlatch/scheduler/orders.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/orders.py
@@ -43,7 +43,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Parts:
-    """What orders are given with; ``leading`` tells whether they may be."""
+    """What orders are given with.
+
+    ``leading`` tells whether they may be given now, ``held`` whether they may
+    be again.
+    """
 
     book: book.Book
     roll: roll.Roll
@@ -52,6 +56,7 @@
     term: ledgers.Term
     client: clients.WorkerClient
     leading: Callable[[], bool]
+    held: Callable[[], bool]
     spawn: Callable[[Coroutine[Any, Any, None]], Any]
 
 
@@ -192,9 +197,9 @@
 
     async def _settle(self, run: runs.Run) -> None:
         name = run.name
-        while self._unsettled(run):
+        while _unsettled(run) and await self._permitted():
             await self.look(run.worker, None, 0)
-            if not self._unsettled(run):
+            if not _unsettled(run):
                 break
             worker = run.worker
             stopped = await self._parts.client.stop(
@@ -206,12 +211,13 @@
             await asyncio.sleep(RETRY_S)
         self._settling.discard(run)
 
-    def _unsettled(self, run: runs.Run) -> bool:
-        return (
-            run.phase is runs.RunPhase.UNSETTLED
-            and run.worker.runs_by_task.get(run.task.id) is run
-            and self._parts.leading()
-        )
+    async def _permitted(self) -> bool:
+        """Wait until orders may be given; False when they never will."""
+        while self._parts.held():
+            if self._parts.leading():
+                return True
+            await asyncio.sleep(RETRY_S)
+        return False
 
     async def _stop(
         self,
@@ -219,7 +225,7 @@
         name: calls.RunName,
         key: tuple[str, int, calls.RunName],
     ) -> None:
-        while self._parts.leading() and worker.listed:
+        while worker.listed and await self._permitted():
             stopped = await self._parts.client.stop(
                 worker.target, name, self._parts.term.token
             )
@@ -230,3 +236,9 @@
                 break
             await asyncio.sleep(RETRY_S)
         self._stopping.discard(key)
+
+
+def _unsettled(run: runs.Run) -> bool:
+    """Whether it is still open if a run's order took effect."""
+    believed = run.worker.runs_by_task.get(run.task.id) is run
+    return believed and run.phase is runs.RunPhase.UNSETTLED
--- a/libs/scheduler/src/jackdawlatch/scheduler/pools.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/pools.py
@@ -6,10 +6,18 @@
 
 import asyncio
 import collections
-from collections.abc import Callable
-
-from jackdawlatch.jobs import model
-from jackdawlatch.scheduler import book, demand, forecast, mover, workers
+import functools
+import itertools
+from collections.abc import Awaitable, Callable, Iterable, Iterator
+
+from jackdawlatch.scheduler import (
+    book,
+    demand,
+    fleet,
+    forecast,
+    mover,
+    workers,
+)
 
 PERIOD_S = 0.2
 # The last orders of another leader are answered by then; it gives no more
@@ -21,20 +29,27 @@
 LEND_IDLE_S = 0.4
 LEAST_MACHINES = 2
 
+Move = Callable[[], Awaitable[bool]]
+
 
 class Pools:
-    """Which machine serves which service."""
+    """Which machine serves which service.
+
+    The platform takes at most ``moves_per_s`` orders about machines.
+    """
 
     def __init__(
         self,
         own: book.Book,
         own_mover: mover.Mover,
         leading: Callable[[], bool],
+        moves_per_s: float,
     ) -> None:
         self._book = own
         self._mover = own_mover
         self._leading = leading
-        self._idle_since_s: dict[workers.Worker, float] = {}
+        self._moves_per_s = moves_per_s
+        self._fleet = fleet.Fleet(own)
         self._peak = forecast.PeakDemand()
 
     def lacking(self) -> frozenset[str]:
@@ -52,48 +67,64 @@
             await asyncio.sleep(PERIOD_S)
 
     async def round(self) -> None:
-        """Move what has to move now."""
-        self._note_idle()
+        """Move what has to move now, all machines at once."""
+        self._fleet.note_idle()
         surplus = self._surplus()
-        for service, number in reversed(surplus.most_common()):
-            if number < 0:
-                await self._supply(service, surplus)
+        if min(surplus.values(), default=0) < 0:
+            await self._mover.refresh_standby()
         if self._demand_seen():
             self._peak.note(self._book.now_s, sum(self._wanted().values()))
-        if self._peak.known:
-            await self._shrink(surplus)
+        moves = itertools.chain(self._supplies(surplus), self._returns(surplus))
+        most = max(1, int(self._moves_per_s * PERIOD_S))
+        chosen = tuple(itertools.islice(moves, most))
+        await asyncio.gather(*(move() for move in chosen))
+
+    def _supplies(self, surplus: collections.Counter[str]) -> Iterator[Move]:
+        """Yield moves to the services that lack machines."""
+        idle = self._fleet.idle_for(LEND_IDLE_S)
+        for service, number in reversed(surplus.most_common()):
+            if number < 0:
+                yield from self._lend(idle, service, surplus)
+                yield from self._switch_on(service, surplus)
 
-    async def _shrink(self, surplus: collections.Counter[str]) -> None:
-        """Switch off what not even the forecast demand would use."""
-        spare = len(self._fleet()) - self._peak.machines()
-        for worker in self._idle_for(RETURN_IDLE_S):
-            if spare > 0 and surplus[worker.entry.service] > 0:
-                spare -= 1
-                await self._return(worker, surplus)
+    def _lend(
+        self,
+        idle: Iterable[workers.Worker],
+        service: str,
+        surplus: collections.Counter[str],
+    ) -> Iterator[Move]:
+        for worker in idle:
+            source = worker.entry.service
+            if surplus[service] < 0 < surplus[source]:
+                surplus[source] -= 1
+                surplus[service] += 1
+                yield functools.partial(
+                    self._mover.move_worker, worker, service
+                )
 
-    async def _supply(
+    def _switch_on(
         self, service: str, surplus: collections.Counter[str]
-    ) -> None:
-        for worker in self._idle_for(LEND_IDLE_S):
-            source = worker.entry.service
-            if surplus[service] >= 0:
-                return
-            if surplus[source] > 0:
-                if await self._mover.move_worker(worker, service):
-                    surplus[source] -= 1
-                    surplus[service] += 1
+    ) -> Iterator[Move]:
         while surplus[service] < 0:
-            if not await self._mover.move_standby(service):
+            machine = self._mover.take_standby()
+            if not machine:
                 return
             surplus[service] += 1
-
-    async def _return(
-        self, worker: workers.Worker, surplus: collections.Counter[str]
-    ) -> None:
-        for standby in self._book.catalog.standby_services():
-            if await self._mover.move_worker(worker, standby):
+            yield functools.partial(self._mover.move_standby, machine, service)
+
+    def _returns(self, surplus: collections.Counter[str]) -> Iterator[Move]:
+        """Yield moves that switch off what no forecast demand would use."""
+        standby = min(self._book.catalog.standby_services(), default='')
+        if not standby or not self._peak.known:
+            return
+        spare = len(self._fleet.usable()) - self._peak.machines()
+        for worker in self._fleet.idle_for(RETURN_IDLE_S):
+            if spare > 0 and surplus[worker.entry.service] > 0:
+                spare -= 1
                 surplus[worker.entry.service] -= 1
-                return
+                yield functools.partial(
+                    self._mover.move_worker, worker, standby
+                )
 
     def _demand_seen(self) -> bool:
         """Whether idling tells anything: not before the first short job."""
@@ -103,39 +134,11 @@
             for step in job.job.steps
         )
 
-    def _fleet(self) -> list[workers.Worker]:
-        serving = self._book.catalog.serving_services()
-        return [
-            worker
-            for worker in self._book.workers_by_id.values()
-            if worker.usable
-            and worker.entry.machine
-            and worker.entry.service in serving
-        ]
-
-    def _note_idle(self) -> None:
-        now_s = self._book.now_s
-        self._idle_since_s = {
-            worker: self._idle_since_s.get(worker, now_s)
-            for worker in self._fleet()
-            if not worker.runs_by_task
-        }
-
-    def _idle_for(self, least_s: float) -> list[workers.Worker]:
-        """Return the machines that have idled so long, the longest first."""
-        latest_s = self._book.now_s - least_s
-        found = [
-            worker
-            for worker, since_s in self._idle_since_s.items()
-            if since_s < latest_s and worker.usable and not worker.runs_by_task
-        ]
-        return sorted(found, key=lambda worker: self._idle_since_s[worker])
-
     def _surplus(self) -> collections.Counter[str]:
         """Return how many machines each service has over what it wants."""
-        fleet = self._fleet()
-        machines = {worker.entry.machine for worker in fleet}
-        surplus = collections.Counter(worker.entry.service for worker in fleet)
+        found = self._fleet.usable()
+        machines = {worker.entry.machine for worker in found}
+        surplus = collections.Counter(worker.entry.service for worker in found)
         for machine, service in self._mover.expected():
             if machine not in machines:
                 surplus[service] += 1
@@ -145,17 +148,9 @@
     def _wanted(self) -> dict[str, int]:
         """Return how many machines each service could use."""
         wanted = demand.machines_by_service(
-            self._book.jobs_by_id.values(), _largest(self._fleet())
+            self._book.jobs_by_id.values(), self._fleet.largest()
         )
         return {
             service: max(LEAST_MACHINES, wanted.get(service, 0))
             for service in self._book.catalog.serving_services()
         }
-
-
-def _largest(fleet: list[workers.Worker]) -> model.Room:
-    return max(
-        (worker.entry.room for worker in fleet),
-        key=lambda room: room.processors_m,
-        default=model.Room(),
-    )
--- a/libs/scheduler/tests/scheduler_bench.py
+++ b/libs/scheduler/tests/scheduler_bench.py
@@ -101,6 +101,7 @@
         self.advice = FakeAdvice()
         self.entries_by_id: dict[str, reports.WorkerEntry] = {}
         self.leading = True
+        self.held = True
         self._log = decision_log()
 
     def add_worker(
@@ -162,10 +163,12 @@
                 self.advice,
                 Directory(self.entries_by_id),
                 lambda: self.leading,
+                lambda: self.held,
                 leader.Settings(
                     book.Bounds(lease_s=2, stop_s=0.05),
                     retention_s=60,
                     migration_s=0.1,
+                    moves_per_s=100,
                     waves=waves.Settings(0.1, _status),
                 ),
             ),
--- a/libs/scheduler/tests/test_scheduler_leader.py
+++ b/libs/scheduler/tests/test_scheduler_leader.py
@@ -182,6 +182,19 @@
     assert worker.begun == [calls.RunName(benches.task(), 1)]
 
 
+async def test_leadership_that_is_confirmed_again_goes_on(bench):
+    worker = bench.add_worker('w1')
+    async with bench.lead() as led:
+        await waiting.until(lambda: worker.token)
+        bench.leading = False
+        bench.submit(benches.job())
+        await asyncio.sleep(0.3)
+        assert not worker.begun
+        bench.leading = True
+        await waiting.until(lambda: worker.running)
+        assert led.book.jobs_by_id
+
+
 async def test_task_that_stands_still_starts_elsewhere(bench):
     first = bench.add_worker('w1')
     bench.submit(benches.job())
--- a/libs/scheduler/tests/test_scheduler_pools.py
+++ b/libs/scheduler/tests/test_scheduler_pools.py
@@ -20,6 +20,7 @@
 from jackdawlatch.testing import functions
 
 MIGRATION_S = 1.5
+MOVES_PER_S = 100
 CATALOG = queues.Catalog(
     1,
     (queues.Queue('photos', 'host', '/photos/', 'photo'),),
@@ -70,7 +71,9 @@
                 MIGRATION_S,
             )
         )
-        self.pools = pools.Pools(self.book, self.mover, lambda: True)
+        self.pools = pools.Pools(
+            self.book, self.mover, lambda: True, MOVES_PER_S
+        )
 
     def add_workers(self, service: str, count: int) -> None:
         """List idle workers with room for four tasks each."""
@@ -119,7 +122,7 @@
     assert not bench.machines.moves
 
 
-async def test_idle_machines_are_switched_off_after_the_window(bench):
+async def test_idle_machines_are_switched_off_after_a_window(bench):
     bench.add_workers('photo', 4)
     bench.add_workers('desk', 8)
     bench.submit('a', count=1)
--- a/libs/unified/src/jackdawlatch/unified/root.py
+++ b/libs/unified/src/jackdawlatch/unified/root.py
@@ -150,6 +150,7 @@
                 ),
                 directory=workers.RunnerDirectory(),
                 leading=lambda: self._election.leading,
+                held=lambda: self._election.term is not None,
                 settings=leader.Settings(
                     bounds=book.Bounds(
                         lease_s=bounds.lease_ms / MILLISECONDS,
@@ -157,6 +158,7 @@
                     ),
                     retention_s=bounds.retention_s,
                     migration_s=bounds.migration_s,
+                    moves_per_s=bounds.moves_per_s,
                     waves=waves.Settings(
                         maintenance_s=bounds.maintenance_s,
                         status=operator.wave_status,
--- a/libs/unified/src/jackdawlatch/unified/settings.py
+++ b/libs/unified/src/jackdawlatch/unified/settings.py
@@ -19,6 +19,7 @@
     retention_s: float
     maintenance_s: float
     migration_s: float
+    moves_per_s: float
 
 
 class Host(records.StrictRecord, frozen=True, kw_only=True):
--- a/libs/unified/tests/test_unified_core.py
+++ b/libs/unified/tests/test_unified_core.py
@@ -26,6 +26,7 @@
             'retention_s': 120,
             'maintenance_s': 2,
             'migration_s': 1.5,
+            'moves_per_s': 64,
         },
     ),
 )
--- a/libs/unified/tests/unified_bench.py
+++ b/libs/unified/tests/unified_bench.py
@@ -143,5 +143,6 @@
             retention_s=120,
             maintenance_s=2,
             migration_s=1.5,
+            moves_per_s=64,
         ),
     )
