Give machines to jobs in time before late ones

Change: machines are divided among services by the jobs that can still meet their objective, in proportion; late jobs get what is left, and wait while their service lends machines to others.

--- a/libs/scheduler/src/jackdawlatch/scheduler/demand.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/demand.py
@@ -2,7 +2,7 @@
 
 import collections
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from jackdawlatch.jobs import model
 from jackdawlatch.scheduler import tasks
@@ -35,6 +35,30 @@
     }
 
 
+def divide(
+    in_time: Mapping[str, int], late: Mapping[str, int], machines: int
+) -> dict[str, int]:
+    """Divide machines among services, each at most what it could use.
+
+    Jobs that can still meet their objective go first, in proportion to what
+    they would fill; what they leave goes to the late ones.
+    """
+    first = _scaled(in_time, machines)
+    rest = _scaled(late, max(0, machines - sum(first.values())))
+    return {
+        service: first.get(service, 0) + rest.get(service, 0)
+        for service in (*first, *rest)
+    }
+
+
+def _scaled(wanted: Mapping[str, int], machines: int) -> dict[str, int]:
+    total = sum(wanted.values())
+    scale = min(1, machines / total) if total else 1
+    return {
+        service: math.ceil(number * scale) for service, number in wanted.items()
+    }
+
+
 def _share(need: model.Room, machine: model.Room) -> float:
     return max(
         need.processors_m / max(1, machine.processors_m),
--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -243,5 +243,6 @@
                 self.book.jobs_by_id.values(),
                 candidates,
                 job_order.Moment(clock.monotonic_s(), clock.wall_s()),
+                self._pools.lending,
             )
         )
--- a/libs/scheduler/src/jackdawlatch/scheduler/mover.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/mover.py
@@ -74,6 +74,10 @@
         if not self._standby:
             await self._list_standby()
 
+    def available(self) -> int:
+        """Return how many machines are known to be off or on their way."""
+        return len(self._standby) + len(self.expected())
+
     def take_standby(self) -> str:
         """Return a machine that is switched off, empty if none is known."""
         return self._standby.pop() if self._standby else ''
--- a/libs/scheduler/src/jackdawlatch/scheduler/planner.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/planner.py
@@ -1,6 +1,6 @@
 """Decides which waiting tasks start now, and where."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from jackdawlatch.scheduler import (
     advisor,
@@ -24,12 +24,17 @@
         jobs: Iterable[tasks.JobState],
         candidates_by_service: Mapping[str, list[workers.Worker]],
         moment: job_order.Moment,
+        lending: Collection[str] = (),
     ) -> list[placing.Placement]:
-        """Return what starts now; the callers' state is not changed."""
+        """Return what starts now; the callers' state is not changed.
+
+        Late jobs of the services in ``lending`` wait, so that machines get
+        free for jobs of other services that can still be in time.
+        """
         waiting = [
             (job, steps)
             for job in jobs
-            if not job.ended
+            if not job.ended and not _yields(job, moment.wall_s, lending)
             for steps in (_waiting_steps(job, moment.wall_s),)
             if steps
         ]
@@ -46,6 +51,12 @@
         return placements
 
 
+def _yields(
+    job: tasks.JobState, wall_s: float, lending: Collection[str]
+) -> bool:
+    return job.service in lending and job_order.is_late(job, wall_s)
+
+
 def _waiting_steps(job: tasks.JobState, wall_s: float) -> list[tasks.StepState]:
     return [
         state
--- a/libs/scheduler/src/jackdawlatch/scheduler/pools.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/pools.py
@@ -8,14 +8,16 @@
 import collections
 import functools
 import itertools
-from collections.abc import Awaitable, Callable, Iterable, Iterator
+from collections.abc import Awaitable, Callable, Iterable, Iterator, Mapping
 
 from jackdawlatch.scheduler import (
     book,
     demand,
     fleet,
     forecast,
+    job_order,
     mover,
+    tasks,
     workers,
 )
 
@@ -49,6 +51,8 @@
         self._mover = own_mover
         self._leading = leading
         self._moves_per_s = moves_per_s
+        # Services whose machines others need more urgently.
+        self.lending: frozenset[str] = frozenset()
         self._fleet = fleet.Fleet(own)
         self._peak = forecast.PeakDemand()
 
@@ -70,6 +74,7 @@
         """Move what has to move now, all machines at once."""
         self._fleet.note_idle()
         surplus = self._surplus()
+        self.lending = _lending(surplus)
         if min(surplus.values(), default=0) < 0:
             await self._mover.refresh_standby()
         if self._demand_seen():
@@ -147,10 +152,29 @@
 
     def _wanted(self) -> dict[str, int]:
         """Return how many machines each service could use."""
-        wanted = demand.machines_by_service(
-            self._book.jobs_by_id.values(), self._fleet.largest()
+        jobs_by_lateness: dict[bool, list[tasks.JobState]] = {
+            False: [],
+            True: [],
+        }
+        wall_s = self._book.parts.clock.wall_s()
+        for job in self._book.jobs_by_id.values():
+            jobs_by_lateness[job_order.is_late(job, wall_s)].append(job)
+        largest = self._fleet.largest()
+        in_time, late = (
+            demand.machines_by_service(jobs_by_lateness[is_late], largest)
+            for is_late in (False, True)
         )
+        machines = len(self._fleet.usable()) + self._mover.available()
+        divided = demand.divide(in_time, late, machines)
         return {
-            service: max(LEAST_MACHINES, wanted.get(service, 0))
+            service: max(LEAST_MACHINES, divided.get(service, 0))
             for service in self._book.catalog.serving_services()
         }
+
+
+def _lending(surplus: Mapping[str, int]) -> frozenset[str]:
+    if min(surplus.values(), default=0) >= 0:
+        return frozenset()
+    return frozenset(
+        service for service, number in surplus.items() if number > 0
+    )
--- a/libs/scheduler/tests/test_scheduler_decisions.py
+++ b/libs/scheduler/tests/test_scheduler_decisions.py
@@ -11,6 +11,7 @@
     tasks,
     workers,
 )
+from jackdawlatch.scheduler import planner as planners
 from jackdawlatch.testing import functions
 
 QUEUE = queues.Queue('q', 'h', '/q/', 's', slack_factor=2, target_s=1)
@@ -93,6 +94,25 @@
     assert not demand.machines_by_service([job], machine)
 
 
+def test_jobs_in_time_get_machines_before_late_ones():
+    in_time, late = {'a': 6, 'b': 2}, {'a': 4, 'c': 4}
+    divided = demand.divide(in_time, late, machines=12)
+    assert divided == {'a': 8, 'b': 2, 'c': 2}
+    assert demand.divide(in_time, late, 4) == {'a': 3, 'b': 1, 'c': 0}
+
+
+def test_late_job_waits_while_its_service_lends():
+    worker = _worker('w1')
+    step = model.Step(count=1, room=CORE, estimate_s=1)
+    planner = planners.Planner(job_order.ObjectiveOrder(), None)
+    moment = job_order.Moment(steady_s=9, wall_s=9)
+    late, fresh = _job(step), _job(step, accepted_s=8)
+    for lending, placed in ((frozenset(), 2), (frozenset('s'), 1)):
+        plan = planner.plan([late, fresh], {'s': [worker]}, moment, lending)
+        assert len(plan) == placed
+        assert plan[0].task.job is fresh
+
+
 def test_filling_work_gives_way_and_comes_back():
     assert fillers.wanted_pace(100, strain=1.2) == 0
     assert fillers.wanted_pace(100, strain=0.95) == 50
