--- a/libs/scheduler/src/jackdawlatch/scheduler/housekeeping.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/housekeeping.py
@@ -38,11 +38,8 @@
         """Give up lost runs and drop old jobs, until cancelled."""
         while True:
             await asyncio.sleep(TICK_S)
-            for worker in tuple(self._parts.book.workers_by_id.values()):
-                self._parts.roll.expire(worker)
-            self._parts.roll.forget()
-            await self._drop_old()
-            self._parts.book.changed()
+            if self._parts.leading():
+                await self._tick()
 
     async def tell_pending(self) -> None:
         """Tell the entries how many jobs wait, until cancelled."""
@@ -57,6 +54,13 @@
                     told = counts
             await asyncio.sleep(PENDING_PERIOD_S)
 
+    async def _tick(self) -> None:
+        for worker in tuple(self._parts.book.workers_by_id.values()):
+            self._parts.roll.expire(worker)
+        self._parts.roll.forget()
+        await self._drop_old()
+        self._parts.book.changed()
+
     async def _drop_old(self) -> None:
         own = self._parts.book
         kept_s = self._parts.retention_s + RETENTION_SLACK_S
--- a/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
@@ -196,7 +196,11 @@
             )
 
     def progress(self) -> stored.Progress:
-        """Return the stored form."""
+        """Return the stored form.
+
+        Of an ended job only the tasks that may still run matter: the next
+        leader reads the records of all jobs before it does anything.
+        """
         return stored.Progress(
             phase=self.phase,
             ended_s=self.ended_s,
@@ -204,7 +208,7 @@
                 task.progress()
                 for state in self.steps
                 for task in state.tasks
-                if task.attempt
+                if task.attempt and (task.run is not None or not self.ended)
             ),
         )
 
--- a/libs/scheduler/tests/test_scheduler_leader.py
+++ b/libs/scheduler/tests/test_scheduler_leader.py
@@ -23,6 +23,19 @@
         await waiting.until(lambda: not worker.ends)
 
 
+async def test_record_of_an_ended_job_is_short(bench):
+    worker = bench.add_worker('w1')
+    bench.submit(benches.job(count=2))
+    async with bench.lead():
+        await waiting.until(lambda: len(worker.running) == 2)
+        worker.end(benches.task(index=0), DONE)
+        await waiting.until(lambda: not worker.ends)
+        assert len(bench.progress('a').tasks) == 2
+        worker.end(benches.task(index=1), DONE)
+        await waiting.until(lambda: bench.phase('a') is stored.JobPhase.DONE)
+        assert not bench.progress('a').tasks
+
+
 async def test_start_is_stored_before_its_order(bench):
     worker = bench.add_worker('w1')
     bench.submit(benches.job())
