--- a/libs/placer/src/jackdawlatch/placer/leases.py
+++ b/libs/placer/src/jackdawlatch/placer/leases.py
@@ -82,15 +82,12 @@
         if not group:
             return
         asked_s = self._own.clock.monotonic_s()
-        answered = await self._own.workers.usage(self._own.sites.address(host))
-        if isinstance(answered, result.Failure):
-            self._own.meters.count('placer_usage_failed')
-            self._own.sites.cool(host)
+        usage = await self._own.usage(host)
+        if usage is None:
             return
-        self._own.sites.note_boot(host, answered.unwrap().boot)
         for attempt in group:
             attempt.listed_s = asked_s
-        self._listed(group, answered.unwrap().tasks)
+        self._listed(group, usage.tasks)
 
     def _listed(
         self,
--- a/libs/placer/src/jackdawlatch/placer/recorders.py
+++ b/libs/placer/src/jackdawlatch/placer/recorders.py
@@ -70,20 +70,12 @@
         hosts = {start.host for start in starts}
         await asyncio.gather(
             *(
-                self._learn_boot(host)
+                self._own.usage(host)
                 for host in sorted(hosts)
                 if not self._own.sites.boot(host)
             )
         )
 
-    async def _learn_boot(self, host: str) -> None:
-        answered = await self._own.workers.usage(self._own.sites.address(host))
-        if isinstance(answered, result.Failure):
-            self._own.meters.count('placer_usage_failed')
-            self._own.sites.cool(host)
-            return
-        self._own.sites.note_boot(host, answered.unwrap().boot)
-
     def _recorded(self, job: work.Job, asked_s: float) -> None:
         self._own.view.update(job)
         attempt = self._own.tracker.own(job, asked_s)
--- a/libs/placer/src/jackdawlatch/placer/tools.py
+++ b/libs/placer/src/jackdawlatch/placer/tools.py
@@ -7,7 +7,9 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from jackdawlatch.backends import workers
+from returns import result
+
+from jackdawlatch.backends import tasks, workers
 from jackdawlatch.model import clocks, work
 from jackdawlatch.placement import book as books
 from jackdawlatch.placement import view as views
@@ -58,6 +60,17 @@
     view: views.View
     workers: workers.Workers
 
+    async def usage(self, host: str) -> tasks.Usage | None:
+        """Read a worker's usage; one that does not answer gets no work."""
+        answered = await self.workers.usage(self.sites.address(host))
+        if isinstance(answered, result.Failure):
+            self.meters.count('placer_usage_failed')
+            self.sites.cool(host)
+            return None
+        read = answered.unwrap()
+        self.sites.note_boot(host, read.boot)
+        return read
+
     def note(self, name: str, job: work.Job, detail: str = '') -> None:
         """Count something that happened to a job, and keep it as an event."""
         self.meters.count('placer_job_events', event=name)
