Give long polls connections of their own

Cause: the leader sent polls, starts, stops, moves and maintenance through one HTTP client of 160 connections. Ruled out: processor time (the same with --no-cpu) and the platform's limit of moves.

Change: polls that wait, requests to workers and requests for machines have a client each, closed at the end of the term; at most 512 polls wait at once, other workers are polled in turn.

--- a/libs/scheduler/src/jackdawlatch/scheduler/polling.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/polling.py
@@ -12,6 +12,9 @@
 POLL_WAIT_S = 2.0
 POLLS_PER_LEASE = 3
 RETRY_S = 0.25
+# Workers that may delay their answers at the same time; each keeps a connection
+# meanwhile.  Other workers answer at once and are polled again after the wait.
+MAX_WAITING_POLLS = 512
 # Limits the wait for writes, so that leases are extended even while the store
 # accepts none.
 STORE_WAIT_S = 1.0
@@ -36,6 +39,7 @@
         # Several polls have to fit into one lease.
         self._wait_s = min(POLL_WAIT_S, self._lease_s / POLLS_PER_LEASE)
         self._active: set[workers.Worker] = set()
+        self._waiting_count = 0
 
     def add(self, worker: workers.Worker) -> None:
         """Start to poll a worker, unless it is polled already."""
@@ -49,9 +53,7 @@
             if not worker.registered and not worker.runs_by_task:
                 break
             if worker.reachable:
-                answered = await self._dispatcher.poll(
-                    worker, self._lease_s, self._wait_s
-                )
+                answered = await self._poll_reachable(worker)
             else:
                 # The lease is not extended, so that it ends and the runs of an
                 # unreachable worker can be restarted elsewhere.
@@ -64,3 +66,17 @@
                 worker.reachable = False
                 await asyncio.sleep(RETRY_S)
         self._active.discard(worker)
+
+    async def _poll_reachable(self, worker: workers.Worker) -> bool:
+        """Poll a worker and extend its lease, for about the waiting time."""
+        if self._waiting_count >= MAX_WAITING_POLLS:
+            answered = await self._dispatcher.poll(worker, self._lease_s, 0)
+            await asyncio.sleep(self._wait_s)
+            return answered
+        self._waiting_count += 1
+        try:
+            return await self._dispatcher.poll(
+                worker, self._lease_s, self._wait_s
+            )
+        finally:
+            self._waiting_count -= 1
--- a/libs/scheduler/tests/test_scheduler_leader.py
+++ b/libs/scheduler/tests/test_scheduler_leader.py
@@ -1,6 +1,7 @@
 """Guarantees of a leader, across changes of leaders and lost answers."""
 
 import asyncio
+from unittest import mock
 
 import scheduler_bench as benches
 
@@ -23,6 +24,19 @@
         await waiting.until(lambda: not worker.ends)
 
 
+async def test_workers_beyond_waiting_polls_are_polled_too(bench):
+    fleet = [bench.add_worker(name) for name in ('w1', 'w2', 'w3')]
+    bench.submit(benches.job(count=3, max_per_worker=1))
+    with mock.patch.object(polling, 'MAX_WAITING_POLLS', 1):
+        async with bench.lead():
+            await waiting.until(lambda: all(one.running for one in fleet))
+            for worker in fleet:
+                worker.end(next(iter(worker.running)), DONE)
+            await waiting.until(
+                lambda: bench.phase('a') is stored.JobPhase.DONE
+            )
+
+
 async def test_record_of_an_ended_job_is_short(bench):
     worker = bench.add_worker('w1')
     bench.submit(benches.job(count=2))
--- a/libs/unified/src/jackdawlatch/unified/root.py
+++ b/libs/unified/src/jackdawlatch/unified/root.py
@@ -27,12 +27,11 @@
 )
 from jackdawlatch.store import following, monitored
 from jackdawlatch.telemetry import decisions, meters
-from jackdawlatch.unified import metrics, observers
+from jackdawlatch.unified import connections, metrics, observers
 from jackdawlatch.unified import settings as unified_settings
 
 MILLISECONDS_PER_SECOND = 1000
 STORE_CONNECTIONS = 24
-WORKER_CONNECTIONS = 160
 # The load balancer checks readiness once a second and stops sending requests
 # after two failed checks.
 BALANCER_REMOVAL_S = 2.5
@@ -133,31 +132,36 @@
         while True:
             term = await self._election.win()
             self._log.note('leading', token=term.token)
-            self._leader = self._new_leader(term)
+            clients = connections.Connections()
+            self._leader = self._new_leader(term, clients)
             self._operator_observer.add_known_waves(self._leader)
             renewal = asyncio.create_task(self._election.keep_renewing())
             await self._leader.run()
             renewal.cancel()
             self._leader = None
+            clients.close()
             self._log.note('not-leading', token=term.token)
             await self._election.resign()
 
-    def _new_leader(self, term: persistence.Term) -> leader.Leader:
+    def _new_leader(
+        self, term: persistence.Term, clients: connections.Connections
+    ) -> leader.Leader:
         bounds = self._settings.bounds
-        client = exchange.Client(WORKER_CONNECTIONS)
         return leader.Leader(
             leader.Dependencies(
                 store=self._store,
                 clock=self._clock,
                 log=self._log,
-                worker_client=workers.RunnerClient(client),
+                worker_client=workers.RunnerClient(
+                    clients.requests, clients.waiting_polls
+                ),
                 machine_client=machines.HttpMachineClient(
                     self._settings.machines_address,
                     self._settings.name,
-                    client,
+                    clients.machine_requests,
                 ),
                 advice_client=advice.HttpAdviceClient(
-                    self._settings.advice_address, client
+                    self._settings.advice_address, clients.requests
                 ),
                 directory=workers.RunnerDirectory(),
                 leading=lambda: self._election.leading,
