Judge lateness by observed run times

Cause: a job counted as late when its estimates said so.

It learns the ratio of run time to estimate by queue, subtracts the time that a running step has used, and follows the longest chain. The age of a job no longer depends on the wall clock of the host that accepted it, unless the job is read at a takeover. Planning rounds moved out of the leader's module.

--- /dev/null
+++ b/libs/policy/src/jackdawlatch/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load; no module here reads a clock, sends or stores."""
--- /dev/null
+++ b/libs/policy/src/jackdawlatch/policy/objectives.py
@@ -0,0 +1,63 @@
+"""Whether a job can still meet its latency objective.
+
+Load pattern: demand beyond the capacity of the fleet.  A job that misses its
+objective earns almost nothing, so capacity goes to jobs that can meet theirs.
+A job counted as late too soon is delayed without need, and one counted as in
+time too long takes the capacity of others.
+"""
+
+import dataclasses
+from collections.abc import Callable, Sequence
+
+
+@dataclasses.dataclass(frozen=True)
+class Objective:
+    """``slack_factor`` times the longest chain of work, plus ``target_s``."""
+
+    slack_factor: float
+    target_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class StepTiming:
+    """Timing of a step, in seconds.
+
+    ``after`` holds the positions of earlier steps that have to end first.
+    ``elapsed_s`` is the time since the last of its tasks was started; None
+    while a task waits.
+    """
+
+    duration_s: float
+    after: tuple[int, ...] = ()
+    elapsed_s: float | None = None
+    done: bool = False
+
+    @property
+    def remaining_s(self) -> float:
+        """How long the step would take if its waiting tasks started now."""
+        if self.done:
+            return 0
+        return max(0, self.duration_s - (self.elapsed_s or 0))
+
+
+def slack_s(
+    steps: Sequence[StepTiming], objective: Objective, age_s: float
+) -> float:
+    """Return how long a job may still wait; negative if it will be late.
+
+    ``age_s`` is the time since the job was accepted or due.
+    """
+    chain_s = _longest_chain_s(steps, lambda step: step.duration_s)
+    remaining_s = _longest_chain_s(steps, lambda step: step.remaining_s)
+    allowed_s = objective.slack_factor * chain_s + objective.target_s
+    return allowed_s - age_s - remaining_s
+
+
+def _longest_chain_s(
+    steps: Sequence[StepTiming], length_s: Callable[[StepTiming], float]
+) -> float:
+    ends_s: list[float] = []
+    for step in steps:
+        begin_s = max((ends_s[position] for position in step.after), default=0)
+        ends_s.append(begin_s + length_s(step))
+    return max(ends_s, default=0)
--- a/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
@@ -84,6 +84,8 @@
         task.attempt = attempt
         task.run = run
         task.phase = tasks.TaskPhase.PLACED
+        begins = phase is runs.RunPhase.WRITING and not task.checkpoint
+        task.started_s = self.now_s if begins else None
         worker.add(run)
         return run
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
@@ -15,11 +15,15 @@
         job: model.Job,
         stored_progress: stored.Progress | None,
         revision: int,
+        age_s: float = 0,
     ) -> None:
-        """Add an accepted job, with the progress that earlier leaders stored."""
+        """Add a job that was accepted ``age_s`` ago.
+
+        ``stored_progress`` is what earlier leaders stored.
+        """
         if job.id in self._cluster.jobs_by_id:
             return
-        state = tasks.JobState(job)
+        state = tasks.JobState(job, self._cluster.now_s - age_s)
         state.queue = self._cluster.catalog.queues_by_name.get(job.queue)
         self._cluster.jobs_by_id[job.id] = state
         if stored_progress is not None:
--- /dev/null
+++ b/libs/scheduler/src/jackdawlatch/scheduler/lateness.py
@@ -0,0 +1,79 @@
+"""Judges whether jobs can still meet their latency objectives."""
+
+from jackdawlatch.policy import durations, objectives
+from jackdawlatch.scheduler import round_times, tasks
+
+
+class Lateness:
+    """Judges jobs by the run times of their tasks and of earlier jobs."""
+
+    def __init__(self) -> None:
+        self._ratios = durations.DurationRatios()
+
+    def record_end(self, task: tasks.Task, now_s: float) -> None:
+        """Record that the placed run of a task ended as done."""
+        if task.started_s is not None and not task.step.lasting:
+            task.state.longest_run_s = max(
+                task.state.longest_run_s, now_s - task.started_s
+            )
+
+    def record_step(self, state: tasks.StepState, queue: str) -> None:
+        """Record a step whose tasks are all done."""
+        self._ratios.record(queue, state.longest_run_s, state.step.estimate_s)
+
+    def is_late(self, job: tasks.JobState, now: round_times.RoundTime) -> bool:
+        """Whether a job would miss its objective if it continued now."""
+        return not job.lasting and self._slack_s(job, now) < 0
+
+    def _slack_s(
+        self, job: tasks.JobState, now: round_times.RoundTime
+    ) -> float:
+        if job.queue is None:
+            return -1
+        states = _open_steps(job)
+        return objectives.slack_s(
+            [self._timing(state, job.queue.name, now) for state in states],
+            objectives.Objective(job.queue.slack_factor, job.queue.target_s),
+            _age_s(job, states[0].occurrence, now),
+        )
+
+    def _timing(
+        self, state: tasks.StepState, queue: str, now: round_times.RoundTime
+    ) -> objectives.StepTiming:
+        expected_s = self._ratios.expected_s(queue, state.step.estimate_s)
+        return objectives.StepTiming(
+            duration_s=state.longest_run_s or expected_s,
+            after=state.step.after,
+            elapsed_s=_elapsed_s(state, now.monotonic_s),
+            done=state.done,
+        )
+
+
+def _open_steps(job: tasks.JobState) -> list[tasks.StepState]:
+    """Return the steps of the first occurrence that is not done."""
+    size = len(job.job.steps)
+    open_number = next(
+        (number for number, state in enumerate(job.steps) if not state.done), 0
+    )
+    first = open_number // size * size
+    return job.steps[first : first + size]
+
+
+def _elapsed_s(state: tasks.StepState, now_s: float) -> float | None:
+    """Return the time since the last task started, None while one waits."""
+    if any(task.phase is tasks.TaskPhase.WAITING for task in state.tasks):
+        return None
+    started_s = [
+        task.started_s
+        for task in state.tasks
+        if task.run is not None and task.started_s is not None
+    ]
+    return now_s - max(started_s) if started_s else None
+
+
+def _age_s(
+    job: tasks.JobState, occurrence: int, now: round_times.RoundTime
+) -> float:
+    if job.job.repeat_count:
+        return now.wall_s - job.job.due_s(occurrence)
+    return now.monotonic_s - job.accepted_s
--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -12,32 +12,28 @@
 from jackdawlatch.jobs import queues, stored
 from jackdawlatch.model import clocks
 from jackdawlatch.scheduler import (
-    advisor,
     clients,
     cluster_state,
     dispatch,
     health,
     housekeeping,
     job_loader,
-    job_order,
+    lateness,
     machine_moves,
     observers,
     pacing,
     persistence,
     polling,
     reconciliation,
+    rounds,
     waves,
     worker_registry,
 )
-from jackdawlatch.scheduler import planner as planners
 from jackdawlatch.scheduler import pools as machine_pools
-from jackdawlatch.scheduler import workers as worker_states
 from jackdawlatch.store import following, keyvalue, transactions
 from jackdawlatch.telemetry import decisions
 
 POLL_S = 0.1
-# Batches the updates of a few event-loop turns into one planning round.
-PLAN_DELAY_S = 0.01
 REGISTRY_WATCH_TIMING = following.WatchTiming(pause_s=0.1)
 
 
@@ -84,7 +80,6 @@
     ) -> None:
         self._dependencies = dependencies
         self._tasks: set[asyncio.Task[None]] = set()
-        self._wake = asyncio.Event()
         self._progress_writer = persistence.ProgressWriter(
             dependencies.store, term
         )
@@ -97,12 +92,13 @@
             ),
             catalog,
         )
+        job_lateness = lateness.Lateness()
         self._registry = worker_registry.WorkerRegistry(self.cluster)
         dispatcher = dispatch.Dispatcher(
             dispatch.Dependencies(
                 self.cluster,
                 self._registry,
-                reconciliation.Reconciler(self.cluster),
+                reconciliation.Reconciler(self.cluster, job_lateness),
                 self._progress_writer,
                 term,
                 dependencies.worker_client,
@@ -111,24 +107,18 @@
                 self._spawn,
             )
         )
-        self.cluster.on_change = self._wake.set
         self.cluster.on_unwanted_run = dispatcher.stop
         self.cluster.on_unsettled_run = dispatcher.settle
         self._dispatcher = dispatcher
         self._poller = polling.WorkerPoller(
             self.cluster, dispatcher, self._spawn
         )
-        self._advisor = advisor.Advisor(
-            self.cluster, dependencies.advice_client, self._leading
-        )
-        self._planner = planners.Planner(
-            job_order.ObjectiveOrder(), self._advisor
-        )
         self._pacer = pacing.FillerPacer(
             pacing.Dependencies(dependencies.worker_client, term, self._leading)
         )
         self._pools = machine_pools.Pools(
             self.cluster,
+            job_lateness,
             machine_moves.MachineMover(
                 machine_moves.Dependencies(
                     self.cluster,
@@ -141,6 +131,17 @@
             self._leading,
             dependencies.settings.moves_per_s,
         )
+        self._rounds = rounds.PlanningRounds(
+            rounds.Dependencies(
+                self.cluster,
+                dispatcher,
+                dependencies.advice_client,
+                job_lateness,
+                self._leading,
+                lambda: self._pools.donors,
+            )
+        )
+        self.cluster.on_change = self._rounds.wake
         self.waves = waves.Waves(
             waves.Dependencies(
                 self.cluster,
@@ -175,7 +176,9 @@
             self._dependencies.store,
             stored.WORK_PREFIX,
             observers.JobObserver(
-                job_loader.JobLoader(self.cluster), await self._load_progress()
+                job_loader.JobLoader(self.cluster),
+                await self._load_progress(),
+                self._dependencies.clock,
             ),
             following.WatchTiming(),
         )
@@ -195,12 +198,11 @@
         )
         for loop in (
             self._progress_writer.run(),
-            self._plan_loop(),
             housekeeper.tick(),
             housekeeper.publish_pending(),
             self.waves.run(),
             self._pools.run(),
-            self._advisor.run(),
+            *self._rounds.loops(),
             health.StallDetector(self.cluster, self._leading).run(),
             self._pacer.run(self.cluster.workers_by_id),
         ):
@@ -248,25 +250,3 @@
                 exc_info=task.exception(),
             )
             self._progress_writer.deposed.set()
-
-    async def _plan_loop(self) -> None:
-        while True:
-            await self._wake.wait()
-            await asyncio.sleep(PLAN_DELAY_S)
-            self._wake.clear()
-            if self._leading():
-                self._plan()
-
-    def _plan(self) -> None:
-        candidates: dict[str, list[worker_states.Worker]] = {}
-        for worker in self.cluster.workers_by_id.values():
-            candidates.setdefault(worker.entry.service, []).append(worker)
-        clock = self._dependencies.clock
-        self._dispatcher.place(
-            self._planner.plan(
-                self.cluster.jobs_by_id.values(),
-                candidates,
-                job_order.RoundTime(clock.monotonic_s(), clock.wall_s()),
-                self._pools.donors,
-            )
-        )
--- a/libs/scheduler/src/jackdawlatch/scheduler/observers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/observers.py
@@ -9,7 +9,7 @@
 from returns import result
 
 from jackdawlatch.jobs import model, stored
-from jackdawlatch.model import failures, records
+from jackdawlatch.model import clocks, failures, records
 from jackdawlatch.scheduler import job_loader, reports, worker_registry, workers
 from jackdawlatch.store import following, keyvalue
 
@@ -23,31 +23,40 @@
         self,
         loader: job_loader.JobLoader,
         progress_by_id: dict[str, keyvalue.Entry],
+        clock: clocks.Clock,
     ) -> None:
         self._loader = loader
         self._progress_by_id = progress_by_id
+        self._clock = clock
 
     def reset(self, entries: Iterable[keyvalue.Entry]) -> None:
         """Apply jobs before cancellations; jobs without an entry are kept."""
         for entry in sorted(entries, key=_is_cancellation):
-            self.change(entry)
+            self._apply(entry, self._clock.wall_s())
 
     def change(self, entry: keyvalue.Entry) -> None:
-        """Apply an accepted job or a cancellation; deletions are ignored."""
-        if entry.deleted:
-            return
+        """Apply an accepted job or a cancellation; deletions are ignored.
+
+        A job that arrives through the watch was accepted just now, whatever
+        the clock of the host that accepted it says.
+        """
+        if not entry.deleted:
+            self._apply(entry, None)
+
+    def _apply(self, entry: keyvalue.Entry, wall_s: float | None) -> None:
         if entry.key.startswith(stored.CANCELS_PREFIX):
             self._loader.cancel(entry.key.removeprefix(stored.CANCELS_PREFIX))
             return
         job = decode(entry, model.Job)
         if job is None:
             return
+        age_s = 0 if wall_s is None else max(0, wall_s - job.accepted_s)
         known = self._progress_by_id.pop(job.id, None)
         if known is None:
-            self._loader.add(job, None, keyvalue.ABSENT)
+            self._loader.add(job, None, keyvalue.ABSENT, age_s)
         else:
             progress = decode(known, stored.Progress)
-            self._loader.add(job, progress, known.revision)
+            self._loader.add(job, progress, known.revision, age_s)
 
 
 class Directory(abc.ABC):
--- a/libs/scheduler/src/jackdawlatch/scheduler/planner.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/planner.py
@@ -5,8 +5,10 @@
 from jackdawlatch.scheduler import (
     advisor,
     job_order,
+    lateness,
     placing,
     reservations,
+    round_times,
     tasks,
     workers,
 )
@@ -16,16 +18,20 @@
     """Places ready tasks on the workers of their services."""
 
     def __init__(
-        self, order: job_order.Order, step_advisor: advisor.Advisor
+        self,
+        order: job_order.Order,
+        job_lateness: lateness.Lateness,
+        step_advisor: advisor.Advisor,
     ) -> None:
         self._order = order
+        self._lateness = job_lateness
         self._advisor = step_advisor
 
     def plan(
         self,
         jobs: Iterable[tasks.JobState],
         candidates_by_service: Mapping[str, list[workers.Worker]],
-        now: job_order.RoundTime,
+        now: round_times.RoundTime,
         donors: Collection[str] = (),
     ) -> list[placing.Placement]:
         """Return the placements of this round; no state is changed.
@@ -36,7 +42,7 @@
         waiting = [
             (job, steps)
             for job in jobs
-            if not job.ended and not _is_deferred(job, now.wall_s, donors)
+            if not job.ended and not self._is_deferred(job, now, donors)
             for steps in (_waiting_steps(job, now.wall_s),)
             if steps
         ]
@@ -52,11 +58,13 @@
                 placements.extend(placer.place())
         return placements
 
-
-def _is_deferred(
-    job: tasks.JobState, wall_s: float, donors: Collection[str]
-) -> bool:
-    return job.service in donors and job_order.is_late(job, wall_s)
+    def _is_deferred(
+        self,
+        job: tasks.JobState,
+        now: round_times.RoundTime,
+        donors: Collection[str],
+    ) -> bool:
+        return job.service in donors and self._lateness.is_late(job, now)
 
 
 def _waiting_steps(job: tasks.JobState, wall_s: float) -> list[tasks.StepState]:
--- a/libs/scheduler/src/jackdawlatch/scheduler/pools.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/pools.py
@@ -16,8 +16,9 @@
     demand,
     fleet,
     forecast,
-    job_order,
+    lateness,
     machine_moves,
+    round_times,
     tasks,
     workers,
 )
@@ -44,11 +45,13 @@
     def __init__(
         self,
         cluster: cluster_state.ClusterState,
+        job_lateness: lateness.Lateness,
         mover: machine_moves.MachineMover,
         leading: Callable[[], bool],
         moves_per_s: float,
     ) -> None:
         self._cluster = cluster
+        self._lateness = job_lateness
         self._mover = mover
         self._leading = leading
         self._moves_per_s = moves_per_s
@@ -171,14 +174,7 @@
 
     def _demand_by_service(self) -> dict[str, int]:
         """Return how many of all machines each service could use."""
-        jobs_by_lateness: dict[bool, list[tasks.JobState]] = {
-            False: [],
-            True: [],
-        }
-        wall_s = self._cluster.dependencies.clock.wall_s()
-        for job in self._cluster.jobs_by_id.values():
-            if not job.ended:
-                jobs_by_lateness[job_order.is_late(job, wall_s)].append(job)
+        jobs_by_lateness = self._open_jobs_by_lateness()
         largest = self._fleet.largest()
         in_time, overdue = (
             demand.machines_by_service(jobs_by_lateness[is_late], largest)
@@ -191,6 +187,18 @@
             for service in self._cluster.catalog.serving_services()
         }
 
+    def _open_jobs_by_lateness(self) -> dict[bool, list[tasks.JobState]]:
+        jobs_by_lateness: dict[bool, list[tasks.JobState]] = {
+            False: [],
+            True: [],
+        }
+        clock = self._cluster.dependencies.clock
+        now = round_times.RoundTime(clock.monotonic_s(), clock.wall_s())
+        for job in self._cluster.jobs_by_id.values():
+            if not job.ended:
+                jobs_by_lateness[self._lateness.is_late(job, now)].append(job)
+        return jobs_by_lateness
+
 
 def _donors(surplus: Mapping[str, int]) -> frozenset[str]:
     if min(surplus.values(), default=0) >= 0:
--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -5,6 +5,7 @@
     calls,
     cluster_state,
     health,
+    lateness,
     reports,
     runs,
     tasks,
@@ -20,8 +21,13 @@
 class Reconciler:
     """Applies the answers to polls."""
 
-    def __init__(self, cluster: cluster_state.ClusterState) -> None:
+    def __init__(
+        self,
+        cluster: cluster_state.ClusterState,
+        job_lateness: lateness.Lateness,
+    ) -> None:
         self._cluster = cluster
+        self._lateness = job_lateness
 
     def reconcile(
         self,
@@ -92,19 +98,15 @@
         if task is None:
             acknowledge()
             return
+        if end.kind is reports.EndKind.DONE and _is_current(task, end):
+            self._lateness.record_end(task, self._cluster.now_s)
         run = worker.runs_by_task.get(task.id)
         if run is not None and run.attempt == end.run_id.attempt:
             worker.drop(run)
             if task.run is run:
                 task.release()
         task.checkpoint = end.checkpoint or task.checkpoint
-        if end.kind is reports.EndKind.DONE:
-            health.record_success(worker)
-            self._apply_success(task)
-        elif end.kind is reports.EndKind.FAILED:
-            health.record_failure(worker, self._cluster.now_s)
-            task.avoided_worker = worker.entry.id
-            self._apply_failure(task, end.run_id.attempt)
+        self._apply_kind(worker, task, end)
         self._cluster.dependencies.log.note(
             'run-ended',
             task=task.id.name,
@@ -117,6 +119,17 @@
             task.job, acknowledge
         )
 
+    def _apply_kind(
+        self, worker: workers.Worker, task: tasks.Task, end: reports.EndReport
+    ) -> None:
+        if end.kind is reports.EndKind.DONE:
+            health.record_success(worker)
+            self._apply_success(task)
+        elif end.kind is reports.EndKind.FAILED:
+            health.record_failure(worker, self._cluster.now_s)
+            task.avoided_worker = worker.entry.id
+            self._apply_failure(task, end.run_id.attempt)
+
     def _apply_success(self, task: tasks.Task) -> None:
         job = task.job
         if task.phase is tasks.TaskPhase.DONE or job.ended:
@@ -125,6 +138,8 @@
         if task.run is not None:
             self._cluster.stop(task.run)
         job.finish_task(task)
+        if task.state.done:
+            self._lateness.record_step(task.state, job.job.queue)
         if job.complete:
             self._cluster.end_job(job, stored.JobPhase.DONE)
 
@@ -143,6 +158,10 @@
             self._cluster.end_job(job, stored.JobPhase.FAILED)
 
 
+def _is_current(task: tasks.Task, end: reports.EndReport) -> bool:
+    return task.run is not None and task.run.attempt == end.run_id.attempt
+
+
 def _is_absent(run: runs.Run, requested_s: float) -> bool:
     """Whether a poll answer without the run proves that it does not exist."""
     if run.phase in STARTED:
--- /dev/null
+++ b/libs/scheduler/src/jackdawlatch/scheduler/rounds.py
@@ -0,0 +1,85 @@
+"""Planning rounds: place waiting tasks whenever the cluster state changed."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable, Collection, Coroutine
+from typing import Any
+
+from jackdawlatch.scheduler import (
+    advisor,
+    clients,
+    cluster_state,
+    dispatch,
+    job_order,
+    lateness,
+    planner,
+    round_times,
+    workers,
+)
+
+# Batches the updates of a few event-loop turns into one planning round.
+PLAN_DELAY_S = 0.01
+
+
+@dataclasses.dataclass(frozen=True)
+class Dependencies:
+    """Collaborators of the planning rounds.
+
+    ``donors`` returns the services whose late jobs wait for others.
+    """
+
+    cluster: cluster_state.ClusterState
+    dispatcher: dispatch.Dispatcher
+    advice_client: clients.AdviceClient
+    job_lateness: lateness.Lateness
+    leading: Callable[[], bool]
+    donors: Callable[[], Collection[str]]
+
+
+class PlanningRounds:
+    """Plans after each change while this process leads."""
+
+    def __init__(self, dependencies: Dependencies) -> None:
+        self._dependencies = dependencies
+        self._wake = asyncio.Event()
+        self._advisor = advisor.Advisor(
+            dependencies.cluster,
+            dependencies.advice_client,
+            dependencies.leading,
+        )
+        self._planner = planner.Planner(
+            job_order.ObjectiveOrder(dependencies.job_lateness),
+            dependencies.job_lateness,
+            self._advisor,
+        )
+
+    def loops(self) -> tuple[Coroutine[Any, Any, None], ...]:
+        """Return the loops that run for the whole term."""
+        return (self._run(), self._advisor.run())
+
+    def wake(self) -> None:
+        """Plan again soon, since the cluster state changed."""
+        self._wake.set()
+
+    async def _run(self) -> None:
+        while True:
+            await self._wake.wait()
+            await asyncio.sleep(PLAN_DELAY_S)
+            self._wake.clear()
+            if self._dependencies.leading():
+                self._plan()
+
+    def _plan(self) -> None:
+        cluster = self._dependencies.cluster
+        candidates: dict[str, list[workers.Worker]] = {}
+        for worker in cluster.workers_by_id.values():
+            candidates.setdefault(worker.entry.service, []).append(worker)
+        clock = cluster.dependencies.clock
+        self._dependencies.dispatcher.place(
+            self._planner.plan(
+                cluster.jobs_by_id.values(),
+                candidates,
+                round_times.RoundTime(clock.monotonic_s(), clock.wall_s()),
+                self._dependencies.donors(),
+            )
+        )
--- a/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
@@ -18,7 +18,8 @@
     """One task; ``run`` is the attempt that may be running.
 
     ``avoided_worker`` is the id of the worker on which it last failed or
-    stalled.
+    stalled.  ``started_s`` is the monotonic time at which this leader placed
+    the run; None if it took the run over, or resumed it from a checkpoint.
     """
 
     __slots__ = (
@@ -30,19 +31,28 @@
         'job',
         'phase',
         'run',
-        'step',
+        'started_s',
+        'state',
     )
 
-    def __init__(self, task_id: model.TaskId, job: 'JobState') -> None:
+    def __init__(
+        self, task_id: model.TaskId, job: 'JobState', state: 'StepState'
+    ) -> None:
         self.id = task_id
         self.job = job
-        self.step = job.job.steps[task_id.step]
+        self.state = state
         self.phase = TaskPhase.WAITING
         self.attempt = 0
         self.avoided_worker = ''
         self.failed_attempts: set[int] = set()
         self.checkpoint = ''
         self.run: runs.Run | None = None
+        self.started_s: float | None = None
+
+    @property
+    def step(self) -> model.Step:
+        """The step that this task belongs to."""
+        return self.state.step
 
     @property
     def serving(self) -> bool:
@@ -80,15 +90,20 @@
 
 
 class StepState:
-    """The tasks of one step in one occurrence of a job."""
+    """The tasks of one step in one occurrence of a job.
+
+    ``longest_run_s`` is the time that the longest of its done tasks took, 0
+    if none is known.
+    """
 
-    __slots__ = ('done_count', 'occurrence', 'step', 'tasks')
+    __slots__ = ('done_count', 'longest_run_s', 'occurrence', 'step', 'tasks')
 
     def __init__(self, occurrence: int, step: model.Step) -> None:
         self.occurrence = occurrence
         self.step = step
         self.tasks: list[Task] = []
         self.done_count = 0
+        self.longest_run_s: float = 0
 
     def failed_attempt_count(self, task: Task) -> int:
         """Return how many attempts at a task, or at its whole gang, failed."""
@@ -109,10 +124,16 @@
 
 
 class JobState:
-    """An accepted job and its progress."""
+    """An accepted job and its progress.
 
-    def __init__(self, job: model.Job) -> None:
+    ``accepted_s`` is the monotonic time at which it was accepted, as far as
+    is known.
+    """
+
+    def __init__(self, job: model.Job, accepted_s: float = 0) -> None:
         self.job = job
+        self.accepted_s = accepted_s
+        self.lasting = any(step.lasting for step in job.steps)
         self.phase = stored.JobPhase.QUEUED
         self.cancelled = False
         self.ended_s: float = 0
@@ -223,7 +244,11 @@
     ) -> StepState:
         state = StepState(occurrence, step)
         state.tasks = [
-            Task(model.TaskId(self.job.id, occurrence, number, index), self)
+            Task(
+                model.TaskId(self.job.id, occurrence, number, index),
+                self,
+                state,
+            )
             for index in range(step.count)
         ]
         return state
--- a/libs/scheduler/tests/test_scheduler_decisions.py
+++ b/libs/scheduler/tests/test_scheduler_decisions.py
@@ -2,18 +2,29 @@
 
 import asyncio
 
-from jackdawlatch.jobs import model, queues
+import scheduler_bench as benches
+
+from jackdawlatch.jobs import model, queues, stored
+from jackdawlatch.model import clocks, records
 from jackdawlatch.scheduler import (
+    cluster_state,
     demand,
+    job_loader,
     job_order,
+    lateness,
+    observers,
     pacing,
+    persistence,
     placing,
     reports,
     reservations,
+    round_times,
+    runs,
     tasks,
     workers,
 )
 from jackdawlatch.scheduler import planner as planners
+from jackdawlatch.store import keyvalue
 from jackdawlatch.testing import functions
 
 QUEUE = queues.Queue('q', 'h', '/q/', 's', slack_factor=2, target_s=1)
@@ -68,16 +79,75 @@
 
 
 def test_job_in_time_is_placed_before_a_late_one():
-    order = job_order.ObjectiveOrder()
-    now = job_order.RoundTime(monotonic_s=100, wall_s=100)
+    order = job_order.ObjectiveOrder(lateness.Lateness())
+    now = round_times.RoundTime(monotonic_s=100, wall_s=100)
     short = model.Step(count=1, room=CORE, estimate_s=1)
     late, fresh = _job(short), _job(short, short, accepted_s=99.5)
     assert order.key(fresh, now) < order.key(late, now)
 
 
+def test_running_step_does_not_make_its_job_late():
+    job = _job(model.Step(count=2, room=CORE, estimate_s=3))
+    fleet = [_worker('w1')]
+    for placed in _place(job, fleet):
+        run = runs.Run(placed.task, placed.worker, 1, runs.RunPhase.RUNNING)
+        placed.task.run = run
+        placed.task.phase = tasks.TaskPhase.PLACED
+        placed.task.started_s = 0
+    judged = lateness.Lateness()
+    # The objective is more than 7 s; an untouched step would need 3 s more.
+    for monotonic_s, is_late in ((5, False), (9, True)):
+        now = round_times.RoundTime(monotonic_s, wall_s=0)
+        assert judged.is_late(job, now) is is_late
+
+
+def test_step_takes_as_long_as_its_ended_tasks():
+    job = _job(model.Step(count=2, room=CORE, estimate_s=1))
+    ended = job.steps[0].tasks[0]
+    ended.started_s = 0
+    judged = lateness.Lateness()
+    now = round_times.RoundTime(monotonic_s=4, wall_s=0)
+    assert judged.is_late(job, now)
+    judged.record_end(ended, now_s=4)
+    # Twice the 4 s that the ended task took, and 1 s, are allowed.
+    assert not judged.is_late(job, now)
+
+
+def test_jump_of_the_wall_clock_makes_no_job_late():
+    clock = clocks.ManualClock(start_s=100)
+    cluster = _cluster(clock)
+    observer = observers.JobObserver(job_loader.JobLoader(cluster), {}, clock)
+    judged = lateness.Lateness()
+    for number, jump_s in enumerate((-7, 7, 0)):
+        job = records.replace(
+            _job(model.Step(count=1, estimate_s=1)).job,
+            id=f'j{number}',
+            accepted_s=clock.wall_s() + jump_s,
+        )
+        observer.change(_entry(job))
+        now = round_times.RoundTime(clock.monotonic_s(), clock.wall_s())
+        assert not judged.is_late(cluster.jobs_by_id[job.id], now), jump_s
+
+
+def test_job_read_at_takeover_has_its_recorded_age():
+    clock = clocks.ManualClock(start_s=100)
+    cluster = _cluster(clock)
+    observer = observers.JobObserver(job_loader.JobLoader(cluster), {}, clock)
+    template = _job(model.Step(count=1, estimate_s=1)).job
+    old, future = (
+        records.replace(template, id=name, accepted_s=clock.wall_s() + shift_s)
+        for name, shift_s in (('old', -60), ('future', 60))
+    )
+    observer.reset([_entry(old), _entry(future)])
+    now = round_times.RoundTime(clock.monotonic_s(), clock.wall_s())
+    judged = lateness.Lateness()
+    assert judged.is_late(cluster.jobs_by_id['old'], now)
+    assert not judged.is_late(cluster.jobs_by_id['future'], now)
+
+
 def test_lasting_job_goes_first_then_the_smaller_one():
-    order = job_order.ObjectiveOrder()
-    now = job_order.RoundTime(monotonic_s=0, wall_s=0)
+    order = job_order.ObjectiveOrder(lateness.Lateness())
+    now = round_times.RoundTime(monotonic_s=0, wall_s=0)
     small = _job(model.Step(count=1, room=CORE, estimate_s=1))
     large = _job(model.Step(count=9, room=CORE, estimate_s=1))
     lasting = _job(model.Step(count=9, room=CORE, lasting=True))
@@ -106,8 +176,12 @@
 def test_late_job_waits_while_its_service_is_a_donor():
     worker = _worker('w1')
     step = model.Step(count=1, room=CORE, estimate_s=1)
-    planner = planners.Planner(job_order.ObjectiveOrder(), None)
-    now = job_order.RoundTime(monotonic_s=9, wall_s=9)
+    planner = planners.Planner(
+        job_order.ObjectiveOrder(lateness.Lateness()),
+        lateness.Lateness(),
+        None,
+    )
+    now = round_times.RoundTime(monotonic_s=9, wall_s=9)
     late, fresh = _job(step), _job(step, accepted_s=8)
     for donors, placed in ((frozenset(), 2), (frozenset('s'), 1)):
         plan = planner.plan([late, fresh], {'s': [worker]}, now, donors)
@@ -158,13 +232,33 @@
             queue='q',
             service='s',
             steps=steps,
-            accepted_s=accepted_s,
-        )
+        ),
+        accepted_s,
     )
     state.queue = QUEUE
     return state
 
 
+def _cluster(clock: clocks.ManualClock) -> cluster_state.ClusterState:
+    return cluster_state.ClusterState(
+        cluster_state.Dependencies(
+            clock,
+            persistence.ProgressWriter(
+                benches.Bench().store, persistence.Term('a', 1)
+            ),
+            benches.decision_log(),
+            cluster_state.Bounds(lease_s=2, stop_s=0.1),
+        ),
+        queues.Catalog(1, (QUEUE,)),
+    )
+
+
+def _entry(job: model.Job) -> keyvalue.Entry:
+    return keyvalue.Entry(
+        key=f'{stored.JOBS_PREFIX}{job.id}', value=records.pack(job), revision=1
+    )
+
+
 def _worker(name: str, cores: int = 4, rack: str = 'r1') -> workers.Worker:
     worker = workers.Worker(
         reports.WorkerEntry(
--- a/libs/scheduler/tests/test_scheduler_pools.py
+++ b/libs/scheduler/tests/test_scheduler_pools.py
@@ -11,6 +11,7 @@
     cluster_state,
     forecast,
     job_loader,
+    lateness,
     machine_moves,
     persistence,
     pools,
@@ -74,7 +75,11 @@
             )
         )
         self.pools = pools.Pools(
-            self.cluster, self.mover, lambda: True, MOVES_PER_S
+            self.cluster,
+            lateness.Lateness(),
+            self.mover,
+            lambda: True,
+            MOVES_PER_S,
         )
 
     def add_workers(self, service: str, count: int) -> None:
