Restart scheduler loops that fail, and decide moves without I/O

Each loop and each worker's poll loop is now restarted after 0.5 s; five failures in a row still give up the term.

--- /dev/null
+++ b/libs/policy/src/jackdawlatch/policy/transfers.py
@@ -0,0 +1,97 @@
+"""Which machines move to another service, and which are switched on or off.
+
+Load pattern: demand that goes from service to service by turns, each more than
+its own machines carry.  A move takes a machine away for some time, so only
+idle machines move, and only as many as their service can spare.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Mapping, Sequence
+
+# Idling longer than this costs more than two moves of the machine.
+STANDBY_IDLE_S = 2.5
+# Shorter, since another service waits for the machine.
+TRANSFER_IDLE_S = 0.4
+
+
+@dataclasses.dataclass(frozen=True)
+class IdleMachine:
+    """A machine without runs, and for how long."""
+
+    id: str
+    service: str
+    idle_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Transfer:
+    """The move of a machine to the pool of a service."""
+
+    machine: str
+    service: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Fleet:
+    """The machines that may move.
+
+    ``idle`` is ordered by preference.  ``surplus_by_service`` is the number of
+    machines beyond the demand, negative where machines are missing.
+    """
+
+    idle: Sequence[IdleMachine]
+    standby: Sequence[str]
+    surplus_by_service: Mapping[str, int]
+
+
+def supply(fleet: Fleet) -> list[Transfer]:
+    """Return the moves to the services that lack machines.
+
+    The service that lacks most comes first; idle machines of other services
+    go before those on standby.
+    """
+    surplus = collections.Counter(fleet.surplus_by_service)
+    idle = [
+        machine for machine in fleet.idle if machine.idle_s > TRANSFER_IDLE_S
+    ]
+    standby = list(fleet.standby)
+    transfers: list[Transfer] = []
+    for service, number in reversed(surplus.most_common()):
+        if number >= 0:
+            break
+        donated = _donated(idle, surplus, -number)
+        idle = [machine for machine in idle if machine not in donated]
+        chosen = [machine.id for machine in donated]
+        while standby and len(chosen) < -number:
+            chosen.append(standby.pop())
+        transfers += [Transfer(machine, service) for machine in chosen]
+    return transfers
+
+
+def retire(fleet: Fleet, spare: int, standby_service: str) -> list[Transfer]:
+    """Return the moves to standby of at most ``spare`` idle machines."""
+    surplus = collections.Counter(fleet.surplus_by_service)
+    idle = [
+        machine for machine in fleet.idle if machine.idle_s > STANDBY_IDLE_S
+    ]
+    return [
+        Transfer(machine.id, standby_service)
+        for machine in _donated(idle, surplus, max(0, spare))
+    ]
+
+
+def _donated(
+    idle: Sequence[IdleMachine],
+    surplus: collections.Counter[str],
+    count: int,
+) -> list[IdleMachine]:
+    """Return up to ``count`` machines, and subtract them from ``surplus``."""
+    donated: list[IdleMachine] = []
+    for machine in idle:
+        if len(donated) >= count:
+            break
+        if surplus[machine.service] > 0:
+            surplus[machine.service] -= 1
+            donated.append(machine)
+    return donated
--- a/libs/scheduler/src/jackdawlatch/scheduler/fleet.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/fleet.py
@@ -1,6 +1,7 @@
 """Usable and idle workers of the services that are not on standby."""
 
 from jackdawlatch.jobs import model
+from jackdawlatch.policy import transfers
 from jackdawlatch.scheduler import cluster_state, workers
 
 
@@ -39,12 +40,14 @@
             if not worker.runs_by_task
         }
 
-    def idle_for(self, min_idle_s: float) -> list[workers.Worker]:
-        """Return the workers idle for more than ``min_idle_s``, longest first."""
-        latest_s = self._cluster.now_s - min_idle_s
-        found = [
-            worker
-            for worker, since_s in self._idle_since_s.items()
-            if since_s < latest_s and worker.usable and not worker.runs_by_task
+    def idle(self) -> list[transfers.IdleMachine]:
+        """Return the machines of idle workers, the longest idle first."""
+        now_s = self._cluster.now_s
+        ordered = sorted(self._idle_since_s.items(), key=lambda pair: pair[1])
+        return [
+            transfers.IdleMachine(
+                worker.entry.machine, worker.entry.service, now_s - since_s
+            )
+            for worker, since_s in ordered
+            if worker.usable and not worker.runs_by_task
         ]
-        return sorted(found, key=lambda worker: self._idle_since_s[worker])
--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -19,13 +20,13 @@
     housekeeping,
     job_loader,
     lateness,
-    machine_moves,
     observers,
     pacing,
     persistence,
     polling,
     reconciliation,
     rounds,
+    supervision,
     waves,
     worker_registry,
 )
@@ -39,12 +40,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Settings:
-    """Limits of the platform: durations in seconds, and machine moves a second."""
+    """Limits of the platform, durations in seconds."""
 
     bounds: cluster_state.Bounds
     retention_s: float
-    migration_s: float
-    moves_per_s: float
+    pools: machine_pools.Limits
     waves: waves.Settings
 
 
@@ -117,19 +117,14 @@
             pacing.Dependencies(dependencies.worker_client, term, self._leading)
         )
         self._pools = machine_pools.Pools(
-            self.cluster,
-            job_lateness,
-            machine_moves.MachineMover(
-                machine_moves.Dependencies(
-                    self.cluster,
-                    dependencies.machine_client,
-                    term,
-                    self._leading,
-                    dependencies.settings.migration_s,
-                )
-            ),
-            self._leading,
-            dependencies.settings.moves_per_s,
+            machine_pools.Dependencies(
+                self.cluster,
+                job_lateness,
+                dependencies.machine_client,
+                term,
+                self._leading,
+                dependencies.settings.pools,
+            )
         )
         self._rounds = rounds.PlanningRounds(
             rounds.Dependencies(
@@ -196,17 +191,22 @@
                 self._dependencies.settings.retention_s,
             )
         )
-        for loop in (
-            self._progress_writer.run(),
-            housekeeper.tick(),
-            housekeeper.publish_pending(),
-            self.waves.run(),
-            self._pools.run(),
+        self._spawn(self._progress_writer.run())
+        loops: tuple[supervision.Loop, ...] = (
+            housekeeper.tick,
+            housekeeper.publish_pending,
+            self.waves.run,
+            self._pools.run,
             *self._rounds.loops(),
-            health.StallDetector(self.cluster, self._leading).run(),
-            self._pacer.run(self.cluster.workers_by_id),
-        ):
-            self._spawn(loop)
+            health.StallDetector(self.cluster, self._leading).run,
+            functools.partial(self._pacer.run, self.cluster.workers_by_id),
+        )
+        for loop in loops:
+            self._spawn(
+                supervision.keep_running(
+                    loop, self._dependencies.clock.monotonic_s
+                )
+            )
         while self._held():
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(POLL_S):
--- a/libs/scheduler/src/jackdawlatch/scheduler/machine_moves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/machine_moves.py
@@ -43,17 +43,22 @@
         self._dependencies = dependencies
         self._arrivals_by_machine: dict[str, _Arrival] = {}
         self._blocked_until_s_by_machine: dict[str, float] = {}
-        self._standby: list[str] = []
+        self.standby: list[str] = []
         self._standby_due_s_by_machine: dict[str, float] = {}
         self._listed_s: float = 0
 
     def in_transit(self) -> list[tuple[str, str]]:
         """Return the machines in transit, each with its target service."""
-        now_s = self._dependencies.cluster.now_s
+        cluster = self._dependencies.cluster
+        arrived = {
+            worker.entry.machine
+            for worker in cluster.workers_by_id.values()
+            if worker.registered and worker.reachable
+        }
         return [
             (machine, arrival.service)
             for machine, arrival in self._arrivals_by_machine.items()
-            if arrival.due_s > now_s
+            if arrival.due_s > cluster.now_s and machine not in arrived
         ]
 
     async def move_worker(self, worker: workers.Worker, service: str) -> bool:
@@ -71,16 +76,19 @@
     async def refresh_standby(self) -> None:
         """Update the standby machines; list them if none are known."""
         self._add_due_standby()
-        if not self._standby:
+        if not self.standby:
             await self._list_standby()
 
     def available_count(self) -> int:
         """Return how many machines are on standby or in transit."""
-        return len(self._standby) + len(self.in_transit())
+        return len(self.standby) + len(self.in_transit())
 
-    def take_standby(self) -> str:
-        """Remove and return a standby machine, empty if none is known."""
-        return self._standby.pop() if self._standby else ''
+    async def switch_on(self, machine: str, service: str) -> bool:
+        """Move a standby machine to a service; return whether it was moved."""
+        if machine not in self.standby:
+            return False
+        self.standby.remove(machine)
+        return await self.move(machine, service)
 
     async def move(self, machine: str, service: str) -> bool:
         """Move a machine without runs; return whether it was moved.
@@ -122,7 +130,7 @@
         for machine, due_s in tuple(self._standby_due_s_by_machine.items()):
             if due_s <= now_s:
                 self._standby_due_s_by_machine.pop(machine)
-                self._standby.append(machine)
+                self.standby.append(machine)
 
     async def _list_standby(self) -> None:
         now_s = self._dependencies.cluster.now_s
@@ -135,7 +143,7 @@
         self._listed_s = now_s
         in_transit = dict(self.in_transit())
         standby_services = self._dependencies.cluster.catalog.standby_services()
-        self._standby = [
+        self.standby = [
             machine.id
             for machine in listed.unwrap()
             if machine.available
--- a/libs/scheduler/src/jackdawlatch/scheduler/polling.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/polling.py
@@ -1,10 +1,16 @@
 """Polls every worker: extends its lease and collects the ends of runs."""
 
 import asyncio
+import functools
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from jackdawlatch.scheduler import cluster_state, dispatch, workers
+from jackdawlatch.scheduler import (
+    cluster_state,
+    dispatch,
+    supervision,
+    workers,
+)
 
 # Long enough to survive a change of leaders after a lost lease, short enough
 # that the tasks of a lost worker are restarted soon.
@@ -45,7 +51,12 @@
         """Start to poll a worker, unless it is polled already."""
         if worker not in self._active:
             self._active.add(worker)
-            self._spawn(self._poll_until_gone(worker))
+            self._spawn(
+                supervision.keep_running(
+                    functools.partial(self._poll_until_gone, worker),
+                    self._cluster.dependencies.clock.monotonic_s,
+                )
+            )
 
     async def _poll_until_gone(self, worker: workers.Worker) -> None:
         known = self._cluster.workers_by_id
--- a/libs/scheduler/src/jackdawlatch/scheduler/pools.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/pools.py
@@ -7,58 +7,68 @@
 
 import asyncio
 import collections
-import functools
-import itertools
-from collections.abc import Awaitable, Callable, Iterable, Iterator, Mapping
+import dataclasses
+from collections.abc import Callable, Iterable, Mapping
 
+from jackdawlatch.policy import forecasts, transfers
 from jackdawlatch.scheduler import (
+    clients,
     cluster_state,
     demand,
     fleet,
-    forecast,
     lateness,
     machine_moves,
+    persistence,
     round_times,
     tasks,
-    workers,
 )
 
 PERIOD_S = 0.2
 # The last requests of the previous leader are answered by then: it sends none
 # once it no longer trusts its lease.
 HANDOVER_S = 1.0
-# Idling longer than this costs more than two moves of the machine.
-STANDBY_IDLE_S = 2.5
-# Shorter, since another service waits for the machine.
-TRANSFER_IDLE_S = 0.4
 MIN_MACHINES = 2
 
-Move = Callable[[], Awaitable[bool]]
+
+@dataclasses.dataclass(frozen=True)
+class Limits:
+    """How long a move takes, and how many the platform accepts a second."""
+
+    migration_s: float
+    moves_per_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Dependencies:
+    """Collaborators of the pools."""
+
+    cluster: cluster_state.ClusterState
+    job_lateness: lateness.Lateness
+    client: clients.MachineClient
+    term: persistence.Term
+    leading: Callable[[], bool]
+    limits: Limits
 
 
 class Pools:
-    """Assigns machines to services.
-
-    The platform accepts at most ``moves_per_s`` moves a second.
-    """
-
-    def __init__(
-        self,
-        cluster: cluster_state.ClusterState,
-        job_lateness: lateness.Lateness,
-        mover: machine_moves.MachineMover,
-        leading: Callable[[], bool],
-        moves_per_s: float,
-    ) -> None:
-        self._cluster = cluster
-        self._lateness = job_lateness
-        self._mover = mover
-        self._leading = leading
-        self._moves_per_s = moves_per_s
+    """Assigns machines to services."""
+
+    def __init__(self, dependencies: Dependencies) -> None:
+        self._dependencies = dependencies
+        self._cluster = dependencies.cluster
+        self._mover = machine_moves.MachineMover(
+            machine_moves.Dependencies(
+                dependencies.cluster,
+                dependencies.client,
+                dependencies.term,
+                dependencies.leading,
+                dependencies.limits.migration_s,
+            )
+        )
         # Services with surplus machines, while others have too few.
         self.donors: frozenset[str] = frozenset()
-        self._fleet = fleet.Fleet(cluster)
-        self._peak = forecast.PeakDemand()
+        self._fleet = fleet.Fleet(self._cluster)
+        self._peak = forecasts.PeakDemand()
 
     def undersupplied(self) -> frozenset[str]:
         """Return the services that have fewer machines than they could use."""
@@ -74,7 +84,7 @@
         """Move machines until cancelled."""
         await asyncio.sleep(HANDOVER_S)
         while True:
-            if self._leading():
+            if self._dependencies.leading():
                 await self.round()
             await asyncio.sleep(PERIOD_S)
 
@@ -90,85 +100,54 @@
             self._peak.record(
                 self._cluster.now_s, sum(demand_by_service.values())
             )
-        moves = itertools.chain(
-            self._supply_moves(surplus), self._standby_moves(surplus)
+        max_moves = max(
+            1, int(self._dependencies.limits.moves_per_s * PERIOD_S)
         )
-        max_moves = max(1, int(self._moves_per_s * PERIOD_S))
-        chosen = tuple(itertools.islice(moves, max_moves))
-        await asyncio.gather(*(move() for move in chosen))
+        await self._move_all(self._transfers(surplus)[:max_moves])
 
-    def _supply_moves(
+    def _transfers(
         self, surplus: collections.Counter[str]
-    ) -> Iterator[Move]:
-        """Yield moves to the services with too few machines."""
-        idle = self._fleet.idle_for(TRANSFER_IDLE_S)
-        for service, number in reversed(surplus.most_common()):
-            if number < 0:
-                yield from self._transfer_idle(idle, service, surplus)
-                yield from self._switch_on(service, surplus)
-
-    def _transfer_idle(
-        self,
-        idle: Iterable[workers.Worker],
-        service: str,
-        surplus: collections.Counter[str],
-    ) -> Iterator[Move]:
-        for worker in idle:
-            source = worker.entry.service
-            if surplus[service] < 0 < surplus[source]:
-                surplus[source] -= 1
-                surplus[service] += 1
-                yield functools.partial(
-                    self._mover.move_worker, worker, service
-                )
-
-    def _switch_on(
-        self, service: str, surplus: collections.Counter[str]
-    ) -> Iterator[Move]:
-        while surplus[service] < 0:
-            machine = self._mover.take_standby()
-            if not machine:
-                return
-            surplus[service] += 1
-            yield functools.partial(self._mover.move, machine, service)
-
-    def _standby_moves(
-        self, surplus: collections.Counter[str]
-    ) -> Iterator[Move]:
-        """Yield moves to standby of machines beyond the forecast demand."""
+    ) -> list[transfers.Transfer]:
+        machines = transfers.Fleet(
+            self._fleet.idle(), self._mover.standby, surplus
+        )
+        chosen = transfers.supply(machines)
         standby = min(self._cluster.catalog.standby_services(), default='')
-        if not standby or not self._peak.covers_window:
-            return
+        if chosen or not standby or not self._peak.covers_window:
+            return chosen
         spare = len(self._fleet.usable()) - self._peak.machines()
-        for worker in self._fleet.idle_for(STANDBY_IDLE_S):
-            if spare > 0 and surplus[worker.entry.service] > 0:
-                spare -= 1
-                surplus[worker.entry.service] -= 1
-                yield functools.partial(
-                    self._mover.move_worker, worker, standby
+        return transfers.retire(machines, spare, standby)
+
+    async def _move_all(self, chosen: Iterable[transfers.Transfer]) -> None:
+        by_machine = {
+            worker.entry.machine: worker for worker in self._fleet.usable()
+        }
+        await asyncio.gather(
+            *(
+                self._mover.move_worker(
+                    by_machine[transfer.machine], transfer.service
                 )
+                if transfer.machine in by_machine
+                else self._mover.switch_on(transfer.machine, transfer.service)
+                for transfer in chosen
+            )
+        )
 
     def _demand_seen(self) -> bool:
         """Whether a job with tasks that end was seen.
 
         Until then, idle machines are no sign of low demand.
         """
-        return any(
-            not step.lasting
-            for job in self._cluster.jobs_by_id.values()
-            for step in job.job.steps
-        )
+        return any(not job.lasting for job in self._cluster.jobs_by_id.values())
 
     def _surplus(
         self, demand_by_service: Mapping[str, int]
     ) -> collections.Counter[str]:
         """Return how many machines each service has beyond its demand."""
-        found = self._fleet.usable()
-        machines = {worker.entry.machine for worker in found}
-        surplus = collections.Counter(worker.entry.service for worker in found)
-        for machine, service in self._mover.in_transit():
-            if machine not in machines:
-                surplus[service] += 1
+        surplus = collections.Counter(
+            worker.entry.service for worker in self._fleet.usable()
+        )
+        surplus.update(service for _, service in self._mover.in_transit())
         surplus.subtract(demand_by_service)
         return surplus
 
@@ -194,9 +173,10 @@
         }
         clock = self._cluster.dependencies.clock
         now = round_times.RoundTime(clock.monotonic_s(), clock.wall_s())
+        job_lateness = self._dependencies.job_lateness
         for job in self._cluster.jobs_by_id.values():
             if not job.ended:
-                jobs_by_lateness[self._lateness.is_late(job, now)].append(job)
+                jobs_by_lateness[job_lateness.is_late(job, now)].append(job)
         return jobs_by_lateness
 
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/rounds.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/rounds.py
@@ -2,8 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable, Collection, Coroutine
-from typing import Any
+from collections.abc import Callable, Collection
 
 from jackdawlatch.scheduler import (
     advisor,
@@ -14,6 +13,7 @@
     lateness,
     planner,
     round_times,
+    supervision,
     workers,
 )
 
@@ -53,9 +53,9 @@
             self._advisor,
         )
 
-    def loops(self) -> tuple[Coroutine[Any, Any, None], ...]:
+    def loops(self) -> tuple[supervision.Loop, ...]:
         """Return the loops that run for the whole term."""
-        return (self._run(), self._advisor.run())
+        return (self._run, self._advisor.run)
 
     def wake(self) -> None:
         """Plan again soon, since the cluster state changed."""
--- a/libs/scheduler/tests/scheduler_bench.py
+++ b/libs/scheduler/tests/scheduler_bench.py
@@ -17,6 +17,7 @@
     leader,
     observers,
     persistence,
+    pools,
     reports,
     waves,
 )
@@ -184,8 +185,7 @@
                 leader.Settings(
                     cluster_state.Bounds(lease_s=2, stop_s=0.05),
                     retention_s=60,
-                    migration_s=0.1,
-                    moves_per_s=100,
+                    pools=pools.Limits(migration_s=0.1, moves_per_s=100),
                     waves=waves.Settings(0.1, _status),
                 ),
             ),
--- a/libs/scheduler/tests/test_scheduler_pools.py
+++ b/libs/scheduler/tests/test_scheduler_pools.py
@@ -7,12 +7,11 @@
 
 from jackdawlatch.jobs import model, queues
 from jackdawlatch.model import clocks, records
+from jackdawlatch.policy import forecasts
 from jackdawlatch.scheduler import (
     cluster_state,
-    forecast,
     job_loader,
     lateness,
-    machine_moves,
     persistence,
     pools,
     reports,
@@ -65,22 +64,16 @@
             ),
             CATALOG,
         )
-        self.mover = machine_moves.MachineMover(
-            machine_moves.Dependencies(
+        self.pools = pools.Pools(
+            pools.Dependencies(
                 self.cluster,
+                lateness.Lateness(),
                 self.machines,
                 persistence.Term('a', 1),
                 lambda: True,
-                MIGRATION_S,
+                pools.Limits(MIGRATION_S, MOVES_PER_S),
             )
         )
-        self.pools = pools.Pools(
-            self.cluster,
-            lateness.Lateness(),
-            self.mover,
-            lambda: True,
-            MOVES_PER_S,
-        )
 
     def add_workers(self, service: str, count: int) -> None:
         """Register idle workers with capacity for four tasks each."""
@@ -125,7 +118,7 @@
     bench.add_workers('desk', 8)
     await bench.rounds(9)
     bench.submit('a', count=1)
-    await bench.rounds(forecast.WINDOW_S - 1)
+    await bench.rounds(forecasts.WINDOW_S - 1)
     assert not bench.machines.moves
 
 
@@ -133,7 +126,7 @@
     bench.add_workers('photo', 4)
     bench.add_workers('desk', 8)
     bench.submit('a', count=1)
-    await bench.rounds(forecast.WINDOW_S + 1)
+    await bench.rounds(forecasts.WINDOW_S + 1)
     moved_to = {service for _, service in bench.machines.moves}
     assert moved_to == {'spare'}
     # Both services keep their minimum of machines.
@@ -144,11 +137,11 @@
     bench.add_workers('photo', 4)
     bench.add_workers('desk', 8)
     bench.submit('a', count=28)
-    await bench.rounds(forecast.WINDOW_S)
+    await bench.rounds(forecasts.WINDOW_S)
     bench.cluster.jobs_by_id.clear()
     bench.submit('b', count=1)
     bench.machines.moves.clear()
-    await bench.rounds(forecast.WINDOW_S - 1)
+    await bench.rounds(forecasts.WINDOW_S - 1)
     assert not bench.machines.moves
 
 
@@ -156,7 +149,7 @@
     bench.add_workers('photo', 2)
     bench.add_workers('desk', 3)
     bench.submit('a', count=1)
-    await bench.rounds(forecast.WINDOW_S + 1)
+    await bench.rounds(forecasts.WINDOW_S + 1)
     assert bench.machines.moves == [('m-desk0', 'spare')]
     # The platform's list does not show the standby machine yet.
     bench.submit('b', count=40)
@@ -165,7 +158,7 @@
 
 
 def test_peak_expires_after_the_window():
-    peak = forecast.PeakDemand(window_s=4)
+    peak = forecasts.PeakDemand(window_s=4)
     for now_s, machines in ((0, 3), (1, 9), (2, 5), (4, 1)):
         peak.record(now_s, machines)
     assert peak.machines() == 9
--- a/libs/unified/src/jackdawlatch/unified/root.py
+++ b/libs/unified/src/jackdawlatch/unified/root.py
@@ -23,6 +23,7 @@
     election,
     leader,
     persistence,
+    pools,
     waves,
 )
 from jackdawlatch.store import following, monitored
@@ -172,8 +173,10 @@
                         stop_s=bounds.stop_ms / MILLISECONDS_PER_SECOND,
                     ),
                     retention_s=bounds.retention_s,
-                    migration_s=bounds.migration_s,
-                    moves_per_s=bounds.moves_per_s,
+                    pools=pools.Limits(
+                        migration_s=bounds.migration_s,
+                        moves_per_s=bounds.moves_per_s,
+                    ),
                     waves=waves.Settings(
                         maintenance_s=bounds.maintenance_s,
                         status=operator.wave_status,
--- a/tools/show_red.py
+++ b/tools/show_red.py
@@ -229,7 +229,7 @@
     ),
     Mutation(
         'machines of the last peak are kept',
-        'scheduler/forecast.py',
+        'policy/forecasts.py',
         'return self._peaks[0][1] if self._peaks else 0',
         'return 0',
         'scheduler',
