Ask for the lease again just before a request is sent

Cause: a request of the leader may wait for a connection, or the process may be paused, after the check that allowed it; machine moves have no other guard where fences are not checked. libcurl's callback before the first byte now asks again, and the request fails as not sent.

--- a/libs/backends/src/jackdawlatch/backends/exchange.py
+++ b/libs/backends/src/jackdawlatch/backends/exchange.py
@@ -24,6 +24,10 @@
 Body = TypeVar('Body')
 
 
+def _always() -> bool:
+    return True
+
+
 class NotSent(failures.Problem, frozen=True, kw_only=True):
     """No byte of the request was sent, so it was not run."""
 
@@ -43,7 +47,9 @@
 class Outgoing:
     """A request to send.
 
-    ``resend`` lets libcurl send it more than once.
+    ``resend`` lets libcurl send it more than once.  ``permitted`` is asked just
+    before the first byte: the request may have been queued, or the process
+    paused, since the caller decided to send it.
     """
 
     url: str
@@ -53,6 +59,7 @@
     timeout_s: float = 5
     connect_timeout_s: float = CONNECT_TIMEOUT_S
     resend: bool = False
+    permitted: Callable[[], bool] = _always
 
 
 @dataclasses.dataclass(frozen=True)
@@ -85,9 +92,9 @@
 
     async def send(self, outgoing: Outgoing) -> result.Result[Reply, Failed]:
         """Send a request and return its complete response."""
-        resend_guard = _ResendGuard(outgoing.resend)
+        send_guard = _SendGuard(outgoing.resend, outgoing.permitted)
         fetching = self._http.fetch(
-            _request(outgoing, resend_guard.prepare), raise_error=False
+            _request(outgoing, send_guard.prepare), raise_error=False
         )
         # The transfer goes on to its end or timeout if the caller is cancelled.
         fetching.add_done_callback(self._finish)
@@ -95,7 +102,7 @@
         try:
             response = await asyncio.shield(fetching)
         except httpclient.HTTPClientError as error:
-            return result.Failure(resend_guard.classify(error))
+            return result.Failure(send_guard.classify(error))
         return result.Success(
             Reply(response.code, response.body or b'', response.headers)
         )
@@ -117,11 +124,15 @@
             asyncio.get_running_loop().call_soon(self._http.close)
 
 
-class _ResendGuard:
-    """Stops libcurl from sending a request twice, unless ``resend`` is set."""
+class _SendGuard:
+    """Stops libcurl from sending a request twice, unless ``resend`` is set.
+
+    Nor is a request sent that is not ``permitted`` any more.
+    """
 
-    def __init__(self, resend: bool) -> None:
+    def __init__(self, resend: bool, permitted: Callable[[], bool]) -> None:
         self._resend = resend
+        self._permitted = permitted
         self._sent = False
 
     def prepare(self, curl: pycurl.Curl) -> None:
@@ -137,7 +148,8 @@
         return NotSent(message=str(error))
 
     def _before_request(self, *_addresses: Any) -> int:
-        if self._sent and not self._resend:
+        sent_enough = self._sent and not self._resend
+        if sent_enough or not self._permitted():
             return pycurl.PREREQFUNC_ABORT
         self._sent = True
         return pycurl.PREREQFUNC_OK
--- a/libs/unified/src/jackdawlatch/unified/root.py
+++ b/libs/unified/src/jackdawlatch/unified/root.py
@@ -154,12 +154,15 @@
                 clock=self._clock,
                 log=self._log,
                 worker_client=workers.RunnerClient(
-                    clients.requests, clients.waiting_polls
+                    clients.requests,
+                    clients.waiting_polls,
+                    lambda: self._election.leading,
                 ),
                 machine_client=machines.HttpMachineClient(
                     self._settings.machines_address,
                     self._settings.name,
                     clients.machine_requests,
+                    lambda: self._election.leading,
                 ),
                 advice_client=advice.HttpAdviceClient(
                     self._settings.advice_address, clients.requests
