--- a/libs/scheduler/tests/scheduler_bench.py
+++ b/libs/scheduler/tests/scheduler_bench.py
@@ -129,6 +129,12 @@
         self._put(f'workers/{name}', name.encode())
         return worker
 
+    def remove_worker(self, name: str) -> None:
+        """Remove the registration of a worker that goes on answering."""
+        self.store.content.commit(
+            transactions.Transaction(deletes=(f'workers/{name}',))
+        )
+
     def submit(self, job: model.Job) -> None:
         """Write an accepted job."""
         self._put(f'{stored.JOBS_PREFIX}{job.id}', records.pack(job))
--- a/libs/scheduler/tests/test_scheduler_leader.py
+++ b/libs/scheduler/tests/test_scheduler_leader.py
@@ -98,6 +98,19 @@
     assert len(worker.started_runs) == 1
 
 
+async def test_next_leader_does_not_use_a_departed_worker(bench):
+    departed = bench.add_worker('w1')
+    bench.submit(benches.job())
+    async with bench.lead():
+        await waiting.until(lambda: departed.running)
+    bench.remove_worker('w1')
+    present = bench.add_worker('w2')
+    bench.submit(benches.job('b'))
+    async with bench.lead():
+        await waiting.until(lambda: present.running)
+    assert len(departed.started_runs) == 1
+
+
 async def test_unanswered_start_is_not_repeated_elsewhere(bench):
     first = bench.add_worker('w1')
     first.lose_answers = 1
