Count a job as pending until one of its tasks has started

Cause: a job left the count of pending jobs when its first task was placed. If that start is refused, or the leader is lost before it is sent, the job waits on and is not counted, and the next leader reads it as running.

Change: a job has begun once a start was answered, or a run or an end was reported. The new test fails without it.

--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -182,6 +182,7 @@
             return
         if isinstance(started, result.Success):
             run.phase = runs.RunPhase.RUNNING
+            run.task.job.begun = True
             run.last_progress_s = self._clock.monotonic_s()
             if run.task.job.ended:
                 self.stop(worker, run.run_id)
--- a/libs/scheduler/src/jackdawlatch/scheduler/housekeeping.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/housekeeping.py
@@ -76,10 +76,10 @@
 
 
 def pending(jobs: Iterable[tasks.JobState]) -> dict[str, int]:
-    """Count the jobs of each queue that have not started, except repeated ones."""
+    """Count the jobs of each queue that have not begun, except repeated ones."""
     counts: dict[str, int] = {}
     for job in jobs:
-        if job.phase is stored.JobPhase.QUEUED and not job.job.repeat_count:
+        if not job.begun and not job.ended and not job.job.repeat_count:
             name = job.job.queue
             counts[name] = counts.get(name, 0) + 1
     return counts
--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -64,6 +64,7 @@
         if run is None:
             self._cluster.on_unwanted_run(worker, report.run_id)
             return
+        run.task.job.begun = True
         run.update(report, self._cluster.now_s)
         if run.phase in ORDERED:
             run.phase = runs.RunPhase.RUNNING
@@ -98,6 +99,7 @@
         if task is None:
             acknowledge()
             return
+        task.job.begun = True
         if end.kind is reports.EndKind.DONE and _is_current(task, end):
             self._lateness.record_end(task, self._cluster.now_s)
         run = worker.runs_by_task.get(task.id)
--- a/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
@@ -54,6 +54,15 @@
         """The step that this task belongs to."""
         return self.state.step
 
+    @property
+    def has_run(self) -> bool:
+        """Whether an attempt is known to have started and ended."""
+        return (
+            self.phase is TaskPhase.DONE
+            or bool(self.failed_attempts)
+            or bool(self.checkpoint)
+        )
+
     @property
     def serving(self) -> bool:
         """Whether a lasting task is up and serving."""
@@ -127,7 +136,8 @@
     """An accepted job and its progress.
 
     ``accepted_s`` is the monotonic time at which it was accepted, as far as
-    is known.
+    is known.  ``begun`` tells whether any of its tasks is known to have
+    started; a task that was placed may have been refused.
     """
 
     def __init__(self, job: model.Job, accepted_s: float = 0) -> None:
@@ -135,6 +145,7 @@
         self.accepted_s = accepted_s
         self.lasting = any(step.lasting for step in job.steps)
         self.phase = stored.JobPhase.QUEUED
+        self.begun = False
         self.cancelled = False
         self.ended_s: float = 0
         self.revision = 0
@@ -217,6 +228,7 @@
             )
             if task is not None:
                 task.restore(stored_progress)
+                self.begun = self.begun or task.has_run
         for state in self.steps:
             state.done_count = sum(
                 task.phase is TaskPhase.DONE for task in state.tasks
--- a/libs/scheduler/tests/test_scheduler_leader.py
+++ b/libs/scheduler/tests/test_scheduler_leader.py
@@ -7,7 +7,14 @@
 
 from jackdawlatch.jobs import model, stored
 from jackdawlatch.model import records
-from jackdawlatch.scheduler import calls, polling, reports, runs, waves
+from jackdawlatch.scheduler import (
+    calls,
+    housekeeping,
+    polling,
+    reports,
+    runs,
+    waves,
+)
 from jackdawlatch.testing import functions, waiting
 
 DONE = reports.EndKind.DONE
@@ -37,6 +44,27 @@
             )
 
 
+async def test_job_whose_start_was_refused_counts_as_pending(bench):
+    worker = bench.add_worker('w1')
+    refusing = mock.patch.object(
+        worker, 'start', return_value=calls.Refusal.NO_ROOM
+    )
+    refused = refusing.start()
+    bench.submit(benches.job())
+    async with bench.lead():
+        await waiting.until(lambda: refused.call_count > 1)
+    # The next leader finds the job as placed.
+    async with bench.lead() as leader:
+        await waiting.until(lambda: 'a' in leader.cluster.jobs_by_id)
+        counted = housekeeping.pending(leader.cluster.jobs_by_id.values())
+        assert counted == {'photos': 1}
+        refusing.stop()
+        await waiting.until(lambda: worker.running)
+        await waiting.until(
+            lambda: not housekeeping.pending(leader.cluster.jobs_by_id.values())
+        )
+
+
 async def test_record_of_an_ended_job_is_short(bench):
     worker = bench.add_worker('w1')
     bench.submit(benches.job(count=2))
