--- a/measure/workplace.py
+++ b/measure/workplace.py
@@ -91,6 +91,11 @@
         await self._clock.sleep(CALL_S)
         return await self._inner.start(address, task)
 
+    async def forbid(self, address: str, task_id: str) -> Any:
+        """Forbid a task after ``CALL_S``."""
+        await self._clock.sleep(CALL_S)
+        return await self._inner.forbid(address, task_id)
+
     async def renew(
         self, address: str, ids: Sequence[str], lease_s: float
     ) -> Any:
