--- a/libs/backends/src/jackdawlatch/backends/exchange.py
+++ b/libs/backends/src/jackdawlatch/backends/exchange.py
@@ -127,7 +127,7 @@
 class _SendGuard:
     """Stops libcurl from sending a request twice, unless ``resend`` is set.
 
-    Nor is a request sent that is not ``permitted`` any more.
+    It also stops a request that is no longer ``permitted``.
     """
 
     def __init__(self, resend: bool, permitted: Callable[[], bool]) -> None:
@@ -148,8 +148,8 @@
         return NotSent(message=str(error))
 
     def _before_request(self, *_addresses: Any) -> int:
-        sent_enough = self._sent and not self._resend
-        if sent_enough or not self._permitted():
+        refused_resend = self._sent and not self._resend
+        if refused_resend or not self._permitted():
             return pycurl.PREREQFUNC_ABORT
         self._sent = True
         return pycurl.PREREQFUNC_OK
--- a/libs/scheduler/src/jackdawlatch/scheduler/machine_moves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/machine_moves.py
@@ -37,7 +37,10 @@
 
 
 class MachineMover:
-    """Moves single machines and lists the standby ones."""
+    """Moves single machines and lists the standby ones.
+
+    ``standby`` holds the machines known to be switched off and ready to move.
+    """
 
     def __init__(self, dependencies: Dependencies) -> None:
         self._dependencies = dependencies
--- a/libs/scheduler/src/jackdawlatch/scheduler/round_times.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/round_times.py
@@ -1,11 +1,14 @@
-"""The time of a planning round."""
+"""The time at which a round of decisions looks at the cluster."""
 
 import dataclasses
 
 
 @dataclasses.dataclass(frozen=True)
 class RoundTime:
-    """The time of a planning round, on both clocks."""
+    """One moment on both clocks.
+
+    Only the due times of repeated jobs are wall-clock times.
+    """
 
     monotonic_s: float
     wall_s: float
--- a/libs/scheduler/src/jackdawlatch/scheduler/waves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waves.py
@@ -188,6 +188,7 @@
                 worker, wait_for_short_tasks=waited_s < STOP_TASKS_AFTER_S
             ):
                 return
+        # Machines are vacated ahead of a free slot.
         if not self._dependencies.leading() or not state.slots(now_s):
             return
         begun = await self._dependencies.client.maintain(
