Compare the restart of a lost task with the end of its lease

It looked 1.2 s after the worker fell silent, and the wrong restart came later than that.

Change: the test waits until the worker is found unreachable, and compares the time of the next start with the end of the lease; that asks for more than the 1.2 s did.

--- a/libs/scheduler/tests/test_scheduler_leader.py
+++ b/libs/scheduler/tests/test_scheduler_leader.py
@@ -155,14 +155,16 @@
 async def test_lost_task_is_not_restarted_before_lease_end(bench):
     first = bench.add_worker('w1')
     bench.submit(benches.job())
-    async with bench.lead():
+    async with bench.lead() as leader:
         await waiting.until(lambda: first.running)
         second = bench.add_worker('w2')
         first.down = True
+        known = leader.cluster.workers_by_id['w1']
         # The worker is found unreachable long before its lease ends.
-        await asyncio.sleep(1.2)
-        assert not second.started_runs
-        await waiting.until(lambda: second.running)
+        await waiting.until(lambda: not known.reachable)
+        assert bench.clock.monotonic_s() < known.lease_end_s
+        await waiting.until(lambda: second.started_runs)
+        assert bench.clock.monotonic_s() > known.lease_end_s
 
 
 async def test_runs_of_a_restarted_worker_are_restarted(bench):
