Log why ready tasks wait, also beside a flood of other lines

Change: the planner returns what it left over; once a second the longest waits over 2 s are logged with their reason and the workers left after each condition, lasting tasks first, five lines at most. Restarts, starts of lasting tasks and changes of the donor services are logged. Each event has 10 lines a second of its own, so that run-ended lines no longer drop the others. No decision changes.

--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -82,6 +82,10 @@
                 placement.attempt,
                 runs.RunPhase.WRITING,
             )
+            if task.step.lasting or placement.attempt > 1:
+                self._dependencies.cluster.note(
+                    'placed', run, 'lasting' if task.step.lasting else 'retry'
+                )
             if task.job.phase is stored.JobPhase.QUEUED:
                 task.job.phase = stored.JobPhase.RUNNING
             self._dependencies.progress_writer.enqueue(
--- a/libs/scheduler/src/jackdawlatch/scheduler/placing.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/placing.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import enum
 from collections.abc import Callable
 
 from jackdawlatch.scheduler import advisor, reservations, tasks, workers
@@ -17,6 +18,31 @@
     ticket: str = ''
 
 
+class WaitReason(enum.Enum):
+    """Why a ready task was not placed.
+
+    ``DEFERRED``: its job is late, and its service has machines to spare.
+    ``RESTRICTED``: workers with room are excluded by the spread, the gang, the
+    rack or the tickets of its step.
+    """
+
+    DEFERRED = 'deferred'
+    NO_WORKER = 'no-worker'
+    UNUSABLE = 'workers-unusable'
+    SUSPENDED = 'workers-suspended'
+    NO_ROOM = 'no-room'
+    RESTRICTED = 'step-restricted'
+
+
+@dataclasses.dataclass(frozen=True)
+class Wait:
+    """A ready step with tasks that were not placed."""
+
+    state: tasks.StepState
+    reason: WaitReason
+    counts: reservations.WorkerCounts
+
+
 WorkerFilter = Callable[[workers.Worker], bool]
 Assignments = list[tuple[tasks.Task, workers.Worker]]
 
@@ -67,6 +93,24 @@
             for task, worker in assigned
         ]
 
+    def wait(self) -> Wait:
+        """Return why tasks of the step still wait after ``place``."""
+        counts = self._reservations.counts(self._service, self._step)
+        reason = next(
+            (
+                reason
+                for reason, number in (
+                    (WaitReason.NO_WORKER, counts.known),
+                    (WaitReason.UNUSABLE, counts.usable),
+                    (WaitReason.SUSPENDED, counts.available),
+                    (WaitReason.NO_ROOM, counts.fitting),
+                )
+                if not number
+            ),
+            WaitReason.RESTRICTED,
+        )
+        return Wait(self._state, reason, counts)
+
     def _assign_step(self, waiting: list[tasks.Task]) -> Assignments:
         if not self._step.same_rack:
             return self._assign(waiting, _any_worker)
--- a/libs/scheduler/src/jackdawlatch/scheduler/planner.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/planner.py
@@ -1,6 +1,7 @@
 """Decides which waiting tasks start now, and where."""
 
-from collections.abc import Collection, Iterable, Mapping
+import dataclasses
+from collections.abc import Collection, Iterable, Iterator, Mapping
 
 from jackdawlatch.scheduler import (
     advisor,
@@ -14,6 +15,30 @@
 )
 
 
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """The placements of a round, and the ready steps with tasks left over.
+
+    ``deferred`` holds the steps that were not considered, ``unplaced`` those
+    for which no worker was found.
+    """
+
+    placements: list[placing.Placement]
+    deferred: list[tasks.StepState]
+    unplaced: list[placing.StepPlacer]
+    reserved: reservations.Reservations
+
+    def waits(self) -> Iterator[placing.Wait]:
+        """Return why each step still waits."""
+        for state in self.deferred:
+            yield dataclasses.replace(
+                placing.StepPlacer(state, self.reserved, None).wait(),
+                reason=placing.WaitReason.DEFERRED,
+            )
+        for placer in self.unplaced:
+            yield placer.wait()
+
+
 class Planner:
     """Places ready tasks on the workers of their services."""
 
@@ -33,30 +58,41 @@
         candidates_by_service: Mapping[str, list[workers.Worker]],
         now: round_times.RoundTime,
         donors: Collection[str] = (),
-    ) -> list[placing.Placement]:
+    ) -> Plan:
         """Return the placements of this round; no state is changed.
 
         Late jobs of the services in ``donors`` wait, so that their machines
         become free for jobs of other services that can still be in time.
         """
-        waiting = [
-            (job, steps)
-            for job in jobs
-            if not job.ended and not self._is_deferred(job, now, donors)
-            for steps in (_waiting_steps(job, now.wall_s),)
-            if steps
-        ]
-        waiting.sort(key=lambda pair: self._order.key(pair[0], now))
         free = reservations.Reservations(candidates_by_service, now.monotonic_s)
-        placements: list[placing.Placement] = []
-        for job, steps in waiting:
-            for state in steps:
-                tickets = None
-                if job.queue and job.queue.advised:
-                    tickets = self._advisor.tickets(state)
-                placer = placing.StepPlacer(state, free, tickets)
-                placements.extend(placer.place())
-        return placements
+        plan = Plan([], [], [], free)
+        waiting = []
+        for job in jobs:
+            steps = [] if job.ended else _waiting_steps(job, now.wall_s)
+            if steps and self._is_deferred(job, now, donors):
+                plan.deferred.extend(steps)
+            elif steps:
+                waiting.append((job, steps))
+        waiting.sort(key=lambda pair: self._order.key(pair[0], now))
+        for _, ready in waiting:
+            self._place(ready, plan)
+        return plan
+
+    def _place(self, steps: Iterable[tasks.StepState], plan: Plan) -> None:
+        for state in steps:
+            placer = placing.StepPlacer(
+                state, plan.reserved, self._tickets(state)
+            )
+            placed = placer.place()
+            plan.placements.extend(placed)
+            if len(placed) < state.waiting_count():
+                plan.unplaced.append(placer)
+
+    def _tickets(self, state: tasks.StepState) -> advisor.Tickets | None:
+        queue = state.tasks[0].job.queue
+        if queue is None or not queue.advised:
+            return None
+        return self._advisor.tickets(state)
 
     def _is_deferred(
         self,
@@ -68,8 +104,4 @@
 
 
 def _waiting_steps(job: tasks.JobState, wall_s: float) -> list[tasks.StepState]:
-    return [
-        state
-        for state in job.ready_steps(wall_s)
-        if any(task.phase is tasks.TaskPhase.WAITING for task in state.tasks)
-    ]
+    return [state for state in job.ready_steps(wall_s) if state.waiting_count()]
--- a/libs/scheduler/src/jackdawlatch/scheduler/pools.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/pools.py
@@ -93,7 +93,7 @@
         self._fleet.record_idle()
         demand_by_service = self._demand_by_service()
         surplus = self._surplus(demand_by_service)
-        self.donors = _donors(surplus)
+        self._replace_donors(_donors(surplus), surplus)
         if min(surplus.values(), default=0) < 0:
             await self._mover.refresh_standby()
         if self._demand_seen():
@@ -105,6 +105,17 @@
         )
         await self._move_all(self._transfers(surplus)[:max_moves])
 
+    def _replace_donors(
+        self, donors: frozenset[str], surplus: Mapping[str, int]
+    ) -> None:
+        if donors != self.donors:
+            self._cluster.dependencies.log.note(
+                'donors',
+                services=','.join(sorted(donors)),
+                **{f'surplus_{name}': surplus[name] for name in surplus},
+            )
+        self.donors = donors
+
     def _transfers(
         self, surplus: collections.Counter[str]
     ) -> list[transfers.Transfer]:
--- a/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
@@ -1,11 +1,26 @@
 """Tentative reservations of capacity within one planning round."""
 
+import dataclasses
 from collections.abc import Mapping
 
 from jackdawlatch.jobs import model
 from jackdawlatch.scheduler import workers
 
 
+@dataclasses.dataclass(frozen=True)
+class WorkerCounts:
+    """How many workers of a service are left after each condition.
+
+    ``usable`` may be given tasks, ``available`` are not suspended either, and
+    ``fitting`` have the capacity and the label for one more task of a step.
+    """
+
+    known: int
+    usable: int
+    available: int
+    fitting: int
+
+
 class Reservations:
     """Free capacity by worker id; the workers themselves are not changed."""
 
@@ -14,6 +29,7 @@
         candidates_by_service: Mapping[str, list[workers.Worker]],
         now_s: float,
     ) -> None:
+        self._candidates_by_service = candidates_by_service
         self._by_service = {
             service: [
                 worker
@@ -38,6 +54,16 @@
             )
         ]
 
+    def counts(self, service: str, step: model.Step) -> WorkerCounts:
+        """Return how many workers could be given one more task of a step."""
+        known = self._candidates_by_service.get(service, ())
+        return WorkerCounts(
+            known=len(known),
+            usable=sum(worker.usable for worker in known),
+            available=len(self._by_service.get(service, ())),
+            fitting=len(self.candidates(service, step)),
+        )
+
     def free(self, worker: workers.Worker) -> model.Room:
         """Return the free capacity of a worker after the reservations."""
         return self._free_by_worker.get(worker.entry.id, worker.free)
--- a/libs/scheduler/src/jackdawlatch/scheduler/rounds.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/rounds.py
@@ -14,6 +14,7 @@
     planner,
     round_times,
     supervision,
+    waiting,
     workers,
 )
 
@@ -42,6 +43,7 @@
     def __init__(self, dependencies: Dependencies) -> None:
         self._dependencies = dependencies
         self._wake = asyncio.Event()
+        self._wait_reporter = waiting.WaitReporter(dependencies.cluster)
         self._advisor = advisor.Advisor(
             dependencies.cluster,
             dependencies.advice_client,
@@ -75,11 +77,12 @@
         for worker in cluster.workers_by_id.values():
             candidates.setdefault(worker.entry.service, []).append(worker)
         clock = cluster.dependencies.clock
-        self._dependencies.dispatcher.place(
-            self._planner.plan(
-                cluster.jobs_by_id.values(),
-                candidates,
-                round_times.RoundTime(clock.monotonic_s(), clock.wall_s()),
-                self._dependencies.donors(),
-            )
+        plan = self._planner.plan(
+            cluster.jobs_by_id.values(),
+            candidates,
+            round_times.RoundTime(clock.monotonic_s(), clock.wall_s()),
+            self._dependencies.donors(),
         )
+        self._dependencies.dispatcher.place(plan.placements)
+        if self._wait_reporter.due:
+            self._wait_reporter.report(plan.waits())
--- a/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
@@ -127,6 +127,10 @@
         """Whether every task has ended as done."""
         return self.done_count >= self.step.count
 
+    def waiting_count(self) -> int:
+        """Return how many tasks wait to be placed."""
+        return sum(task.phase is TaskPhase.WAITING for task in self.tasks)
+
     def unavailable_count(self) -> int:
         """Return how many lasting tasks are not serving."""
         return sum(not task.serving for task in self.tasks)
--- a/libs/scheduler/tests/test_scheduler_decisions.py
+++ b/libs/scheduler/tests/test_scheduler_decisions.py
@@ -185,8 +185,8 @@
     late, fresh = _job(step), _job(step, accepted_s=8)
     for donors, placed in ((frozenset(), 2), (frozenset('s'), 1)):
         plan = planner.plan([late, fresh], {'s': [worker]}, now, donors)
-        assert len(plan) == placed
-        assert plan[0].task.job is fresh
+        assert len(plan.placements) == placed
+        assert plan.placements[0].task.job is fresh
 
 
 def test_filler_pace_falls_near_target_and_recovers():
--- a/libs/telemetry/src/jackdawlatch/telemetry/decisions.py
+++ b/libs/telemetry/src/jackdawlatch/telemetry/decisions.py
@@ -12,6 +12,34 @@
 # Limits the log of one process to about 40 KB/s.
 LINES_PER_S = 200
 BURST_LINES = 400
+# Each event has lines of its own, so that a flood of one event does not drop
+# the others.
+RESERVED_LINES_PER_S = 10
+RESERVED_BURST_LINES = 20
+
+
+class _Budget:
+    """A token bucket of lines."""
+
+    def __init__(
+        self, lines_per_s: int, burst_lines: int, now_s: float
+    ) -> None:
+        self._lines_per_s = lines_per_s
+        self._burst_lines = burst_lines
+        self._available_lines: float = burst_lines
+        self._refilled_s = now_s
+
+    def take(self, now_s: float) -> bool:
+        """Take one line; return whether there was one."""
+        refill = (now_s - self._refilled_s) * self._lines_per_s
+        self._refilled_s = now_s
+        self._available_lines = min(
+            self._burst_lines, self._available_lines + refill
+        )
+        if self._available_lines < 1:
+            return False
+        self._available_lines -= 1
+        return True
 
 
 class DecisionLog:
@@ -33,14 +61,14 @@
         self._process = process
         self._clock = clock
         self._stream = stream
-        self._available_lines: float = BURST_LINES
-        self._refilled_s = clock.monotonic_s()
+        self._shared = _Budget(LINES_PER_S, BURST_LINES, clock.monotonic_s())
+        self._reserved_by_event: dict[str, _Budget] = {}
         os.set_blocking(stream.fileno(), False)
 
     def note(self, event: str, **details: str | float | int) -> None:
         """Write a line, or drop it if over the rate limit or the pipe is full."""
         self._meters.count('decisions', event=event)
-        if not self._take_line():
+        if not self._take_line(event):
             self.dropped += 1
             return
         line = {
@@ -58,12 +86,9 @@
         except BlockingIOError:
             self.dropped += 1
 
-    def _take_line(self) -> bool:
+    def _take_line(self, event: str) -> bool:
         now_s = self._clock.monotonic_s()
-        refill = (now_s - self._refilled_s) * LINES_PER_S
-        self._refilled_s = now_s
-        self._available_lines = min(BURST_LINES, self._available_lines + refill)
-        if self._available_lines < 1:
-            return False
-        self._available_lines -= 1
-        return True
+        reserved = self._reserved_by_event.setdefault(
+            event, _Budget(RESERVED_LINES_PER_S, RESERVED_BURST_LINES, now_s)
+        )
+        return reserved.take(now_s) or self._shared.take(now_s)
