Withhold single machines from late jobs, for a bounded time

Cause: late jobs of a service with a surplus of machines were left out of planning for as long as any other service lacked a machine, counted for late jobs too. Nothing bounded the wait.

--- a/libs/policy/src/jackdawlatch/policy/transfers.py
+++ b/libs/policy/src/jackdawlatch/policy/transfers.py
@@ -24,6 +24,16 @@
     idle_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class BusyMachine:
+    """A machine with its runs; one with lasting runs does not become idle."""
+
+    id: str
+    service: str
+    run_count: int
+    lasting_count: int = 0
+
+
 @dataclasses.dataclass(frozen=True)
 class Transfer:
     """The move of a machine to the pool of a service."""
@@ -81,14 +91,35 @@
     ]
 
 
+def vacate(
+    machines: Sequence[BusyMachine],
+    surplus_by_service: Mapping[str, int],
+    missing: int,
+) -> list[BusyMachine]:
+    """Return the machines to keep free of late jobs, so that they can move.
+
+    ``missing`` machines are lacked by services with jobs that can be in time.
+    Demand of a turn grows while machines become idle, so that all machines of
+    a service with a surplus are vacated.  One with lasting runs would be kept
+    free for nothing.
+    """
+    return [
+        machine
+        for machine in machines
+        if missing > 0
+        and surplus_by_service.get(machine.service, 0) > 0
+        and not machine.lasting_count
+    ]
+
+
 def _donated(
-    idle: Sequence[IdleMachine],
+    machines: Sequence[IdleMachine],
     surplus: collections.Counter[str],
     count: int,
 ) -> list[IdleMachine]:
     """Return up to ``count`` machines, and subtract them from ``surplus``."""
     donated: list[IdleMachine] = []
-    for machine in idle:
+    for machine in machines:
         if len(donated) >= count:
             break
         if surplus[machine.service] > 0:
--- a/libs/scheduler/src/jackdawlatch/scheduler/demand.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/demand.py
@@ -1,8 +1,9 @@
 """Estimates how many machines each service could use now."""
 
 import collections
+import dataclasses
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from jackdawlatch.jobs import model
 from jackdawlatch.scheduler import tasks
@@ -11,6 +12,31 @@
 PACKING_FACTOR = 1.3
 
 
+@dataclasses.dataclass(frozen=True)
+class Demand:
+    """Machines by service that jobs in time, and late ones, would fill."""
+
+    in_time: Mapping[str, int]
+    late: Mapping[str, int]
+
+
+def by_lateness(
+    jobs: Iterable[tasks.JobState],
+    is_late: Callable[[tasks.JobState], bool],
+    machine: model.Room,
+) -> Demand:
+    """Return the demand of the open jobs."""
+    in_time: list[tasks.JobState] = []
+    late: list[tasks.JobState] = []
+    for job in jobs:
+        if not job.ended:
+            (late if is_late(job) else in_time).append(job)
+    return Demand(
+        machines_by_service(in_time, machine),
+        machines_by_service(late, machine),
+    )
+
+
 def machines_by_service(
     jobs: Iterable[tasks.JobState], machine: model.Room
 ) -> dict[str, int]:
@@ -36,16 +62,14 @@
     }
 
 
-def divide(
-    in_time: Mapping[str, int], late: Mapping[str, int], machines: int
-) -> dict[str, int]:
+def divide(open_demand: Demand, machines: int) -> dict[str, int]:
     """Divide machines among services, each gets at most its demand.
 
     Demand of jobs that can still meet their objective is served first, in
     proportion; the rest goes to the demand of late jobs.
     """
-    first = _scaled(in_time, machines)
-    rest = _scaled(late, max(0, machines - sum(first.values())))
+    first = _scaled(open_demand.in_time, machines)
+    rest = _scaled(open_demand.late, max(0, machines - sum(first.values())))
     return {
         service: first.get(service, 0) + rest.get(service, 0)
         for service in (*first, *rest)
--- a/libs/scheduler/src/jackdawlatch/scheduler/fleet.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/fleet.py
@@ -40,6 +40,18 @@
             if not worker.runs_by_task
         }
 
+    def busy_machines(self) -> list[transfers.BusyMachine]:
+        """Return the machines of all usable workers, idle ones included."""
+        return [
+            transfers.BusyMachine(
+                worker.entry.machine,
+                worker.entry.service,
+                run_count=len(worker.runs_by_task),
+                lasting_count=workers.lasting_count(worker),
+            )
+            for worker in self.usable()
+        ]
+
     def idle(self) -> list[transfers.IdleMachine]:
         """Return the machines of idle workers, the longest idle first."""
         now_s = self._cluster.now_s
--- a/libs/scheduler/src/jackdawlatch/scheduler/placing.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/placing.py
@@ -21,17 +21,17 @@
 class WaitReason(enum.Enum):
     """Why a ready task was not placed.
 
-    ``DEFERRED``: its job is late, and its service has machines to spare.
     ``RESTRICTED``: workers with room are excluded by the spread, the gang, the
-    rack or the tickets of its step.
+    rack or the tickets of its step.  ``WITHHELD``: its job is late, and the
+    workers with room are kept free to move to other services.
     """
 
-    DEFERRED = 'deferred'
     NO_WORKER = 'no-worker'
     UNUSABLE = 'workers-unusable'
     SUSPENDED = 'workers-suspended'
     NO_ROOM = 'no-room'
     RESTRICTED = 'step-restricted'
+    WITHHELD = 'workers-withheld'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -48,24 +48,35 @@
 
 
 class StepPlacer:
-    """Places the tasks of one step on the workers of its service."""
+    """Places the tasks of one step on the workers of its service.
+
+    Tasks of a ``late`` job get none of the withheld machines.
+    """
 
     def __init__(
         self,
         state: tasks.StepState,
         reserved: reservations.Reservations,
         tickets: advisor.Tickets | None,
+        late: bool = False,
     ) -> None:
         self._state = state
         self._step = state.step
         self._service = state.tasks[0].job.service
         self._reservations = reserved
         self._tickets = tickets
-        self._counts_by_worker = collections.Counter(
-            task.run.worker.entry.id
-            for task in state.tasks
-            if task.run is not None
-        )
+        self._late = late
+        self._counts_by_worker: collections.Counter[str] = collections.Counter()
+
+    @property
+    def may_fit(self) -> bool:
+        """Whether a task could fit, without a look at each worker."""
+        return self._reservations.may_fit(self._service, self._step, self._late)
+
+    @property
+    def waiting_count(self) -> int:
+        """How many tasks waited before ``place``."""
+        return self._state.waiting_count()
 
     def place(self) -> list[Placement]:
         """Return the placements; a gang is placed whole or not at all."""
@@ -74,6 +85,11 @@
             for task in self._state.tasks
             if task.phase is tasks.TaskPhase.WAITING
         ]
+        self._counts_by_worker.update(
+            task.run.worker.entry.id
+            for task in self._state.tasks
+            if task.run is not None
+        )
         gang = self._step.gang
         if gang and len(waiting) < len(self._state.tasks):
             return []
@@ -95,7 +111,9 @@
 
     def wait(self) -> Wait:
         """Return why tasks of the step still wait after ``place``."""
-        counts = self._reservations.counts(self._service, self._step)
+        counts = self._reservations.counts(
+            self._service, self._step, self._late
+        )
         reason = next(
             (
                 reason
@@ -104,6 +122,7 @@
                     (WaitReason.UNUSABLE, counts.usable),
                     (WaitReason.SUSPENDED, counts.available),
                     (WaitReason.NO_ROOM, counts.fitting),
+                    (WaitReason.WITHHELD, counts.open),
                 )
                 if not number
             ),
@@ -117,7 +136,7 @@
         racks = {
             worker.entry.rack
             for worker in self._reservations.candidates(
-                self._service, self._step
+                self._service, self._step, self._late
             )
         }
         for rack in sorted(racks, key=self._is_remote):
@@ -153,7 +172,7 @@
         candidates = [
             worker
             for worker in self._reservations.candidates(
-                self._service, self._step
+                self._service, self._step, self._late
             )
             if fits(worker)
             and (
@@ -177,7 +196,7 @@
     def _cost(self, worker: workers.Worker) -> tuple[float, ...]:
         remote = self._is_remote(worker.entry.rack)
         # Packing keeps whole machines free for other services.
-        lasting = _lasting_count(worker) if self._step.lasting else 0
+        lasting = workers.lasting_count(worker) if self._step.lasting else 0
         return (remote, -lasting, self._reservations.free(worker).processors_m)
 
 
@@ -190,7 +209,3 @@
         return worker.entry.rack == rack
 
     return fits
-
-
-def _lasting_count(worker: workers.Worker) -> int:
-    return sum(run.task.step.lasting for run in worker.runs_by_task.values())
--- a/libs/scheduler/src/jackdawlatch/scheduler/planner.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/planner.py
@@ -1,7 +1,7 @@
 """Decides which waiting tasks start now, and where."""
 
 import dataclasses
-from collections.abc import Collection, Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from jackdawlatch.scheduler import (
     advisor,
@@ -17,45 +17,33 @@
 
 @dataclasses.dataclass(frozen=True)
 class Plan:
-    """The placements of a round, and the ready steps with tasks left over.
+    """The placements of a round.
 
-    ``deferred`` holds the steps that were not considered, ``unplaced`` those
-    for which no worker was found, ``unfit`` those that no worker had capacity
-    for.
+    ``unplaced`` holds the steps with ready tasks for which there was no worker.
     """
 
     placements: list[placing.Placement]
-    deferred: list[tasks.StepState]
     unplaced: list[placing.StepPlacer]
-    reserved: reservations.Reservations
-    unfit: list[tasks.StepState] = dataclasses.field(default_factory=list)
 
-    def take_unfit(
-        self, job: tasks.JobState, steps: Iterable[tasks.StepState]
-    ) -> list[tasks.StepState]:
-        """Set the steps aside that cannot fit; return the others."""
-        fitting = []
-        for state in steps:
-            # Tickets are requested ahead of free capacity.
-            if _is_advised(job) or self.reserved.may_fit(
-                job.service, state.step
-            ):
-                fitting.append(state)
-            else:
-                self.unfit.append(state)
-        return fitting
-
-    def waits(self) -> Iterator[placing.Wait]:
-        """Return why each step still waits."""
-        for state in self.deferred:
-            yield dataclasses.replace(
-                placing.StepPlacer(state, self.reserved, None).wait(),
-                reason=placing.WaitReason.DEFERRED,
-            )
-        for placer in self.unplaced:
-            yield placer.wait()
-        for state in self.unfit:
-            yield placing.StepPlacer(state, self.reserved, None).wait()
+    def place(self, placers: Iterable[placing.StepPlacer]) -> None:
+        """Place the waiting tasks of some steps."""
+        for placer in placers:
+            placed = placer.place()
+            self.placements.extend(placed)
+            if len(placed) < placer.waiting_count:
+                self.unplaced.append(placer)
+
+    def waits(self) -> list[placing.Wait]:
+        """Return why each of the unplaced steps waits."""
+        return [placer.wait() for placer in self.unplaced]
+
+
+@dataclasses.dataclass(frozen=True)
+class _Ready:
+    """A job with the placers of its ready steps."""
+
+    job: tasks.JobState
+    placers: list[placing.StepPlacer]
 
 
 class Planner:
@@ -76,57 +64,59 @@
         jobs: Iterable[tasks.JobState],
         candidates_by_service: Mapping[str, list[workers.Worker]],
         now: round_times.RoundTime,
-        donors: Collection[str] = (),
+        withheld: Collection[str] = (),
     ) -> Plan:
         """Return the placements of this round; no state is changed.
 
-        Late jobs of the services in ``donors`` wait, so that their machines
-        become free for jobs of other services that can still be in time.
+        Late jobs get none of the ``withheld`` machines, which become free for
+        other services with jobs that can still be in time.
         """
-        free = reservations.Reservations(candidates_by_service, now.monotonic_s)
-        plan = Plan([], [], [], free)
+        free = reservations.Reservations(
+            candidates_by_service, now.monotonic_s, withheld
+        )
+        plan = Plan([], [])
         fitting = []
         for job in jobs:
-            steps = [] if job.ended else _waiting_steps(job, now.wall_s)
-            if steps and self._is_deferred(job, now, donors):
-                plan.deferred.extend(steps)
-                continue
-            steps = plan.take_unfit(job, steps)
-            if steps:
-                fitting.append((job, steps))
+            ready = _Ready(job, [])
+            for placer in self._placers(job, now, free):
+                chosen = ready.placers if placer.may_fit else plan.unplaced
+                chosen.append(placer)
+            if ready.placers:
+                fitting.append(ready)
         # Orders only what may fit: under overload most jobs do not.
-        fitting.sort(key=lambda pair: self._order.key(pair[0], now))
-        for _, ready in fitting:
-            self._place(ready, plan)
+        fitting.sort(key=lambda ready: self._order.key(ready.job, now))
+        for ready in fitting:
+            plan.place(ready.placers)
         return plan
 
-    def _place(self, steps: Iterable[tasks.StepState], plan: Plan) -> None:
-        for state in steps:
-            placer = placing.StepPlacer(
-                state, plan.reserved, self._tickets(state)
-            )
-            placed = placer.place()
-            plan.placements.extend(placed)
-            if len(placed) < state.waiting_count():
-                plan.unplaced.append(placer)
-
-    def _tickets(self, state: tasks.StepState) -> advisor.Tickets | None:
-        if not _is_advised(state.tasks[0].job):
-            return None
-        return self._advisor.tickets(state)
-
-    def _is_deferred(
+    def _placers(
         self,
         job: tasks.JobState,
         now: round_times.RoundTime,
-        donors: Collection[str],
-    ) -> bool:
-        return job.service in donors and self._lateness.is_late(job, now)
+        free: reservations.Reservations,
+    ) -> list[placing.StepPlacer]:
+        """Return a placer for each step with waiting tasks."""
+        waiting = [] if job.ended else _waiting_steps(job, now)
+        late = (
+            bool(waiting)
+            and free.withholds(job.service)
+            and self._lateness.is_late(job, now)
+        )
+        return [
+            placing.StepPlacer(state, free, self._tickets(state), late)
+            for state in waiting
+        ]
 
-
-def _is_advised(job: tasks.JobState) -> bool:
-    return job.queue is not None and job.queue.advised
+    def _tickets(self, state: tasks.StepState) -> advisor.Tickets | None:
+        queue = state.tasks[0].job.queue
+        if queue is None or not queue.advised:
+            return None
+        return self._advisor.tickets(state)
 
 
-def _waiting_steps(job: tasks.JobState, wall_s: float) -> list[tasks.StepState]:
-    return [state for state in job.ready_steps(wall_s) if state.waiting_count()]
+def _waiting_steps(
+    job: tasks.JobState, now: round_times.RoundTime
+) -> list[tasks.StepState]:
+    return [
+        state for state in job.ready_steps(now.wall_s) if state.waiting_count()
+    ]
--- a/libs/scheduler/src/jackdawlatch/scheduler/pools.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/pools.py
@@ -10,7 +10,7 @@
 import dataclasses
 from collections.abc import Callable, Iterable, Mapping
 
-from jackdawlatch.policy import forecasts, transfers
+from jackdawlatch.policy import forecasts, transfers, withholding
 from jackdawlatch.scheduler import (
     clients,
     cluster_state,
@@ -20,7 +20,6 @@
     machine_moves,
     persistence,
     round_times,
-    tasks,
 )
 
 PERIOD_S = 0.2
@@ -65,8 +64,7 @@
                 dependencies.limits.migration_s,
             )
         )
-        # Services with surplus machines, while others have too few.
-        self.donors: frozenset[str] = frozenset()
+        self.withholding = withholding.Withholding()
         self._fleet = fleet.Fleet(self._cluster)
         self._peak = forecasts.PeakDemand()
 
@@ -75,7 +73,7 @@
         return frozenset(
             service
             for service, number in self._surplus(
-                self._demand_by_service()
+                self._divided(self._demand())
             ).items()
             if number < 0
         )
@@ -91,9 +89,10 @@
     async def round(self) -> None:
         """Start all moves that are due, and wait for their answers."""
         self._fleet.record_idle()
-        demand_by_service = self._demand_by_service()
+        open_demand = self._demand()
+        demand_by_service = self._divided(open_demand)
         surplus = self._surplus(demand_by_service)
-        self._replace_donors(_donors(surplus), surplus)
+        self._withhold(surplus, self._missing(open_demand.in_time))
         if min(surplus.values(), default=0) < 0:
             await self._mover.refresh_standby()
         if self._demand_seen():
@@ -105,16 +104,31 @@
         )
         await self._move_all(self._transfers(surplus)[:max_moves])
 
-    def _replace_donors(
-        self, donors: frozenset[str], surplus: Mapping[str, int]
-    ) -> None:
-        if donors != self.donors:
+    def _missing(self, demand_by_service: Mapping[str, int]) -> int:
+        """Return how many machines the services lack altogether."""
+        surplus = self._surplus(demand_by_service)
+        serving = self._cluster.catalog.serving_services()
+        return sum(max(0, -surplus[service]) for service in serving)
+
+    def _withhold(self, surplus: Mapping[str, int], missing: int) -> None:
+        now_s = self._cluster.now_s
+        chosen = transfers.vacate(
+            [
+                machine
+                for machine in self._fleet.busy_machines()
+                if self.withholding.may_withhold(machine.id, now_s)
+            ],
+            surplus,
+            missing,
+        )
+        if bool(chosen) != bool(self.withholding.machines):
             self._cluster.dependencies.log.note(
-                'donors',
-                services=','.join(sorted(donors)),
+                'withheld',
+                machines=len(chosen),
+                missing=missing,
                 **{f'surplus_{name}': surplus[name] for name in surplus},
             )
-        self.donors = donors
+        self.withholding.replace(chosen, now_s)
 
     def _transfers(
         self, surplus: collections.Counter[str]
@@ -162,38 +176,22 @@
         surplus.subtract(demand_by_service)
         return surplus
 
-    def _demand_by_service(self) -> dict[str, int]:
-        """Return how many of all machines each service could use."""
-        jobs_by_lateness = self._open_jobs_by_lateness()
-        largest = self._fleet.largest()
-        in_time, overdue = (
-            demand.machines_by_service(jobs_by_lateness[is_late], largest)
-            for is_late in (False, True)
+    def _demand(self) -> demand.Demand:
+        """Return how many machines the jobs of each service would fill."""
+        clock = self._cluster.dependencies.clock
+        now = round_times.RoundTime(clock.monotonic_s(), clock.wall_s())
+        job_lateness = self._dependencies.job_lateness
+        return demand.by_lateness(
+            self._cluster.jobs_by_id.values(),
+            lambda job: job_lateness.is_late(job, now),
+            self._fleet.largest(),
         )
+
+    def _divided(self, open_demand: demand.Demand) -> dict[str, int]:
+        """Return how many of all machines each service could use."""
         machines = len(self._fleet.usable()) + self._mover.available_count()
-        divided = demand.divide(in_time, overdue, machines)
+        divided = demand.divide(open_demand, machines)
         return {
             service: max(MIN_MACHINES, divided.get(service, 0))
             for service in self._cluster.catalog.serving_services()
         }
-
-    def _open_jobs_by_lateness(self) -> dict[bool, list[tasks.JobState]]:
-        jobs_by_lateness: dict[bool, list[tasks.JobState]] = {
-            False: [],
-            True: [],
-        }
-        clock = self._cluster.dependencies.clock
-        now = round_times.RoundTime(clock.monotonic_s(), clock.wall_s())
-        job_lateness = self._dependencies.job_lateness
-        for job in self._cluster.jobs_by_id.values():
-            if not job.ended:
-                jobs_by_lateness[job_lateness.is_late(job, now)].append(job)
-        return jobs_by_lateness
-
-
-def _donors(surplus: Mapping[str, int]) -> frozenset[str]:
-    if min(surplus.values(), default=0) >= 0:
-        return frozenset()
-    return frozenset(
-        service for service, number in surplus.items() if number > 0
-    )
--- a/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
@@ -1,7 +1,7 @@
 """Tentative reservations of capacity within one planning round."""
 
 import dataclasses
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from jackdawlatch.jobs import model
 from jackdawlatch.scheduler import workers
@@ -11,67 +11,90 @@
 class WorkerCounts:
     """How many workers of a service are left after each condition.
 
-    ``usable`` may be given tasks, ``available`` are not suspended either, and
-    ``fitting`` have the capacity and the label for one more task of a step.
+    ``usable`` may be given tasks, ``available`` are not suspended either,
+    ``fitting`` have the capacity and the label for one more task of a step, and
+    ``open`` are not withheld from it.
     """
 
     known: int
     usable: int
     available: int
     fitting: int
+    open: int
+
+
+class _Group:
+    """Workers of a service that the same jobs may use."""
+
+    def __init__(self, available: list[workers.Worker]) -> None:
+        self.available = available
+        # More than this is free on no worker; reservations only lower it.
+        self.largest = _largest(worker.free for worker in available)
+        # Needs by label that no worker had capacity for.
+        self.unfit_by_label: dict[str, list[model.Room]] = {}
 
 
 class Reservations:
-    """Free capacity by worker id; the workers themselves are not changed."""
+    """Free capacity by worker id; the workers themselves are not changed.
+
+    The machines in ``withheld`` are not available to late jobs.
+    """
 
     def __init__(
         self,
         candidates_by_service: Mapping[str, list[workers.Worker]],
         now_s: float,
+        withheld: Collection[str] = (),
     ) -> None:
-        self._candidates_by_service = candidates_by_service
-        self._by_service = {
-            service: [
-                worker
-                for worker in candidates
-                if worker.usable and worker.health.suspended_until_s <= now_s
-            ]
+        self._known_by_service = candidates_by_service
+        self._groups_by_service = {
+            service: _groups(_available(candidates, now_s), withheld)
             for service, candidates in candidates_by_service.items()
         }
         self._free_by_worker: dict[str, model.Room] = {}
-        # More than this is free on no worker; reservations only lower it.
-        self._largest_by_service = {
-            service: _largest(worker.free for worker in available)
-            for service, available in self._by_service.items()
-        }
 
-    def may_fit(self, service: str, step: model.Step) -> bool:
+    def withholds(self, service: str) -> bool:
+        """Whether workers of a service are withheld from late jobs."""
+        everything, open_to_late = self._groups(service)
+        return everything is not open_to_late
+
+    def may_fit(self, service: str, step: model.Step, late: bool) -> bool:
         """Whether a task of a step could fit, without a look at each worker."""
-        largest = self._largest_by_service.get(service)
-        return largest is not None and largest.fits(step.reserved_room)
+        return self._group(service, late).largest.fits(step.reserved_room)
 
     def candidates(
-        self, service: str, step: model.Step
+        self, service: str, step: model.Step, late: bool
     ) -> list[workers.Worker]:
         """Return the workers with free capacity for one more task of a step."""
-        return [
+        group = self._group(service, late)
+        need = step.reserved_room
+        unfit = group.unfit_by_label.setdefault(step.required_label, [])
+        if any(need.fits(room) for room in unfit):
+            return []
+        found = [
             worker
-            for worker in self._by_service.get(service, ())
-            if self.free(worker).fits(step.reserved_room)
+            for worker in group.available
+            if self.free(worker).fits(need)
             and (
                 not step.required_label
                 or step.required_label in worker.entry.labels
             )
         ]
+        if not found:
+            unfit.append(need)
+        return found
 
-    def counts(self, service: str, step: model.Step) -> WorkerCounts:
+    def counts(
+        self, service: str, step: model.Step, late: bool
+    ) -> WorkerCounts:
         """Return how many workers could be given one more task of a step."""
-        known = self._candidates_by_service.get(service, ())
+        known = self._known_by_service.get(service, ())
         return WorkerCounts(
             known=len(known),
             usable=sum(worker.usable for worker in known),
-            available=len(self._by_service.get(service, ())),
-            fitting=len(self.candidates(service, step)),
+            available=len(self._group(service, late=False).available),
+            fitting=len(self.candidates(service, step, late=False)),
+            open=len(self.candidates(service, step, late)),
         )
 
     def free(self, worker: workers.Worker) -> model.Room:
@@ -85,6 +108,14 @@
     def release(self, worker: workers.Worker, need: model.Room) -> None:
         """Undo a reservation."""
         self._free_by_worker[worker.entry.id] = self.free(worker).plus(need)
+        for group in self._groups_by_service.get(worker.entry.service, ()):
+            group.unfit_by_label.clear()
+
+    def _group(self, service: str, late: bool) -> _Group:
+        return self._groups(service)[late]
+
+    def _groups(self, service: str) -> tuple[_Group, _Group]:
+        return self._groups_by_service.get(service, (NO_WORKERS, NO_WORKERS))
 
 
 def _largest(rooms: Iterable[model.Room]) -> model.Room:
@@ -97,3 +128,29 @@
             accelerators=max(largest.accelerators, room.accelerators),
         )
     return largest
+
+
+def _available(
+    candidates: Iterable[workers.Worker], now_s: float
+) -> list[workers.Worker]:
+    return [
+        worker
+        for worker in candidates
+        if worker.usable and worker.health.suspended_until_s <= now_s
+    ]
+
+
+def _groups(
+    available: list[workers.Worker], withheld: Collection[str]
+) -> tuple[_Group, _Group]:
+    """Return the workers for jobs in time, and those for late ones."""
+    everything = _Group(available)
+    open_to_late = [
+        worker for worker in available if worker.entry.machine not in withheld
+    ]
+    if len(open_to_late) == len(available):
+        return everything, everything
+    return everything, _Group(open_to_late)
+
+
+NO_WORKERS = _Group([])
--- a/libs/scheduler/src/jackdawlatch/scheduler/rounds.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/rounds.py
@@ -26,7 +26,7 @@
 class Dependencies:
     """Collaborators of the planning rounds.
 
-    ``donors`` returns the services whose late jobs wait for others.
+    ``withheld`` returns the machines that take no late jobs.
     """
 
     cluster: cluster_state.ClusterState
@@ -34,7 +34,7 @@
     advice_client: clients.AdviceClient
     job_lateness: lateness.Lateness
     leading: Callable[[], bool]
-    donors: Callable[[], Collection[str]]
+    withheld: Callable[[], Collection[str]]
 
 
 class PlanningRounds:
@@ -81,7 +81,7 @@
             cluster.jobs_by_id.values(),
             candidates,
             round_times.RoundTime(clock.monotonic_s(), clock.wall_s()),
-            self._dependencies.donors(),
+            self._dependencies.withheld(),
         )
         self._dependencies.dispatcher.place(plan.placements)
         if self._wait_reporter.due:
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -122,3 +122,8 @@
                 self._all_stored.set()
 
         return acknowledge
+
+
+def lasting_count(worker: Worker) -> int:
+    """Return how many lasting tasks may run on a worker."""
+    return sum(run.task.step.lasting for run in worker.runs_by_task.values())
--- a/libs/scheduler/tests/test_scheduler_decisions.py
+++ b/libs/scheduler/tests/test_scheduler_decisions.py
@@ -197,13 +197,13 @@
 
 
 def test_jobs_in_time_get_machines_before_late_ones():
-    in_time, late = {'a': 6, 'b': 2}, {'a': 4, 'c': 4}
-    divided = demand.divide(in_time, late, machines=12)
+    wanted = demand.Demand(in_time={'a': 6, 'b': 2}, late={'a': 4, 'c': 4})
+    divided = demand.divide(wanted, machines=12)
     assert divided == {'a': 8, 'b': 2, 'c': 2}
-    assert demand.divide(in_time, late, 4) == {'a': 3, 'b': 1, 'c': 0}
+    assert demand.divide(wanted, machines=4) == {'a': 3, 'b': 1, 'c': 0}
 
 
-def test_late_job_waits_while_its_service_is_a_donor():
+def test_late_job_waits_while_machines_are_withheld():
     worker = _worker('w1')
     step = model.Step(count=1, room=CORE, estimate_s=1)
     planner = planners.Planner(
@@ -213,8 +213,8 @@
     )
     now = round_times.RoundTime(monotonic_s=9, wall_s=9)
     late, fresh = _job(step), _job(step, accepted_s=8)
-    for donors, placed in ((frozenset(), 2), (frozenset('s'), 1)):
-        plan = planner.plan([late, fresh], {'s': [worker]}, now, donors)
+    for withheld, placed in ((frozenset(), 2), (frozenset(('w1',)), 1)):
+        plan = planner.plan([late, fresh], {'s': [worker]}, now, withheld)
         assert len(plan.placements) == placed
         assert plan.placements[0].task.job is fresh
 
--- a/libs/scheduler/tests/test_scheduler_pools.py
+++ b/libs/scheduler/tests/test_scheduler_pools.py
@@ -11,19 +11,30 @@
 from jackdawlatch.scheduler import (
     cluster_state,
     job_loader,
+    job_order,
     lateness,
     persistence,
+    planner,
     pools,
     reports,
+    round_times,
+    runs,
     worker_registry,
+    workers,
 )
 from jackdawlatch.testing import functions
 
 MIGRATION_S = 1.5
 MOVES_PER_S = 100
+LATE_S = 60
+# Ready work may wait this long beside free capacity.
+ALLOWED_WAIT_S = 3
 CATALOG = queues.Catalog(
     1,
-    (queues.Queue('photos', 'host', '/photos/', 'photo'),),
+    (
+        queues.Queue('photos', 'host', '/photos/', 'photo'),
+        queues.Queue('letters', 'host', '/letters/', 'desk'),
+    ),
     (
         queues.Service('photo'),
         queues.Service('desk'),
@@ -38,11 +49,16 @@
     def __init__(self) -> None:
         super().__init__(lambda _: None)
         self.moves: list[tuple[str, str]] = []
+        self.refusing = False
 
     async def move(
         self, machine: str, service: str, token: int
     ) -> result.Result[None, reports.MachineFailure]:
-        """Accept the request."""
+        """Accept the request, unless ``refusing``."""
+        if self.refusing:
+            return result.Failure(
+                reports.MachineFailure(message='busy', refused=True)
+            )
         self.moves.append((machine, service))
         return result.Success(None)
 
@@ -74,6 +90,10 @@
                 pools.Limits(MIGRATION_S, MOVES_PER_S),
             )
         )
+        judged = lateness.Lateness()
+        self._planner = planner.Planner(
+            job_order.ObjectiveOrder(judged), judged, None
+        )
 
     def add_workers(self, service: str, count: int) -> None:
         """Register idle workers with capacity for four tasks each."""
@@ -100,6 +120,49 @@
         )
         job_loader.JobLoader(self.cluster).add(job, None, 0)
 
+    def submit_lasting(self, job_id: str, queue: str, count: int) -> None:
+        """Accept a job of lasting tasks."""
+        job = records.replace(
+            benches.job(job_id, count=count, lasting=True), queue=queue
+        )
+        job_loader.JobLoader(self.cluster).add(job, None, 0)
+
+    def start(self, job_id: str, worker: str, count: int) -> None:
+        """Run waiting tasks of a job on a worker."""
+        job = self.cluster.jobs_by_id[job_id]
+        waiting = [task for task in job.steps[0].tasks if task.run is None]
+        for task in waiting[:count]:
+            self.cluster.assign(
+                task,
+                self.cluster.workers_by_id[worker],
+                1,
+                runs.RunPhase.RUNNING,
+            )
+
+    def planned(self, job_id: str) -> bool:
+        """Whether a round would place a task of a job now."""
+        candidates: dict[str, list[workers.Worker]] = {}
+        for worker in self.cluster.workers_by_id.values():
+            candidates.setdefault(worker.entry.service, []).append(worker)
+        now = round_times.RoundTime(
+            self.clock.monotonic_s(), self.clock.wall_s()
+        )
+        plan = self._planner.plan(
+            self.cluster.jobs_by_id.values(),
+            candidates,
+            now,
+            self.pools.withholding.machines,
+        )
+        return any(one.task.job.job.id == job_id for one in plan.placements)
+
+    async def wait_until_planned(self, job_id: str) -> float:
+        """Return how long a job waits to be placed, about a minute at most."""
+        waited_s: float = 0
+        while waited_s < LATE_S and not self.planned(job_id):
+            await self.rounds(pools.PERIOD_S)
+            waited_s += pools.PERIOD_S
+        return waited_s
+
     async def rounds(self, seconds: float) -> None:
         """Run the rounds of a period."""
         for _ in range(round(seconds / pools.PERIOD_S)):
@@ -157,6 +220,35 @@
     assert ('m-desk0', 'photo') in bench.machines.moves
 
 
+async def test_late_job_is_not_deferred_for_ever(bench):
+    """Another service lacks machines, and lasting tasks hold all of these."""
+    bench.add_workers('photo', 5)
+    bench.add_workers('desk', 2)
+    bench.submit_lasting('wanting', 'letters', count=80)
+    bench.submit_lasting('holding', 'photos', count=5)
+    for number in range(5):
+        bench.start('holding', f'photo{number}', 1)
+    bench.submit('late', count=1)
+    bench.clock.advance(LATE_S)
+    await bench.rounds(1)
+    assert await bench.wait_until_planned('late') < ALLOWED_WAIT_S
+
+
+async def test_late_job_starts_though_no_machine_can_move(bench):
+    bench.machines.refusing = True
+    bench.add_workers('photo', 4)
+    bench.add_workers('desk', 2)
+    bench.submit_lasting('wanting', 'letters', count=80)
+    bench.submit_lasting('holding', 'photos', count=8)
+    for number in range(2):
+        bench.start('holding', f'photo{number}', 4)
+    bench.submit('late', count=1)
+    bench.clock.advance(LATE_S)
+    await bench.rounds(1)
+    assert bench.pools.withholding.machines
+    assert await bench.wait_until_planned('late') < ALLOWED_WAIT_S
+
+
 def test_peak_expires_after_the_window():
     peak = forecasts.PeakDemand(window_s=4)
     for now_s, machines in ((0, 3), (1, 9), (2, 5), (4, 1)):
--- a/libs/scheduler/tests/test_scheduler_waits.py
+++ b/libs/scheduler/tests/test_scheduler_waits.py
@@ -77,7 +77,7 @@
         worker.reachable = True
         return worker
 
-    def wait(self, seconds: int, donors: tuple[str, ...] = ()) -> None:
+    def wait(self, seconds: int, withheld: tuple[str, ...] = ()) -> None:
         """Plan once a second, and place nothing."""
         for _ in range(seconds):
             now = round_times.RoundTime(
@@ -87,7 +87,7 @@
                 self.cluster.jobs_by_id.values(),
                 {'photo': list(self.cluster.workers_by_id.values())},
                 now,
-                donors,
+                withheld,
             )
             self.reporter.report(plan.waits())
             self.clock.advance(1)
@@ -146,12 +146,12 @@
     assert bench.reasons() == {'workers-unusable'}
 
 
-def test_deferred_job_is_logged_as_deferred(bench):
+def test_late_job_beside_withheld_worker_is_logged(bench):
     bench.submit()
     bench.add_worker()
     bench.clock.advance(60)
-    bench.wait(4, donors=('photo',))
-    assert bench.reasons() == {'deferred'}
+    bench.wait(4, withheld=('m',))
+    assert bench.reasons() == {'workers-withheld'}
 
 
 def test_short_wait_is_not_logged(bench):
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -207,8 +207,8 @@
     Mutation(
         'late jobs make room for others',
         'scheduler/planner.py',
-        'return job.service in donors and',
-        'return False and',
+        'closed = withheld if late else ()',
+        'closed = ()',
         'scheduler',
         'test_late_job_waits',
     ),
