Leave half of the leader's loop to the workers

Cause: a planning round followed 10 ms after each change, however long the round took. With long queues the leader did little else: starts, ends and moves were handled seconds late, and callers' jobs with them.

Change: the pause before a round is at least as long as the round before it.

--- a/libs/scheduler/src/jackdawlatch/scheduler/rounds.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/rounds.py
@@ -64,12 +64,17 @@
         self._wake.set()
 
     async def _run(self) -> None:
+        clock = self._dependencies.cluster.dependencies.clock
+        pause_s = PLAN_DELAY_S
         while True:
             await self._wake.wait()
-            await asyncio.sleep(PLAN_DELAY_S)
+            await asyncio.sleep(pause_s)
             self._wake.clear()
             if self._dependencies.leading():
+                begun_s = clock.monotonic_s()
                 self._plan()
+                # At least half of the loop's time is left for the workers.
+                pause_s = max(PLAN_DELAY_S, clock.monotonic_s() - begun_s)
 
     def _plan(self) -> None:
         cluster = self._dependencies.cluster
