--- a/libs/scheduler/tests/test_scheduler_leader.py
+++ b/libs/scheduler/tests/test_scheduler_leader.py
@@ -126,6 +126,16 @@
     assert len(worker.started_runs) == 1
 
 
+async def test_lasting_task_that_ended_as_done_is_restarted(bench):
+    worker = bench.add_worker('w1')
+    bench.submit(benches.job(lasting=True))
+    async with bench.lead():
+        await waiting.until(lambda: worker.running)
+        worker.end(benches.task(), DONE)
+        await waiting.until(lambda: len(worker.started_runs) == 2)
+    assert bench.phase('a') is stored.JobPhase.RUNNING
+
+
 async def test_next_leader_does_not_use_a_departed_worker(bench):
     departed = bench.add_worker('w1')
     bench.submit(benches.job())
