--- a/libs/scheduler/tests/scheduler_bench.py
+++ b/libs/scheduler/tests/scheduler_bench.py
@@ -106,6 +106,7 @@
         self.machines = FakeMachines(self._reboot)
         self.advice = FakeAdvice()
         self.entries_by_id: dict[str, reports.WorkerEntry] = {}
+        self.bounds = cluster_state.Bounds(lease_s=2, stop_s=0.05)
         self.leading = True
         self.held = True
         self._log = decision_log()
@@ -189,7 +190,7 @@
                 leading,
                 held,
                 leader.Settings(
-                    cluster_state.Bounds(lease_s=2, stop_s=0.05),
+                    self.bounds,
                     retention_s=60,
                     pools=pools.Limits(migration_s=0.1, moves_per_s=100),
                     waves=waves.Settings(0.1, _status),
