Restart a lasting task that ended as done

Callers would see a lasting job with a task that never runs again (LOST).

Cause: an end as done marked the task as finished without a look at its step, while lasting tasks have to be restarted however they end.

Change: the end of a lasting task only releases it.

--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -136,6 +136,9 @@
         job = task.job
         if task.phase is tasks.TaskPhase.DONE or job.ended:
             return
+        # A lasting task is restarted however it ends.
+        if task.step.lasting:
+            return
         # Another attempt may have been started in the meantime.
         if task.run is not None:
             self._cluster.stop(task.run)
