Let a takeover assume the lease that leaders grant, and keep the machine

Change: a takeover assumes the granted lease, and the progress of a task names the machine of its run, an empty default in older records.

--- a/libs/jobs/src/jackdawlatch/jobs/stored.py
+++ b/libs/jobs/src/jackdawlatch/jobs/stored.py
@@ -36,7 +36,8 @@
     An end that was not acknowledged is reported again to the next leader, so
     ``failed_attempts`` lists the attempts that failed instead of counting them.
     ``worker`` and ``born_ms`` identify the worker process on which ``attempt``
-    may still run; they are empty when it does not run.
+    may still run, and ``machine`` its machine; they are empty when it does not
+    run.
     """
 
     occurrence: int
@@ -48,6 +49,7 @@
     worker: str = ''
     born_ms: int = 0
     checkpoint: str = ''
+    machine: str = ''
 
 
 class Progress(records.Record, frozen=True, kw_only=True):
--- a/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
@@ -1,7 +1,14 @@
 """Loads accepted jobs and cancellations into the cluster state."""
 
 from jackdawlatch.jobs import model, stored
-from jackdawlatch.scheduler import cluster_state, reports, runs, tasks, workers
+from jackdawlatch.scheduler import (
+    cluster_state,
+    polling,
+    reports,
+    runs,
+    tasks,
+    workers,
+)
 
 
 class JobLoader:
@@ -83,13 +90,14 @@
                     address='',
                     service=service,
                     zone='',
-                    machine='',
+                    machine=progress.machine,
                     room=model.Room(),
                 )
             )
             worker.registered = False
             self._cluster.workers_by_id[progress.worker] = worker
         worker.extend_lease(
-            self._cluster.dependencies.bounds.lease_s, self._cluster.now_s
+            polling.granted_lease_s(self._cluster.dependencies.bounds.lease_s),
+            self._cluster.now_s,
         )
         return worker
--- a/libs/scheduler/src/jackdawlatch/scheduler/polling.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/polling.py
@@ -27,6 +27,11 @@
 STORE_WAIT_S = 1.0
 
 
+def granted_lease_s(longest_s: float) -> float:
+    """Return the lease that leaders grant where workers accept ``longest_s``."""
+    return min(LEASE_S, longest_s)
+
+
 class WorkerPoller:
     """Runs one poll loop for each worker.
 
@@ -42,7 +47,7 @@
         self._cluster = cluster
         self._dispatcher = dispatcher
         self._spawn = spawn
-        self._lease_s = min(LEASE_S, cluster.dependencies.bounds.lease_s)
+        self._lease_s = granted_lease_s(cluster.dependencies.bounds.lease_s)
         # Several polls have to fit into one lease.
         self._wait_s = min(POLL_WAIT_S, self._lease_s / POLLS_PER_LEASE)
         self._active: set[workers.Worker] = set()
--- a/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
@@ -95,6 +95,7 @@
             run.worker.entry.id if run else '',
             run.worker.entry.born_ms if run else 0,
             self.checkpoint,
+            run.worker.entry.machine if run else '',
         )
 
 
