Withhold machines by service, and only for jobs that are ready in time

Found by review of the change that withholds machines, same class of fault: a wait without a bound.

Cause: lasting jobs and occurrences of the future count as demand in time, so that machines could be missing for ever and late jobs be kept off in periods for ever; the periods of single machines need not end together, so that a late gang that needs several machines might find them open at no time; and the bound took effect only when the next round of moves began, after calls to the platform that may take seconds.

Change: machines are missing only where a job that ends, is in time and has tasks ready lacks them; a period and its rest belong to a service; the bound is applied whenever planning asks.

The tests of late jobs lack machines for a job in time instead of a lasting one, with the same bounds.

--- a/libs/policy/src/jackdawlatch/policy/withholding.py
+++ b/libs/policy/src/jackdawlatch/policy/withholding.py
@@ -5,64 +5,53 @@
 machine is withheld without a bound.
 """
 
-import dataclasses
-from collections.abc import Collection
+from collections.abc import Iterable
 
 from jackdawlatch.policy import transfers
 
 # Below the 3 s for which ready work may wait beside idle capacity.
 MAX_IDLE_S = 2.5
-# The tasks on a withheld machine have ended by then, unless they stall.
+# The tasks on withheld machines have ended by then, unless they stall.
 MAX_WITHHELD_S = 6.0
-# A machine that did not move takes late jobs again for this time.
+# A service takes late jobs on all of its machines for this time: a gang may
+# need several of them at once.
 REST_S = 5.0
 
 
-@dataclasses.dataclass(frozen=True)
-class _Period:
-    """Since when a machine has been withheld, and since when idle as well."""
-
-    since_s: float
-    idle_since_s: float | None = None
-
-    def over(self, now_s: float) -> bool:
-        """Whether the machine was withheld in vain."""
-        idle_s = 0 if self.idle_since_s is None else now_s - self.idle_since_s
-        return idle_s >= MAX_IDLE_S or now_s - self.since_s >= MAX_WITHHELD_S
-
-
 class Withholding:
     """The machines that take no late jobs now."""
 
     def __init__(self) -> None:
-        self._periods_by_machine: dict[str, _Period] = {}
-        self._rests_until_s_by_machine: dict[str, float] = {}
-
-    @property
-    def machines(self) -> Collection[str]:
-        """The machines that are withheld."""
-        return self._periods_by_machine.keys()
-
-    def may_withhold(self, machine: str, now_s: float) -> bool:
-        """Whether a machine may be withheld now."""
-        return self._rests_until_s_by_machine.get(machine, 0) <= now_s
+        self._begun_s_by_service: dict[str, float] = {}
+        self._idle_since_s_by_machine: dict[str, float] = {}
+        self._chosen: tuple[transfers.BusyMachine, ...] = ()
+
+    def machines(self, now_s: float) -> frozenset[str]:
+        """Return the machines that are withheld at a time."""
+        return frozenset(
+            machine.id
+            for machine in self._chosen
+            if self._is_withheld(machine, now_s)
+        )
 
     def replace(
-        self, chosen: Collection[transfers.BusyMachine], now_s: float
+        self, chosen: Iterable[transfers.BusyMachine], now_s: float
     ) -> None:
-        """Withhold the chosen machines instead of the present ones."""
-        self._periods_by_machine = {
-            machine.id: self._period(machine, now_s) for machine in chosen
+        """Withhold the chosen machines for as long as each of them may be."""
+        self._chosen = tuple(chosen)
+        for machine in self._chosen:
+            begun_s = self._begun_s_by_service.get(machine.service)
+            if begun_s is None or now_s - begun_s >= MAX_WITHHELD_S + REST_S:
+                self._begun_s_by_service[machine.service] = now_s
+        self._idle_since_s_by_machine = {
+            idle.id: self._idle_since_s_by_machine.get(idle.id, now_s)
+            for idle in self._chosen
+            if not idle.run_count
         }
-        for machine in chosen:
-            if self._periods_by_machine[machine.id].over(now_s):
-                self._periods_by_machine.pop(machine.id)
-                self._rests_until_s_by_machine[machine.id] = now_s + REST_S
 
-    def _period(self, machine: transfers.BusyMachine, now_s: float) -> _Period:
-        known = self._periods_by_machine.get(machine.id, _Period(now_s))
-        if machine.run_count:
-            return _Period(known.since_s)
-        if known.idle_since_s is None:
-            return _Period(known.since_s, now_s)
-        return known
+    def _is_withheld(
+        self, machine: transfers.BusyMachine, now_s: float
+    ) -> bool:
+        withheld_s = now_s - self._begun_s_by_service[machine.service]
+        idle_since_s = self._idle_since_s_by_machine.get(machine.id, now_s)
+        return withheld_s < MAX_WITHHELD_S and now_s - idle_since_s < MAX_IDLE_S
--- a/libs/scheduler/src/jackdawlatch/scheduler/demand.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/demand.py
@@ -3,10 +3,10 @@
 import collections
 import dataclasses
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 
 from jackdawlatch.jobs import model
-from jackdawlatch.scheduler import tasks
+from jackdawlatch.scheduler import lateness, round_times, tasks
 
 # Tasks of different sizes leave part of a machine unused.
 PACKING_FACTOR = 1.3
@@ -14,15 +14,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class Demand:
-    """Machines by service that jobs in time, and late ones, would fill."""
+    """Machines by service that jobs in time, and late ones, would fill.
+
+    ``ready_in_time`` holds the services with a job in time that ends and has
+    tasks that could start now.
+    """
 
     in_time: Mapping[str, int]
     late: Mapping[str, int]
+    ready_in_time: frozenset[str] = frozenset()
 
 
 def by_lateness(
     jobs: Iterable[tasks.JobState],
-    is_late: Callable[[tasks.JobState], bool],
+    now: round_times.RoundTime,
+    job_lateness: lateness.Lateness,
     machine: model.Room,
 ) -> Demand:
     """Return the demand of the open jobs."""
@@ -30,13 +36,22 @@
     late: list[tasks.JobState] = []
     for job in jobs:
         if not job.ended:
-            (late if is_late(job) else in_time).append(job)
+            (late if job_lateness.is_late(job, now) else in_time).append(job)
     return Demand(
         machines_by_service(in_time, machine),
         machines_by_service(late, machine),
+        frozenset(
+            open_job.service
+            for open_job in in_time
+            if not open_job.lasting and _is_ready(open_job, now.wall_s)
+        ),
     )
 
 
+def _is_ready(job: tasks.JobState, wall_s: float) -> bool:
+    return any(state.waiting_count() for state in job.ready_steps(wall_s))
+
+
 def machines_by_service(
     jobs: Iterable[tasks.JobState], machine: model.Room
 ) -> dict[str, int]:
--- a/libs/scheduler/src/jackdawlatch/scheduler/lateness.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/lateness.py
@@ -6,7 +6,6 @@
 from jackdawlatch.policy import durations, objectives
 from jackdawlatch.scheduler import round_times, tasks
 
-
 # Planning asks for every waiting job, up to a hundred times a second.
 VERDICT_VALIDITY_S = 0.2
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -133,7 +133,7 @@
                 dependencies.advice_client,
                 job_lateness,
                 self._leading,
-                lambda: self._pools.withholding.machines,
+                lambda: self._pools.withheld,
             )
         )
         self.cluster.on_change = self._rounds.wake
--- a/libs/scheduler/src/jackdawlatch/scheduler/pools.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/pools.py
@@ -64,7 +64,7 @@
                 dependencies.limits.migration_s,
             )
         )
-        self.withholding = withholding.Withholding()
+        self._withholding = withholding.Withholding()
         self._fleet = fleet.Fleet(self._cluster)
         self._peak = forecasts.PeakDemand()
 
@@ -92,7 +92,7 @@
         open_demand = self._demand()
         demand_by_service = self._divided(open_demand)
         surplus = self._surplus(demand_by_service)
-        self._withhold(surplus, self._missing(open_demand.in_time))
+        self._withhold(surplus, open_demand)
         if min(surplus.values(), default=0) < 0:
             await self._mover.refresh_standby()
         if self._demand_seen():
@@ -104,31 +104,32 @@
         )
         await self._move_all(self._transfers(surplus)[:max_moves])
 
-    def _missing(self, demand_by_service: Mapping[str, int]) -> int:
-        """Return how many machines the services lack altogether."""
-        surplus = self._surplus(demand_by_service)
-        serving = self._cluster.catalog.serving_services()
-        return sum(max(0, -surplus[service]) for service in serving)
+    @property
+    def withheld(self) -> frozenset[str]:
+        """The machines that take no late jobs now."""
+        return self._withholding.machines(self._cluster.now_s)
 
-    def _withhold(self, surplus: Mapping[str, int], missing: int) -> None:
+    def _withhold(
+        self, surplus: Mapping[str, int], open_demand: demand.Demand
+    ) -> None:
         now_s = self._cluster.now_s
-        chosen = transfers.vacate(
-            [
-                machine
-                for machine in self._fleet.busy_machines()
-                if self.withholding.may_withhold(machine.id, now_s)
-            ],
-            surplus,
-            missing,
+        in_time = self._surplus(open_demand.in_time)
+        missing = sum(
+            max(0, -in_time[service]) for service in open_demand.ready_in_time
+        )
+        before = self._withholding.machines(now_s)
+        self._withholding.replace(
+            transfers.vacate(self._fleet.busy_machines(), surplus, missing),
+            now_s,
         )
-        if bool(chosen) != bool(self.withholding.machines):
+        withheld = self._withholding.machines(now_s)
+        if bool(withheld) != bool(before):
             self._cluster.dependencies.log.note(
                 'withheld',
-                machines=len(chosen),
+                machines=len(withheld),
                 missing=missing,
                 **{f'surplus_{name}': surplus[name] for name in surplus},
             )
-        self.withholding.replace(chosen, now_s)
 
     def _transfers(
         self, surplus: collections.Counter[str]
@@ -183,7 +184,8 @@
         job_lateness = self._dependencies.job_lateness
         return demand.by_lateness(
             self._cluster.jobs_by_id.values(),
-            lambda job: job_lateness.is_late(job, now),
+            now,
+            job_lateness,
             self._fleet.largest(),
         )
 
