Request tickets in the order of the jobs again

Cause: since only the jobs that may fit are ordered, tickets were requested for each waiting step before the order was known, so that a lasting or urgent job waited behind the whole backlog of an advised queue.

Change: a step asks for its tickets when it is placed.

--- a/libs/scheduler/src/jackdawlatch/scheduler/placing.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/placing.py
@@ -57,21 +57,28 @@
         self,
         state: tasks.StepState,
         reserved: reservations.Reservations,
-        tickets: advisor.Tickets | None,
+        step_advisor: advisor.Advisor | None,
         late: bool = False,
     ) -> None:
         self._state = state
         self._step = state.step
         self._service = state.tasks[0].job.service
         self._reservations = reserved
-        self._tickets = tickets
+        self._advisor = step_advisor
+        self._tickets: advisor.Tickets | None = None
         self._late = late
         self._counts_by_worker: collections.Counter[str] = collections.Counter()
 
     @property
     def may_fit(self) -> bool:
-        """Whether a task could fit, without a look at each worker."""
-        return self._reservations.may_fit(self._service, self._step, self._late)
+        """Whether a task could fit, without a look at each worker.
+
+        Steps of advised queues count as fitting: their tickets are requested
+        ahead of free capacity, in the order of the jobs.
+        """
+        return self._advisor is not None or self._reservations.may_fit(
+            self._service, self._step, self._late
+        )
 
     @property
     def waiting_count(self) -> int:
@@ -85,6 +92,8 @@
             for task in self._state.tasks
             if task.phase is tasks.TaskPhase.WAITING
         ]
+        if self._advisor is not None:
+            self._tickets = self._advisor.tickets(self._state)
         self._counts_by_worker.update(
             task.run.worker.entry.id
             for task in self._state.tasks
--- a/libs/scheduler/src/jackdawlatch/scheduler/planner.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/planner.py
@@ -102,17 +102,13 @@
             and free.withholds(job.service)
             and self._lateness.is_late(job, now)
         )
+        advised = job.queue is not None and job.queue.advised
+        step_advisor = self._advisor if advised else None
         return [
-            placing.StepPlacer(state, free, self._tickets(state), late)
+            placing.StepPlacer(state, free, step_advisor, late)
             for state in waiting
         ]
 
-    def _tickets(self, state: tasks.StepState) -> advisor.Tickets | None:
-        queue = state.tasks[0].job.queue
-        if queue is None or not queue.advised:
-            return None
-        return self._advisor.tickets(state)
-
 
 def _waiting_steps(
     job: tasks.JobState, now: round_times.RoundTime
--- a/libs/scheduler/tests/test_scheduler_decisions.py
+++ b/libs/scheduler/tests/test_scheduler_decisions.py
@@ -1,12 +1,14 @@
 """Placement, ordering, demand and pacing decisions, without a leader."""
 
 import asyncio
+import dataclasses
 
 import scheduler_bench as benches
 
 from jackdawlatch.jobs import model, queues, stored
 from jackdawlatch.model import clocks, records
 from jackdawlatch.scheduler import (
+    advisor,
     cluster_state,
     demand,
     job_loader,
@@ -194,6 +196,35 @@
         assert order.count == ordered
 
 
+class RecordingAdvisor(advisor.Advisor):
+    """Records the steps for which tickets are needed, and has none."""
+
+    def __init__(self) -> None:
+        self.states: list[tasks.StepState] = []
+
+    def tickets(self, state: tasks.StepState) -> advisor.Tickets:
+        """Return no ticket."""
+        self.states.append(state)
+        return advisor.Tickets({})
+
+
+def test_tickets_are_requested_in_job_order():
+    step_advisor = RecordingAdvisor()
+    judged = lateness.Lateness()
+    planner = planners.Planner(
+        job_order.ObjectiveOrder(judged), judged, step_advisor
+    )
+    short, lasting = (
+        _job(model.Step(count=1, room=CORE, lasting=is_lasting))
+        for is_lasting in (False, True)
+    )
+    for job in (short, lasting):
+        job.queue = dataclasses.replace(QUEUE, advised=True)
+    now = round_times.RoundTime(monotonic_s=0, wall_s=0)
+    planner.plan([short, lasting], {'s': [_worker('w1')]}, now)
+    assert step_advisor.states == [lasting.steps[0], short.steps[0]]
+
+
 def test_demand_counts_the_widest_open_step():
     job = _job(
         model.Step(count=2, room=CORE),
