Record how long the lease of an unreachable worker may last

Cause: each new leader let the lease of a lost worker begin again, since nothing stored told when it ends. Changes of leaders in a row, planned ones too, put the restart of its tasks off without a bound.

Change: while a worker with runs does not answer, the rest of its lease is stored with their progress. A duration read later than it was written is an upper bound, so no clocks are compared. While a record stands the lease is not extended, and a worker that answers again has it removed first.

--- a/libs/jobs/src/jackdawlatch/jobs/stored.py
+++ b/libs/jobs/src/jackdawlatch/jobs/stored.py
@@ -37,7 +37,7 @@
     ``failed_attempts`` lists the attempts that failed instead of counting them.
     ``worker`` and ``born_ms`` identify the worker process on which ``attempt``
     may still run, and ``machine`` its machine; they are empty when it does not
-    run.
+    run.  ``lease_left_s`` is how long its lease may last, None if unknown.
     """
 
     occurrence: int
@@ -50,6 +50,7 @@
     born_ms: int = 0
     checkpoint: str = ''
     machine: str = ''
+    lease_left_s: float | None = None
 
 
 class Progress(records.Record, frozen=True, kw_only=True):
--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -163,6 +163,10 @@
         if run.task.job.ended or not self._dependencies.leading():
             self._dependencies.cluster.release(run, 'not-ordered')
             return
+        if run.worker.lease.record is not None:
+            self._dependencies.cluster.release(run, 'lease-recorded')
+            return
+        run.worker.extend_lease(START_EXPIRY_S, self._clock.monotonic_s())
         run.phase = runs.RunPhase.ORDERED
         self._dependencies.spawn(self._start(run, ticket))
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/housekeeping.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/housekeeping.py
@@ -8,7 +8,12 @@
 
 from jackdawlatch.jobs import stored
 from jackdawlatch.model import records
-from jackdawlatch.scheduler import cluster_state, tasks, worker_registry
+from jackdawlatch.scheduler import (
+    cluster_state,
+    lease_records,
+    tasks,
+    worker_registry,
+)
 from jackdawlatch.store import transactions
 
 TICK_S = 0.2
@@ -33,6 +38,7 @@
 
     def __init__(self, dependencies: Dependencies) -> None:
         self._dependencies = dependencies
+        self._lease_records = lease_records.LeaseRecords(dependencies.cluster)
 
     async def tick(self) -> None:
         """Release lost runs and delete old jobs until cancelled."""
@@ -57,6 +63,7 @@
     async def _tick(self) -> None:
         for worker in tuple(self._dependencies.cluster.workers_by_id.values()):
             self._dependencies.registry.release_expired_runs(worker)
+            self._lease_records.update(worker)
         self._dependencies.registry.remove_gone_workers()
         await self._delete_old_job()
         self._dependencies.cluster.on_change()
--- a/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
@@ -96,8 +96,15 @@
             )
             worker.registered = False
             self._cluster.workers_by_id[progress.worker] = worker
-        worker.extend_lease(
-            polling.granted_lease_s(self._cluster.dependencies.bounds.lease_s),
-            self._cluster.now_s,
-        )
+        now_s = self._cluster.now_s
+        if progress.lease_left_s is None:
+            longest_s = self._cluster.dependencies.bounds.lease_s
+            worker.extend_lease(polling.granted_lease_s(longest_s), now_s)
+        else:
+            worker.lease.record = workers.LeaseRecord(
+                progress.lease_left_s, now_s
+            )
+            worker.lease.end_s = max(
+                worker.lease.end_s, now_s + progress.lease_left_s
+            )
         return worker
--- a/libs/scheduler/src/jackdawlatch/scheduler/polling.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/polling.py
@@ -9,6 +9,7 @@
 from jackdawlatch.scheduler import (
     cluster_state,
     dispatch,
+    lease_records,
     supervision,
     workers,
 )
@@ -19,6 +20,8 @@
 POLL_WAIT_S = 2.0
 POLLS_PER_LEASE = 3
 RETRY_S = 0.25
+# A few response times of the store, which has to remove a lease record.
+CLEAR_WAIT_S = 0.05
 # Workers that may delay their answers at the same time; each keeps a connection
 # meanwhile.  Other workers answer at once and are polled again after the wait.
 MAX_WAITING_POLLS = 512
@@ -50,6 +53,7 @@
         self._lease_s = granted_lease_s(cluster.dependencies.bounds.lease_s)
         # Several polls have to fit into one lease.
         self._wait_s = min(POLL_WAIT_S, self._lease_s / POLLS_PER_LEASE)
+        self._lease_records = lease_records.LeaseRecords(cluster)
         self._active: set[workers.Worker] = set()
         self._waiting_count = 0
 
@@ -90,6 +94,12 @@
 
     async def _poll_reachable(self, worker: workers.Worker) -> bool:
         """Poll a worker and extend its lease, for about the waiting time."""
+        if worker.lease.record is not None:
+            self._lease_records.clear(worker)
+        if worker.lease.record is not None:
+            answered = await self._dispatcher.poll(worker, None, 0)
+            await asyncio.sleep(CLEAR_WAIT_S)
+            return answered
         if self._waiting_count >= MAX_WAITING_POLLS:
             answered = await self._dispatcher.poll(worker, self._lease_s, 0)
             await asyncio.sleep(self._wait_s)
--- a/libs/scheduler/src/jackdawlatch/scheduler/runs.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/runs.py
@@ -69,6 +69,12 @@
         """The identity of this run in requests to its worker."""
         return calls.RunId(self.task.id, self.attempt)
 
+    @property
+    def lease_left_s(self) -> float | None:
+        """The recorded rest of the lease of its worker."""
+        record = self.worker.lease.record
+        return record.left_s if record else None
+
     def update(self, report: reports.RunReport, now_s: float) -> None:
         """Apply a report of the worker."""
         self.checkpoint = report.checkpoint or self.checkpoint
--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -47,7 +47,7 @@
         if worker.reachable or not worker.runs_by_task:
             return
         slack_s = 2 * self._cluster.dependencies.bounds.stop_s
-        if self._cluster.now_s > worker.lease_end_s + slack_s:
+        if self._cluster.now_s > worker.lease.end_s + slack_s:
             for run in tuple(worker.runs_by_task.values()):
                 self._cluster.release(run, 'lease-over')
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 from collections.abc import Callable
 
 from jackdawlatch.jobs import model
@@ -27,6 +28,22 @@
         self.suspended_until_s = max(self.suspended_until_s, until_s)
 
 
+@dataclasses.dataclass(frozen=True, eq=False)
+class LeaseRecord:
+    """How long a lease may last after this was stored; None once cleared."""
+
+    left_s: float | None
+    written_s: float
+
+
+class Lease:
+    """When the lease of a worker ends at the latest, and its record."""
+
+    def __init__(self) -> None:
+        self.end_s: float = 0
+        self.record: LeaseRecord | None = None
+
+
 class Worker:
     """One boot of a worker, with the runs that may exist on it."""
 
@@ -36,7 +53,7 @@
         self.reachable = False
         self.cordoned = False
         self.last_poll_s: float = 0
-        self.lease_end_s: float = 0
+        self.lease = Lease()
         self.health = Health()
         self.runs_by_task: dict[model.TaskId, runs.Run] = {}
         self.free = entry.room
@@ -54,12 +71,9 @@
     @property
     def usable(self) -> bool:
         """Whether new runs may be placed here."""
-        return (
-            self.registered
-            and self.reachable
-            and not self.cordoned
-            and not self.entry.draining
-        )
+        closed = self.cordoned or self.entry.draining
+        startable = not closed and self.lease.record is None
+        return self.registered and self.reachable and startable
 
     @property
     def acked(self) -> int:
@@ -89,7 +103,7 @@
     def extend_lease(self, lease_s: float, now_s: float) -> None:
         """Record the latest end of a lease requested at ``now_s``."""
         end_s = now_s + lease_s * (1 + CLOCK_DRIFT_FRACTION)
-        self.lease_end_s = max(self.lease_end_s, end_s)
+        self.lease.end_s = max(self.lease.end_s, end_s)
 
     def add(self, run: runs.Run) -> None:
         """Add a run and reserve its capacity."""
--- a/libs/scheduler/tests/scheduler_bench.py
+++ b/libs/scheduler/tests/scheduler_bench.py
@@ -126,10 +126,14 @@
         )
         worker = self.workers.create(entry)
         self.workers.by_id[name] = worker
-        self.entries_by_id[name] = entry
-        self._put(f'workers/{name}', name.encode())
+        self.add_entry(entry)
         return worker
 
+    def add_entry(self, entry: reports.WorkerEntry) -> None:
+        """Register a worker, or register it again."""
+        self.entries_by_id[entry.id] = entry
+        self._put(f'workers/{entry.id}', entry.id.encode())
+
     def remove_worker(self, name: str) -> None:
         """Remove the registration of a worker that goes on answering."""
         self.store.content.commit(
--- a/libs/scheduler/tests/test_scheduler_leader.py
+++ b/libs/scheduler/tests/test_scheduler_leader.py
@@ -172,9 +172,9 @@
         known = leader.cluster.workers_by_id['w1']
         # The worker is found unreachable long before its lease ends.
         await waiting.until(lambda: not known.reachable)
-        assert bench.clock.monotonic_s() < known.lease_end_s
+        assert bench.clock.monotonic_s() < known.lease.end_s
         await waiting.until(lambda: second.started_runs)
-        assert bench.clock.monotonic_s() > known.lease_end_s
+        assert bench.clock.monotonic_s() > known.lease.end_s
 
 
 async def test_runs_of_a_restarted_worker_are_restarted(bench):
--- a/libs/scheduler/tests/test_scheduler_takeover.py
+++ b/libs/scheduler/tests/test_scheduler_takeover.py
@@ -22,6 +22,8 @@
 VACANCY_S = 2.0
 HANDOVER_PERIOD_S = 2.5
 SETTLED_S = 0.5
+# A poll fails within this time, and the lease goes on.
+CUT_S = 4.0
 # More than a poll or a housekeeping round takes, less than any lease.
 PROMPT_S = 1.0
 TASK = benches.task('lasting')
@@ -51,6 +53,28 @@
     await asyncio.to_thread(_play, scenario)
 
 
+async def test_worker_that_answers_again_keeps_its_lease():
+    """The record of the rest of its lease must not outlive its return."""
+
+    def scenario(simulation: simulations.Simulation) -> None:
+        cut = _lose_worker(simulation)
+        simulation.run(CUT_S)
+        assert _recorded_left_s(simulation) is not None
+        cut.down = False
+        simulation.bench.add_entry(cut.entry)
+        simulation.run(SETTLED_S)
+        assert _recorded_left_s(simulation) is None
+        _kill_leader(simulation)
+        simulation.run(VACANCY_S)
+        simulation.term = simulation.begin_term()
+        simulation.run(RESTART_S)
+        assert TASK in cut.running
+        starts = [one for one in cut.started_runs if one.task == TASK]
+        assert len(starts) == 1
+
+    await asyncio.to_thread(_play, scenario)
+
+
 async def test_next_boot_frees_tasks_after_a_takeover():
     def scenario(simulation: simulations.Simulation) -> None:
         lost = _lose_worker(simulation)
@@ -86,6 +110,12 @@
         simulation.close()
 
 
+def _recorded_left_s(simulation: simulations.Simulation) -> float | None:
+    progress = simulation.bench.progress(TASK.job)
+    assert progress is not None
+    return progress.tasks[0].lease_left_s
+
+
 def _lose_worker(
     simulation: simulations.Simulation,
 ) -> task_workers.FakeWorker:
