Log how long the last started task ran on a replaced worker

The log had `released ... worker-replaced` for each of about 15 tasks of a lost worker, and nothing that distinguishes the task whose start preceded the loss from its neighbours.

`worker-replaced` is one line for each boot that is replaced while it holds runs: the successor, the number of runs, how long the worker was away, the task that started last before the loss, and how long it had run.

--- a/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
@@ -80,6 +80,7 @@
         """Record a new attempt at a task and reserve capacity on its worker."""
         run = runs.Run(task, worker, attempt, phase)
         run.last_progress_s = self.now_s
+        run.mark_sent(self.now_s)
         run.checkpoint = task.checkpoint
         task.attempt = attempt
         task.run = run
--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -174,6 +174,7 @@
         worker = run.worker
         now_s = self._clock.monotonic_s()
         worker.extend_lease(START_EXPIRY_S, now_s)
+        run.mark_sent(now_s)
         started = await self._dependencies.client.start(
             worker.target,
             calls.Start(
@@ -216,6 +217,7 @@
                     worker.entry.id,
                     failure.line(),
                 )
+                worker.health.lost_s = self._clock.monotonic_s()
             worker.reachable = False
             return
         if failure.reason is calls.Refusal.FENCED:
--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -43,6 +43,7 @@
             return
         worker.last_poll_s = requested_s
         worker.reachable = True
+        worker.health.lost_s = None
         for end in status.ended:
             if end.number > worker.last_end_number:
                 self._apply_end(worker, end)
--- a/libs/scheduler/src/jackdawlatch/scheduler/runs.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/runs.py
@@ -42,6 +42,7 @@
         'settled_after_s',
         'task',
         'worker',
+        '_sent_s',
     )
 
     def __init__(
@@ -63,6 +64,7 @@
         self.pace_percent = FULL_PACE_PERCENT
         # A poll sent after this time whose answer lacks the run settles it.
         self.settled_after_s: float | None = None
+        self._sent_s: float = 0
 
     @property
     def run_id(self) -> calls.RunId:
@@ -75,6 +77,14 @@
         record = self.worker.lease.record
         return record.left_s if record else None
 
+    def mark_sent(self, now_s: float) -> None:
+        """Record that the start is sent now, or the run was taken over."""
+        self._sent_s = now_s
+
+    def age_s(self, now_s: float) -> float:
+        """Return the time since the start was sent."""
+        return now_s - self._sent_s
+
     def update(self, report: reports.RunReport, now_s: float) -> None:
         """Apply a report of the worker."""
         self.checkpoint = report.checkpoint or self.checkpoint
--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -64,6 +64,8 @@
             self._cluster.workers_by_id.pop(old.entry.id, None)
         old.registered = False
         old.reachable = False
+        if old.runs_by_task:
+            self._note_replaced(old, new)
         for run in tuple(old.runs_by_task.values()):
             if same_id and run.phase is not runs.RunPhase.RUNNING:
                 # A delayed start may still reach the new boot.
@@ -74,6 +76,22 @@
             else:
                 self._cluster.release(run, 'worker-replaced')
 
+    def _note_replaced(self, old: workers.Worker, new: workers.Worker) -> None:
+        now_s = self._cluster.now_s
+        lost_s = now_s if old.health.lost_s is None else old.health.lost_s
+        last = min(
+            old.runs_by_task.values(), key=lambda run: abs(run.age_s(lost_s))
+        )
+        self._cluster.dependencies.log.note(
+            'worker-replaced',
+            worker=old.entry.id,
+            successor=new.entry.id,
+            runs=len(old.runs_by_task),
+            away_s=round(now_s - lost_s, 3),
+            last_started=last.task.id.name,
+            ran_s=round(last.age_s(lost_s), 3),
+        )
+
 
 def _is_successor(new: reports.WorkerEntry, old: reports.WorkerEntry) -> bool:
     """Whether ``new`` is a later boot of the machine of ``old``."""
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -17,11 +17,15 @@
 
 
 class Health:
-    """Recent failures of a worker, and how long it is suspended."""
+    """Recent failures of a worker, and how long it is suspended.
+
+    ``lost_s`` is when it stopped answering, None while it answers.
+    """
 
     def __init__(self) -> None:
         self.suspended_until_s: float = 0
         self.consecutive_failures = 0
+        self.lost_s: float | None = None
 
     def suspend(self, until_s: float) -> None:
         """Place nothing on the worker until ``until_s``."""
