Give up tasks that crash the workers that start them

Cause: the scheduler counts ends `failed` only. A task that was lost with its worker was released and started again without a limit, beside others.

Change: when a later boot replaces a worker, or it stays away for longer than its lease, each task that was started there within a second before the loss is recorded as suspected, in its progress record, which the next leader reads. Three crashes in a row end its job as failed. A run that goes on for a second, or ends as failed, clears its task. Other tasks avoid the worker of a suspect; from the second crash on a suspect has its worker to itself, and at most a quarter of a service runs such trials. Not blamed: unsent, refused and stopped runs, starts sent after the loss, drained and vacated workers, four or more workers lost within 50 ms, and runs of an earlier leader whose task was no suspect.

The third is awaited since the first two may be shared with another crashing task; the third start is alone.

--- a/libs/jobs/src/jackdawlatch/jobs/stored.py
+++ b/libs/jobs/src/jackdawlatch/jobs/stored.py
@@ -38,6 +38,8 @@
     ``worker`` and ``born_ms`` identify the worker process on which ``attempt``
     may still run, and ``machine`` its machine; they are empty when it does not
     run.  ``lease_left_s`` is how long its lease may last, None if unknown.
+    ``crashed_attempts`` lists the attempts in a row whose worker crashed soon
+    after the start.
     """
 
     occurrence: int
@@ -51,6 +53,7 @@
     checkpoint: str = ''
     machine: str = ''
     lease_left_s: float | None = None
+    crashed_attempts: tuple[int, ...] = ()
 
 
 class Progress(records.Record, frozen=True, kw_only=True):
--- /dev/null
+++ b/libs/policy/src/jackdawlatch/policy/crashes.py
@@ -0,0 +1,70 @@
+"""Which tasks crash the workers that start them.
+
+Load pattern: a few tasks that crash their worker soon after each start, among
+many short ones that are lost with it.  A crash makes a suspect of each task
+that had just started there.  Other tasks avoid its next worker, so that most of the
+suspects are cleared soon; a task whose second worker crashes is started alone.
+"""
+
+import dataclasses
+
+# A task that has run for this long does not crash its workers.
+SURVIVAL_S = 1.0
+# Crashes in a row after which a task is given up.
+MAX_CRASHES = 3
+# Workers lost within ``TOGETHER_S`` have a cause outside of their tasks.
+MASS_LOSS = 4
+TOGETHER_S = 0.05
+# Crashes in a row after which a task is started on a worker of its own.
+ISOLATED_CRASHES = 2
+# Part of a service's workers on which isolated tasks may start at once.
+TRIAL_FRACTION = 0.25
+
+
+@dataclasses.dataclass(frozen=True)
+class LostRun:
+    """A run that was lost with its worker.
+
+    ``confirmed_s`` is how long it is known to have run.  ``sent_before_s`` is
+    the time from its start request to the loss of the worker, and
+    ``last_sent_before_s`` that of the last start on the same worker.
+    ``lost_workers`` counts the workers that were lost at that time.
+    """
+
+    confirmed_s: float
+    sent_before_s: float
+    last_sent_before_s: float
+    suspected: bool
+    lost_workers: int = 1
+
+
+def is_blamed(run: LostRun) -> bool:
+    """Whether a run may have crashed its worker."""
+    if survives(run.confirmed_s):
+        return False
+    if run.suspected:
+        return True
+    # A loss may be noticed late: the last start tells when the worker was up.
+    lost_before_s = max(0, run.last_sent_before_s - SURVIVAL_S)
+    recent = run.sent_before_s - lost_before_s <= SURVIVAL_S
+    return recent and run.lost_workers < MASS_LOSS
+
+
+def survives(confirmed_s: float) -> bool:
+    """Whether a run has lasted longer than those that crash their worker."""
+    return confirmed_s >= SURVIVAL_S
+
+
+def is_given_up(crashes: int) -> bool:
+    """Whether a task with so many crashes in a row is started no more."""
+    return crashes >= MAX_CRASHES
+
+
+def is_isolated(crashes: int) -> bool:
+    """Whether a task with so many crashes in a row is started alone."""
+    return crashes >= ISOLATED_CRASHES
+
+
+def max_trials(workers: int) -> int:
+    """Return on how many workers of a service isolated tasks may start."""
+    return max(1, int(workers * TRIAL_FRACTION))
--- /dev/null
+++ b/libs/scheduler/src/jackdawlatch/scheduler/crash_blame.py
@@ -0,0 +1,91 @@
+"""Records which tasks may have crashed the workers that ran them."""
+
+import collections
+import math
+
+from jackdawlatch.policy import crashes
+from jackdawlatch.scheduler import cluster_state, runs, tasks, workers
+
+# Workers whose loss is remembered, to recognize those lost together.
+MAX_LOSSES = 256
+# Such a run was never started, or is being ended.
+NOT_BLAMED = frozenset((runs.RunPhase.WRITING, runs.RunPhase.STOPPING))
+
+
+class CrashBlame:
+    """Counts crashes under tasks, and finds those that cause them."""
+
+    def __init__(self, cluster: cluster_state.ClusterState) -> None:
+        self._cluster = cluster
+        self._lost_s_by_boot: collections.OrderedDict[
+            tuple[str, int], float
+        ] = collections.OrderedDict()
+
+    def blame(self, worker: workers.Worker) -> list[tasks.JobState]:
+        """Record the crash of a worker under the tasks that it had started.
+
+        Return the jobs with a task that is given up for it.
+        """
+        if worker.cordoned or worker.entry.draining:
+            return []
+        lost_s = worker.health.lost_s
+        if lost_s is None:
+            lost_s = self._cluster.now_s
+        self._record_losses(worker, lost_s)
+        started = [
+            run
+            for run in worker.runs_by_task.values()
+            if run.phase not in NOT_BLAMED and run.age_s(lost_s) >= 0
+        ]
+        last_sent_before_s = min(
+            (run.age_s(lost_s) for run in started), default=0
+        )
+        return [
+            run.task.job
+            for run in started
+            if self._blame(run, lost_s, last_sent_before_s)
+        ]
+
+    def _blame(
+        self, run: runs.Run, lost_s: float, last_sent_before_s: float
+    ) -> bool:
+        """Return whether the task of a run is given up."""
+        task = run.task
+        lost = crashes.LostRun(
+            confirmed_s=run.confirmed_s,
+            sent_before_s=_sent_before_s(run, lost_s),
+            last_sent_before_s=last_sent_before_s,
+            suspected=task.suspected,
+            lost_workers=sum(
+                abs(other_s - lost_s) <= crashes.TOGETHER_S
+                for other_s in self._lost_s_by_boot.values()
+            ),
+        )
+        if crashes.survives(lost.confirmed_s):
+            task.clear_crashes()
+        if not crashes.is_blamed(lost):
+            return False
+        task.record_crash(run.attempt)
+        count = task.state.crash_count(task)
+        self._cluster.note('crash-under', run, f'{count} in a row')
+        return crashes.is_given_up(count)
+
+    def _record_losses(self, worker: workers.Worker, lost_s: float) -> None:
+        """Remember a loss, and those of other workers that are still away."""
+        self._lost_s_by_boot[_boot(worker)] = lost_s
+        for other in self._cluster.workers_by_id.values():
+            if other.health.lost_s is not None and other.runs_by_task:
+                self._lost_s_by_boot[_boot(other)] = other.health.lost_s
+        while len(self._lost_s_by_boot) > MAX_LOSSES:
+            self._lost_s_by_boot.popitem(last=False)
+
+
+def _sent_before_s(run: runs.Run, lost_s: float) -> float:
+    if run.phase is runs.RunPhase.UNSETTLED and run.settled_after_s is not None:
+        # An earlier leader sent the start, at an unknown time.
+        return math.inf
+    return run.age_s(lost_s)
+
+
+def _boot(worker: workers.Worker) -> tuple[str, int]:
+    return (worker.entry.id, worker.entry.born_ms)
--- a/libs/scheduler/src/jackdawlatch/scheduler/placing.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/placing.py
@@ -162,21 +162,32 @@
         assigned: Assignments = []
         for task in waiting:
             worker = self._best_worker(task, fits)
-            if worker is None:
+            if worker is not None:
+                self._reserve(worker, task)
+                assigned.append((task, worker))
+            elif not task.suspected:
                 break
-            self._counts_by_worker[worker.entry.id] += 1
-            self._reservations.reserve(worker, self._step.reserved_room)
-            assigned.append((task, worker))
         return assigned
 
+    def _reserve(self, worker: workers.Worker, task: tasks.Task) -> None:
+        self._counts_by_worker[worker.entry.id] += 1
+        self._reservations.reserve(worker, self._step.reserved_room)
+        if task.suspected:
+            self._reservations.trials.begin(worker, task)
+
     def _release(self, assigned: Assignments) -> None:
-        for _, worker in assigned:
+        for task, worker in assigned:
+            if task.suspected:
+                self._reservations.trials.cancel(worker, task)
             self._counts_by_worker[worker.entry.id] -= 1
             self._reservations.release(worker, self._step.reserved_room)
 
     def _best_worker(
         self, task: tasks.Task, fits: WorkerFilter
     ) -> workers.Worker | None:
+        trials = self._reservations.trials
+        if task.suspected and trials.is_full(task):
+            return None
         max_count = self._step.max_per_worker
         candidates = [
             worker
@@ -184,6 +195,7 @@
                 self._service, self._step, self._late
             )
             if fits(worker)
+            and trials.admits(worker, task)
             and (
                 not max_count
                 or self._counts_by_worker[worker.entry.id] < max_count
@@ -194,7 +206,8 @@
             candidates,
             key=lambda worker: (
                 worker.entry.id == task.avoided_worker,
-                *self._cost(worker),
+                trials.tries(worker),
+                *self._cost(worker, task),
             ),
             default=None,
         )
@@ -202,11 +215,17 @@
     def _is_remote(self, rack: str) -> bool:
         return bool(self._step.data_rack) and rack != self._step.data_rack
 
-    def _cost(self, worker: workers.Worker) -> tuple[float, ...]:
+    def _cost(
+        self, worker: workers.Worker, task: tasks.Task
+    ) -> tuple[float, ...]:
         remote = self._is_remote(worker.entry.rack)
+        free = self._reservations.free(worker).processors_m
+        if task.suspected:
+            # A crash should hurt as few other tasks as possible.
+            return (len(worker.runs_by_task), -free, remote)
         # Packing keeps whole machines free for other services.
         lasting = workers.lasting_count(worker) if self._step.lasting else 0
-        return (remote, -lasting, self._reservations.free(worker).processors_m)
+        return (remote, -lasting, free)
 
 
 def _any_worker(_worker: workers.Worker) -> bool:
--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -1,6 +1,7 @@
 """Reconciles the reported status of workers with the cluster state."""
 
 from jackdawlatch.jobs import stored
+from jackdawlatch.policy import crashes
 from jackdawlatch.scheduler import (
     calls,
     cluster_state,
@@ -70,6 +71,9 @@
         if run.phase in ORDERED:
             run.phase = runs.RunPhase.RUNNING
             run.last_progress_s = self._cluster.now_s
+        if run.task.crashed_attempts and crashes.survives(run.confirmed_s):
+            run.task.clear_crashes()
+            self._cluster.dependencies.progress_writer.enqueue(run.task.job)
         if run.task.job.ended and run.phase is runs.RunPhase.RUNNING:
             self._cluster.stop(run)
 
@@ -131,6 +135,7 @@
         elif end.kind is reports.EndKind.FAILED:
             health.record_failure(worker, self._cluster.now_s)
             task.avoided_worker = worker.entry.id
+            task.clear_crashes()
             self._apply_failure(task, end.run_id.attempt)
 
     def _apply_success(self, task: tasks.Task) -> None:
--- a/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
@@ -4,7 +4,7 @@
 from collections.abc import Collection, Iterable, Mapping
 
 from jackdawlatch.jobs import model
-from jackdawlatch.scheduler import workers
+from jackdawlatch.scheduler import trials, workers
 
 
 @dataclasses.dataclass(frozen=True)
@@ -52,6 +52,7 @@
             for service, candidates in candidates_by_service.items()
         }
         self._free_by_worker: dict[str, model.Room] = {}
+        self.trials = trials.Trials(candidates_by_service, now_s)
 
     def withholds(self, service: str) -> bool:
         """Whether workers of a service are withheld from late jobs."""
--- a/libs/scheduler/src/jackdawlatch/scheduler/runs.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/runs.py
@@ -28,6 +28,9 @@
     STOPPING = 'stopping'
 
 
+STARTED = frozenset((RunPhase.RUNNING, RunPhase.STOPPING))
+
+
 class Run:
     """An attempt; it holds capacity of its worker until its end is certain."""
 
@@ -85,6 +88,13 @@
         """Return the time since the start was sent."""
         return now_s - self._sent_s
 
+    @property
+    def confirmed_s(self) -> float:
+        """How long its worker has confirmed that the run went on."""
+        if self.phase not in STARTED:
+            return 0
+        return self.age_s(self.worker.last_poll_s)
+
     def update(self, report: reports.RunReport, now_s: float) -> None:
         """Apply a report of the worker."""
         self.checkpoint = report.checkpoint or self.checkpoint
--- a/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
@@ -33,6 +33,7 @@
         'run',
         'started_s',
         'state',
+        '_crashed_attempts',
     )
 
     def __init__(
@@ -48,6 +49,7 @@
         self.checkpoint = ''
         self.run: runs.Run | None = None
         self.started_s: float | None = None
+        self._crashed_attempts: set[int] = set()
 
     @property
     def step(self) -> model.Step:
@@ -68,6 +70,24 @@
         """Whether a lasting task is up and serving."""
         return self.run is not None and self.run.serving
 
+    @property
+    def suspected(self) -> bool:
+        """Whether the task, or its gang, may crash its workers."""
+        return self.state.crash_count(self) > 0
+
+    @property
+    def crashed_attempts(self) -> frozenset[int]:
+        """The attempts in a row whose worker crashed soon after the start."""
+        return frozenset(self._crashed_attempts)
+
+    def record_crash(self, attempt: int) -> None:
+        """Record that the worker of an attempt crashed."""
+        self._crashed_attempts.add(attempt)
+
+    def clear_crashes(self) -> None:
+        """Forget the crashes, since an attempt went on without one."""
+        self._crashed_attempts.clear()
+
     def release(self) -> None:
         """Put the task back to waiting, unless it is done."""
         self.run = None
@@ -79,6 +99,7 @@
         self.attempt = stored_progress.attempt
         self.failed_attempts = set(stored_progress.failed_attempts)
         self.checkpoint = stored_progress.checkpoint
+        self._crashed_attempts = set(stored_progress.crashed_attempts)
         if stored_progress.done:
             self.phase = TaskPhase.DONE
 
@@ -97,6 +118,7 @@
             self.checkpoint,
             run.worker.entry.machine if run else '',
             run.lease_left_s if run else None,
+            tuple(sorted(self._crashed_attempts)),
         )
 
 
@@ -124,6 +146,11 @@
             set().union(*(member.failed_attempts for member in self.tasks))
         )
 
+    def crash_count(self, task: Task) -> int:
+        """Return after how many starts of a task, or its gang, workers crashed."""
+        members = self.tasks if self.step.gang else (task,)
+        return len(set().union(*(one.crashed_attempts for one in members)))
+
     @property
     def done(self) -> bool:
         """Whether every task has ended as done."""
--- /dev/null
+++ b/libs/scheduler/src/jackdawlatch/scheduler/trials.py
@@ -0,0 +1,78 @@
+"""Keeps tasks that may crash their workers apart from other tasks."""
+
+import collections
+import itertools
+from collections.abc import Mapping
+
+from jackdawlatch.policy import crashes
+from jackdawlatch.scheduler import runs, tasks, workers
+
+
+class Trials:
+    """The workers on which suspected tasks have just been started.
+
+    Other tasks avoid these workers until the task has run for a while.  A task
+    that has crashed several workers has its worker to itself until then.
+    """
+
+    def __init__(
+        self,
+        candidates_by_service: Mapping[str, list[workers.Worker]],
+        now_s: float,
+    ) -> None:
+        self._tried: collections.Counter[str] = collections.Counter()
+        self._closed_by_worker: dict[str, tasks.StepState] = {}
+        self._closed_by_service: collections.Counter[str] = (
+            collections.Counter()
+        )
+        self._workers_by_service = candidates_by_service
+        for worker in itertools.chain(*candidates_by_service.values()):
+            for run in worker.health.suspects:
+                if _is_on_trial(run, now_s):
+                    self.begin(worker, run.task)
+
+    def tries(self, worker: workers.Worker) -> bool:
+        """Whether a suspected task has just been started on a worker."""
+        return self._tried[worker.entry.id] > 0
+
+    def admits(self, worker: workers.Worker, task: tasks.Task) -> bool:
+        """Whether a task may be started on a worker, beside its trial."""
+        step = self._closed_by_worker.get(worker.entry.id)
+        return step is None or (step is task.state and step.step.gang)
+
+    def is_full(self, task: tasks.Task) -> bool:
+        """Whether a suspected task waits until other trials have ended."""
+        if not _is_isolated(task):
+            return False
+        if task.step.gang and task.state in self._closed_by_worker.values():
+            return False
+        service = task.job.service
+        usable = sum(
+            worker.usable
+            for worker in self._workers_by_service.get(service, ())
+        )
+        return self._closed_by_service[service] >= crashes.max_trials(usable)
+
+    def begin(self, worker: workers.Worker, task: tasks.Task) -> None:
+        """Record that a suspected task is started on a worker."""
+        name = worker.entry.id
+        self._tried[name] += 1
+        if _is_isolated(task) and name not in self._closed_by_worker:
+            self._closed_by_worker[name] = task.state
+            self._closed_by_service[task.job.service] += 1
+
+    def cancel(self, worker: workers.Worker, task: tasks.Task) -> None:
+        """Undo ``begin``."""
+        name = worker.entry.id
+        self._tried[name] -= 1
+        if _is_isolated(task) and self._closed_by_worker.pop(name, None):
+            self._closed_by_service[task.job.service] -= 1
+
+
+def _is_isolated(task: tasks.Task) -> bool:
+    return crashes.is_isolated(task.state.crash_count(task))
+
+
+def _is_on_trial(run: runs.Run, now_s: float) -> bool:
+    # The run of a lost worker may have crashed it.
+    return not run.worker.reachable or not crashes.survives(run.age_s(now_s))
--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -1,8 +1,16 @@
 """Tracks which workers exist, and releases the runs of lost ones."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 
-from jackdawlatch.scheduler import cluster_state, reports, runs, workers
+from jackdawlatch.jobs import stored
+from jackdawlatch.scheduler import (
+    cluster_state,
+    crash_blame,
+    reports,
+    runs,
+    tasks,
+    workers,
+)
 
 
 class WorkerRegistry:
@@ -10,6 +18,7 @@
 
     def __init__(self, cluster: cluster_state.ClusterState) -> None:
         self._cluster = cluster
+        self._crash_blame = crash_blame.CrashBlame(cluster)
 
     def register(self, entry: reports.WorkerEntry) -> workers.Worker:
         """Add or update a worker; return the state of that boot."""
@@ -48,8 +57,12 @@
             return
         slack_s = 2 * self._cluster.dependencies.bounds.stop_s
         if self._cluster.now_s > worker.lease.end_s + slack_s:
+            doomed: list[tasks.JobState] = []
+            if not worker.registered:
+                doomed = self._crash_blame.blame(worker)
             for run in tuple(worker.runs_by_task.values()):
                 self._cluster.release(run, 'lease-over')
+            self._give_up(doomed)
 
     def remove_gone_workers(self) -> None:
         """Remove the workers that are not registered and have no runs."""
@@ -66,6 +79,7 @@
         old.reachable = False
         if old.runs_by_task:
             self._note_replaced(old, new)
+        doomed = self._crash_blame.blame(old)
         for run in tuple(old.runs_by_task.values()):
             if same_id and run.phase is not runs.RunPhase.RUNNING:
                 # A delayed start may still reach the new boot.
@@ -75,6 +89,12 @@
                 self._cluster.on_unsettled_run(run)
             else:
                 self._cluster.release(run, 'worker-replaced')
+        self._give_up(doomed)
+
+    def _give_up(self, jobs: Iterable[tasks.JobState]) -> None:
+        for job in jobs:
+            if not job.ended:
+                self._cluster.end_job(job, stored.JobPhase.FAILED)
 
     def _note_replaced(self, old: workers.Worker, new: workers.Worker) -> None:
         now_s = self._cluster.now_s
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -20,12 +20,14 @@
     """Recent failures of a worker, and how long it is suspended.
 
     ``lost_s`` is when it stopped answering, None while it answers.
+    ``suspects`` are its runs of tasks that may crash it.
     """
 
     def __init__(self) -> None:
         self.suspended_until_s: float = 0
         self.consecutive_failures = 0
         self.lost_s: float | None = None
+        self.suspects: set[runs.Run] = set()
 
     def suspend(self, until_s: float) -> None:
         """Place nothing on the worker until ``until_s``."""
@@ -113,12 +115,15 @@
         """Add a run and reserve its capacity."""
         self.runs_by_task[run.task.id] = run
         self.free = self.free.minus(run.task.step.reserved_room)
+        if run.task.suspected:
+            self.health.suspects.add(run)
 
     def drop(self, run: runs.Run) -> None:
         """Remove a run and free its capacity."""
         if self.runs_by_task.get(run.task.id) is run:
             self.runs_by_task.pop(run.task.id)
             self.free = self.free.plus(run.task.step.reserved_room)
+            self.health.suspects.discard(run)
 
     def update(self, entry: reports.WorkerEntry) -> None:
         """Apply a newer entry of the same boot."""
