Do not send a placed task to a worker whose capacity has shrunk

Checked by tests: `Worker.update` keeps every run, also those that are being stopped, so the free capacity becomes negative and nothing is placed, no filler task either; the same holds for a run that the next leader restores. These four tests passed without a change.

One way was open: a run is placed, its record is written, and the start is sent after that without another look at the capacity. With a slow store that is longer than users allow for. The start is withdrawn if the worker is overfull by then.

--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -10,7 +10,7 @@
 from absl import logging
 from returns import result
 
-from jackdawlatch.jobs import stored
+from jackdawlatch.jobs import model, stored
 from jackdawlatch.scheduler import (
     calls,
     clients,
@@ -166,6 +166,10 @@
         if run.worker.lease.record is not None:
             self._dependencies.cluster.release(run, 'lease-recorded')
             return
+        if not run.worker.free.fits(model.Room()):
+            # Its capacity has shrunk since the run was placed.
+            self._dependencies.cluster.release(run, 'no-capacity')
+            return
         run.worker.extend_lease(START_EXPIRY_S, self._clock.monotonic_s())
         run.phase = runs.RunPhase.ORDERED
         self._dependencies.spawn(self._start(run, ticket))
