Count crashes under a task that span changes of leaders

Isolated tasks waited until the worker that the one before had crashed was back, and a suspect that a second crash concerned was counted whatever its age.

Change: the unknown start of an earlier leader counts if the task has been started before without failing. A loss whose time is not known is no part of a mass loss. Suspects count only if they were started within a second before the loss, as all others. Isolated tasks may start on half of the usable workers, as long as more workers are left than lost to them.

--- a/libs/policy/src/jackdawlatch/policy/crashes.py
+++ b/libs/policy/src/jackdawlatch/policy/crashes.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 
 # A task that has run for this long does not crash its workers.
 SURVIVAL_S = 1.0
@@ -18,7 +19,7 @@
 # Crashes in a row after which a task is started on a worker of its own.
 ISOLATED_CRASHES = 2
 # Part of a service's workers on which isolated tasks may start at once.
-TRIAL_FRACTION = 0.25
+TRIAL_FRACTION = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -26,7 +27,8 @@
     """A run that was lost with its worker.
 
     ``confirmed_s`` is how long it is known to have run.  ``sent_before_s`` is
-    the time from its start request to the loss of the worker, and
+    the time from its start request to the loss of the worker, infinite if the
+    request is not known, and
     ``last_sent_before_s`` that of the last start on the same worker.
     ``lost_workers`` counts the workers that were lost at that time.
     """
@@ -42,12 +44,12 @@
     """Whether a run may have crashed its worker."""
     if survives(run.confirmed_s):
         return False
-    if run.suspected:
+    if run.suspected and math.isinf(run.sent_before_s):
         return True
     # A loss may be noticed late: the last start tells when the worker was up.
     lost_before_s = max(0, run.last_sent_before_s - SURVIVAL_S)
     recent = run.sent_before_s - lost_before_s <= SURVIVAL_S
-    return recent and run.lost_workers < MASS_LOSS
+    return recent and (run.suspected or run.lost_workers < MASS_LOSS)
 
 
 def survives(confirmed_s: float) -> bool:
@@ -65,6 +67,12 @@
     return crashes >= ISOLATED_CRASHES
 
 
-def max_trials(workers: int) -> int:
-    """Return on how many workers of a service isolated tasks may start."""
-    return max(1, int(workers * TRIAL_FRACTION))
+def may_isolate(usable: int, trying: int, lost: int) -> bool:
+    """Whether a service may start one more task on a worker of its own.
+
+    It has ``usable`` workers.  On ``trying`` others such a task has just
+    started, and ``lost`` ones are away after such a start.
+    """
+    if lost >= max(1, usable):
+        return False
+    return trying < max(1, int(usable * TRIAL_FRACTION))
--- a/libs/policy/tests/test_policy_crashes.py
+++ b/libs/policy/tests/test_policy_crashes.py
@@ -1,6 +1,7 @@
 """Replays crashes of workers, and which tasks are given up for them."""
 
 import dataclasses
+import math
 import random
 
 from jackdawlatch.policy import crashes
@@ -34,11 +35,19 @@
         assert crashes.is_blamed(lost) is suspected
 
 
+def test_unknown_start_is_blamed_on_suspects_only():
+    for suspected in (False, True):
+        lost = _lost(math.inf, suspected=suspected)
+        assert crashes.is_blamed(lost) is suspected
+
+
 def test_isolated_tasks_leave_workers_to_others():
-    for workers in (2, 3, 8, 100):
-        assert 0 < crashes.max_trials(workers) <= workers / 2
-    assert crashes.max_trials(1) == 1
-    assert not crashes.is_isolated(1)
+    for total in (1, 2, 3, 8, 100):
+        lost = 0
+        while crashes.may_isolate(total - lost, trying=0, lost=lost):
+            lost += 1
+        assert 0 < lost <= (total + 1) / 2
+    assert not crashes.may_isolate(usable=8, trying=4, lost=0)
 
 
 def test_only_the_deadly_task_is_given_up():
--- a/libs/scheduler/src/jackdawlatch/scheduler/crash_blame.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/crash_blame.py
@@ -28,10 +28,10 @@
         """
         if worker.cordoned or worker.entry.draining:
             return []
+        self._record_losses(worker)
         lost_s = worker.health.lost_s
         if lost_s is None:
             lost_s = self._cluster.now_s
-        self._record_losses(worker, lost_s)
         started = [
             run
             for run in worker.runs_by_task.values()
@@ -51,11 +51,13 @@
     ) -> bool:
         """Return whether the task of a run is given up."""
         task = run.task
+        inherited = _is_inherited(run)
         lost = crashes.LostRun(
             confirmed_s=run.confirmed_s,
-            sent_before_s=_sent_before_s(run, lost_s),
+            sent_before_s=math.inf if inherited else run.age_s(lost_s),
             last_sent_before_s=last_sent_before_s,
-            suspected=task.suspected,
+            # Crashes may have been missed while the leaders changed.
+            suspected=task.suspected or (inherited and _was_lost_before(task)),
             lost_workers=sum(
                 abs(other_s - lost_s) <= crashes.TOGETHER_S
                 for other_s in self._lost_s_by_boot.values()
@@ -70,22 +72,23 @@
         self._cluster.note('crash-under', run, f'{count} in a row')
         return crashes.is_given_up(count)
 
-    def _record_losses(self, worker: workers.Worker, lost_s: float) -> None:
-        """Remember a loss, and those of other workers that are still away."""
-        self._lost_s_by_boot[_boot(worker)] = lost_s
-        for other in self._cluster.workers_by_id.values():
-            if other.health.lost_s is not None and other.runs_by_task:
-                self._lost_s_by_boot[_boot(other)] = other.health.lost_s
+    def _record_losses(self, worker: workers.Worker) -> None:
+        """Remember when a worker was lost, and others that are still away."""
+        for lost in (worker, *self._cluster.workers_by_id.values()):
+            lost_s = lost.health.lost_s
+            if lost_s is not None and lost.runs_by_task:
+                boot = (lost.entry.id, lost.entry.born_ms)
+                self._lost_s_by_boot[boot] = lost_s
         while len(self._lost_s_by_boot) > MAX_LOSSES:
             self._lost_s_by_boot.popitem(last=False)
 
 
-def _sent_before_s(run: runs.Run, lost_s: float) -> float:
-    if run.phase is runs.RunPhase.UNSETTLED and run.settled_after_s is not None:
-        # An earlier leader sent the start, at an unknown time.
-        return math.inf
-    return run.age_s(lost_s)
+def _is_inherited(run: runs.Run) -> bool:
+    """Whether an earlier leader sent the start, and nothing is known since."""
+    unsettled = run.phase is runs.RunPhase.UNSETTLED
+    return unsettled and run.settled_after_s is not None
 
 
-def _boot(worker: workers.Worker) -> tuple[str, int]:
-    return (worker.entry.id, worker.entry.born_ms)
+def _was_lost_before(task: tasks.Task) -> bool:
+    """Whether an earlier attempt ended without having failed."""
+    return task.attempt > 1 + len(task.failed_attempts)
--- a/libs/scheduler/src/jackdawlatch/scheduler/trials.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/trials.py
@@ -25,11 +25,11 @@
         self._closed_by_service: collections.Counter[str] = (
             collections.Counter()
         )
+        self._lost_by_service: collections.Counter[str] = collections.Counter()
         self._workers_by_service = candidates_by_service
         for worker in itertools.chain(*candidates_by_service.values()):
             for run in worker.health.suspects:
-                if _is_on_trial(run, now_s):
-                    self.begin(worker, run.task)
+                self._add(run, now_s)
 
     def tries(self, worker: workers.Worker) -> bool:
         """Whether a suspected task has just been started on a worker."""
@@ -51,7 +51,11 @@
             worker.usable
             for worker in self._workers_by_service.get(service, ())
         )
-        return self._closed_by_service[service] >= crashes.max_trials(usable)
+        return not crashes.may_isolate(
+            usable,
+            self._closed_by_service[service],
+            self._lost_by_service[service],
+        )
 
     def begin(self, worker: workers.Worker, task: tasks.Task) -> None:
         """Record that a suspected task is started on a worker."""
@@ -68,11 +72,14 @@
         if _is_isolated(task) and self._closed_by_worker.pop(name, None):
             self._closed_by_service[task.job.service] -= 1
 
+    def _add(self, run: runs.Run, now_s: float) -> None:
+        if not run.worker.reachable:
+            # It may have crashed the worker.
+            if _is_isolated(run.task):
+                self._lost_by_service[run.task.job.service] += 1
+        elif not crashes.survives(run.age_s(now_s)):
+            self.begin(run.worker, run.task)
+
 
 def _is_isolated(task: tasks.Task) -> bool:
     return crashes.is_isolated(task.state.crash_count(task))
-
-
-def _is_on_trial(run: runs.Run, now_s: float) -> bool:
-    # The run of a lost worker may have crashed it.
-    return not run.worker.reachable or not crashes.survives(run.age_s(now_s))
--- a/libs/scheduler/tests/test_scheduler_crashes.py
+++ b/libs/scheduler/tests/test_scheduler_crashes.py
@@ -385,18 +385,39 @@
     assert len(placed) == 6
 
 
-def test_run_taken_over_is_blamed_on_suspects_only(fleet):
-    for job_id, crashed_attempts in (('new', ()), ('suspect', (1,))):
+def test_repeated_start_of_an_earlier_leader_is_blamed(fleet):
+    for job_id, attempt, crashed_attempts, count in (
+        ('first', 1, (), 0),
+        ('again', 2, (), 1),
+        ('suspect', 2, (1,), 2),
+    ):
         born_ms = fleet.boot(job_id).entry.born_ms
         known = stored.TaskProgress(
-            0, 0, 0, 2, (), False, job_id, born_ms, '', crashed_attempts
+            0, 0, 0, attempt, (), False, job_id, born_ms, '', crashed_attempts
         )
         fleet.loader.add(
             benches.job(job_id), stored.Progress(tasks=(known,)), 1
         )
         fleet.boot(job_id)
         task = fleet.cluster.task(benches.task(job_id))
-        assert len(task.crashed_attempts) == 2 * len(crashed_attempts), job_id
+        assert len(task.crashed_attempts) == count, job_id
+
+
+def test_ends_of_leases_at_takeover_are_no_mass_loss(fleet):
+    known = [
+        stored.TaskProgress(0, 0, 0, 1, worker=f'gone{number}', born_ms=1)
+        for number in range(crashes.MASS_LOSS)
+    ]
+    for number, progress in enumerate(known):
+        fleet.loader.add(
+            benches.job(f'j{number}'), stored.Progress(tasks=(progress,)), 1
+        )
+    fleet.clock.advance(9)
+    for worker in tuple(fleet.cluster.workers_by_id.values()):
+        fleet.registry.release_expired_runs(worker)
+    task = fleet.add_job()
+    fleet.crash_under(task, 1)
+    assert task.suspected
 
 
 def _suspected_step(task: tasks.Task, crash_count: int) -> tasks.StepState:
