--- a/libs/policy/src/jackdawlatch/policy/crashes.py
+++ b/libs/policy/src/jackdawlatch/policy/crashes.py
@@ -2,8 +2,9 @@
 
 Load pattern: a few tasks that crash their worker soon after each start, among
 many short ones that are lost with it.  A crash makes a suspect of each task
-that had just started there.  Other tasks avoid its next worker, so that most of the
-suspects are cleared soon; a task whose second worker crashes is started alone.
+that had just started there.  Other tasks avoid its next worker, so that most
+suspects are cleared soon; nothing is started beside a task whose second worker
+has crashed.
 """
 
 import dataclasses
@@ -16,7 +17,7 @@
 # Workers lost within ``TOGETHER_S`` have a cause outside of their tasks.
 MASS_LOSS = 4
 TOGETHER_S = 0.05
-# Crashes in a row after which a task is started on a worker of its own.
+# Crashes in a row after which nothing else is started beside a task.
 ISOLATED_CRASHES = 2
 # Part of a service's workers on which isolated tasks may start at once.
 TRIAL_FRACTION = 0.5
@@ -27,10 +28,9 @@
     """A run that was lost with its worker.
 
     ``confirmed_s`` is how long it is known to have run.  ``sent_before_s`` is
-    the time from its start request to the loss of the worker, infinite if the
-    request is not known, and
-    ``last_sent_before_s`` that of the last start on the same worker.
-    ``lost_workers`` counts the workers that were lost at that time.
+    the time from its start request to the loss of the worker, infinite if an
+    earlier leader sent it.  ``last_sent_before_s`` is that of the last start on
+    the same worker.  ``lost_workers`` counts the workers lost at that time.
     """
 
     confirmed_s: float
--- a/libs/scheduler/src/jackdawlatch/scheduler/trials.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/trials.py
@@ -69,7 +69,8 @@
         """Undo ``begin``."""
         name = worker.entry.id
         self._tried[name] -= 1
-        if _is_isolated(task) and self._closed_by_worker.pop(name, None):
+        if _is_isolated(task) and name in self._closed_by_worker:
+            self._closed_by_worker.pop(name)
             self._closed_by_service[task.job.service] -= 1
 
     def _add(self, run: runs.Run, now_s: float) -> None:
