Adapt the tests of crashes to the fields of a lease record

The progress of a task got machine and lease_left_s before crashed_attempts; one test gave the fields by position. The capacity tests register another capacity through add_entry. No check changes.

--- a/libs/scheduler/tests/scheduler_bench.py
+++ b/libs/scheduler/tests/scheduler_bench.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import io
 import os
 import tempfile
@@ -135,10 +134,6 @@
         self.entries_by_id[entry.id] = entry
         self._put(f'workers/{entry.id}', entry.id.encode())
 
-    def resize_worker(self, name: str, room: model.Room) -> None:
-        """Register another capacity of the same boot of a worker."""
-        self.add_entry(dataclasses.replace(self.entries_by_id[name], room=room))
-
     def remove_worker(self, name: str) -> None:
         """Remove the registration of a worker that goes on answering."""
         self.store.content.commit(
--- a/libs/scheduler/tests/test_scheduler_capacity.py
+++ b/libs/scheduler/tests/test_scheduler_capacity.py
@@ -72,10 +72,10 @@
         async with bench.lead() as leader:
             bench.submit(benches.job())
             await waiting.until(lambda: _placed(leader))
-            bench.resize_worker('w1', model.Room(processors_m=500))
+            _resize(bench, 500)
             await asyncio.sleep(0.4)
             assert not worker.started_runs
-            bench.resize_worker('w1', model.Room(processors_m=1000))
+            _resize(bench, 1000)
             await waiting.until(lambda: worker.running)
 
 
@@ -133,4 +133,11 @@
     )
 
 
+def _resize(bench: benches.Bench, processors_m: int) -> None:
+    """Register another capacity of the same boot of a worker."""
+    room = model.Room(processors_m=processors_m)
+    entry = dataclasses.replace(bench.entries_by_id['w1'], room=room)
+    bench.add_entry(entry)
+
+
 load_tests = functions.loader(__name__, {'bench': benches.bench})
--- a/libs/scheduler/tests/test_scheduler_crashes.py
+++ b/libs/scheduler/tests/test_scheduler_crashes.py
@@ -394,7 +394,13 @@
     ):
         born_ms = fleet.boot(job_id).entry.born_ms
         known = stored.TaskProgress(
-            0, 0, 0, attempt, (), False, job_id, born_ms, '', crashed_attempts
+            0,
+            0,
+            0,
+            attempt,
+            worker=job_id,
+            born_ms=born_ms,
+            crashed_attempts=crashed_attempts,
         )
         fleet.loader.add(
             benches.job(job_id), stored.Progress(tasks=(known,)), 1
