Count workers only for the waits that are logged

Cause: once a second every unplaced step was explained, though five lines are written at most; and the group of services without workers was shared by all rounds, so that its needs piled up. Both found by review.

Change: the longest waits are chosen first; each round has its own group. No decision changes.

--- a/libs/scheduler/src/jackdawlatch/scheduler/placing.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/placing.py
@@ -60,7 +60,7 @@
         step_advisor: advisor.Advisor | None,
         late: bool = False,
     ) -> None:
-        self._state = state
+        self.state = state
         self._step = state.step
         self._service = state.tasks[0].job.service
         self._reservations = reserved
@@ -83,31 +83,31 @@
     @property
     def waiting_count(self) -> int:
         """How many tasks waited before ``place``."""
-        return self._state.waiting_count()
+        return self.state.waiting_count()
 
     def place(self) -> list[Placement]:
         """Return the placements; a gang is placed whole or not at all."""
         waiting = [
             task
-            for task in self._state.tasks
+            for task in self.state.tasks
             if task.phase is tasks.TaskPhase.WAITING
         ]
         if self._advisor is not None:
-            self._tickets = self._advisor.tickets(self._state)
+            self._tickets = self._advisor.tickets(self.state)
         self._counts_by_worker.update(
             task.run.worker.entry.id
-            for task in self._state.tasks
+            for task in self.state.tasks
             if task.run is not None
         )
         gang = self._step.gang
-        if gang and len(waiting) < len(self._state.tasks):
+        if gang and len(waiting) < len(self.state.tasks):
             return []
         assigned = self._assign_step(waiting)
         if gang and len(assigned) < len(waiting):
             self._release(assigned)
             return []
         # The members of a gang share one attempt number.
-        last_attempt = max(task.attempt for task in self._state.tasks)
+        last_attempt = max(task.attempt for task in self.state.tasks)
         return [
             Placement(
                 task,
@@ -137,7 +137,7 @@
             ),
             WaitReason.RESTRICTED,
         )
-        return Wait(self._state, reason, counts)
+        return Wait(self.state, reason, counts)
 
     def _assign_step(self, waiting: list[tasks.Task]) -> Assignments:
         if not self._step.same_rack:
--- a/libs/scheduler/src/jackdawlatch/scheduler/planner.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/planner.py
@@ -33,10 +33,6 @@
             if len(placed) < placer.waiting_count:
                 self.unplaced.append(placer)
 
-    def waits(self) -> list[placing.Wait]:
-        """Return why each of the unplaced steps waits."""
-        return [placer.wait() for placer in self.unplaced]
-
 
 @dataclasses.dataclass(frozen=True)
 class _Ready:
--- a/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
@@ -51,6 +51,7 @@
             service: _groups(_available(candidates, now_s), withheld)
             for service, candidates in candidates_by_service.items()
         }
+        self._no_workers = _groups([], ())
         self._free_by_worker: dict[str, model.Room] = {}
         self.trials = trials.Trials(candidates_by_service, now_s)
 
@@ -116,7 +117,7 @@
         return self._groups(service)[late]
 
     def _groups(self, service: str) -> tuple[_Group, _Group]:
-        return self._groups_by_service.get(service, (NO_WORKERS, NO_WORKERS))
+        return self._groups_by_service.get(service, self._no_workers)
 
 
 def _largest(rooms: Iterable[model.Room]) -> model.Room:
@@ -152,6 +153,3 @@
     if len(open_to_late) == len(available):
         return everything, everything
     return everything, _Group(open_to_late)
-
-
-NO_WORKERS = _Group([])
--- a/libs/scheduler/src/jackdawlatch/scheduler/rounds.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/rounds.py
@@ -93,4 +93,4 @@
         )
         self._dependencies.dispatcher.place(plan.placements)
         if self._wait_reporter.due:
-            self._wait_reporter.report(plan.waits())
+            self._wait_reporter.report(plan.unplaced)
--- a/libs/scheduler/src/jackdawlatch/scheduler/waiting.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waiting.py
@@ -23,14 +23,14 @@
         """Whether the last report is a period ago."""
         return self._cluster.now_s - self._reported_s >= PERIOD_S
 
-    def report(self, waits: Iterable[placing.Wait]) -> None:
-        """Note the longest of the current waits."""
+    def report(self, unplaced: Iterable[placing.StepPlacer]) -> None:
+        """Note the longest waits of the steps that were not placed."""
         now_s = self._cluster.now_s
         self._reported_s = now_s
-        waits_by_step = {wait.state: wait for wait in waits}
+        placers_by_step = {placer.state: placer for placer in unplaced}
         self._since_s_by_step = {
             state: self._since_s_by_step.get(state, now_s)
-            for state in waits_by_step
+            for state in placers_by_step
         }
         long_waits = [
             (not state.step.lasting, since_s, number, state)
@@ -40,7 +40,9 @@
             if now_s - since_s >= LONG_WAIT_S
         ]
         for _, since_s, _, state in sorted(long_waits)[:MAX_LINES]:
-            self._note(waits_by_step[state], now_s - since_s, len(long_waits))
+            self._note(
+                placers_by_step[state].wait(), now_s - since_s, len(long_waits)
+            )
 
     def _note(
         self, wait: placing.Wait, waited_s: float, wait_count: int
@@ -63,5 +65,6 @@
             usable=wait.counts.usable,
             available=wait.counts.available,
             fitting=wait.counts.fitting,
+            open=wait.counts.open,
             waits=wait_count,
         )
--- a/libs/scheduler/tests/test_scheduler_decisions.py
+++ b/libs/scheduler/tests/test_scheduler_decisions.py
@@ -192,7 +192,7 @@
         )
         plan = planner.plan(backlog, {'s': [worker]}, now)
         assert len(plan.placements) == free_cores
-        assert len(list(plan.waits())) == len(backlog) - free_cores
+        assert len(plan.unplaced) == len(backlog) - free_cores
         assert order.count == ordered
 
 
--- a/libs/scheduler/tests/test_scheduler_waits.py
+++ b/libs/scheduler/tests/test_scheduler_waits.py
@@ -89,7 +89,7 @@
                 now,
                 withheld,
             )
-            self.reporter.report(plan.waits())
+            self.reporter.report(plan.unplaced)
             self.clock.advance(1)
 
     def lines(self) -> list[dict[str, object]]:
