--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -118,7 +118,7 @@
     Mutation(
         'a lost task is not restarted before its lease ends',
         'scheduler/worker_registry.py',
-        'if self._cluster.now_s > worker.lease_end_s + slack_s:',
+        'if self._cluster.now_s > worker.lease.end_s + slack_s:',
         'if True:',
         'scheduler',
         'test_lost_task_is_not_restarted',
@@ -175,7 +175,7 @@
     Mutation(
         'a lost task is not restarted before its lease ends, randomized',
         'scheduler/worker_registry.py',
-        'if self._cluster.now_s > worker.lease_end_s + slack_s:',
+        'if self._cluster.now_s > worker.lease.end_s + slack_s:',
         'if True:',
         'scheduler',
         'test_leaders_keep_their_guarantees',
@@ -207,8 +207,8 @@
     Mutation(
         'late jobs make room for others',
         'scheduler/planner.py',
-        'closed = withheld if late else ()',
-        'closed = ()',
+        'placing.StepPlacer(state, free, step_advisor, late)',
+        'placing.StepPlacer(state, free, step_advisor)',
         'scheduler',
         'test_late_job_waits',
     ),
