Name the machines of a pool for what they are, and reword two comments

Found on reading the diff as a newcomer: BusyMachine also held idle machines; two comments used words that a reader would stop at. No decision changes.

--- a/libs/policy/src/jackdawlatch/policy/crashes.py
+++ b/libs/policy/src/jackdawlatch/policy/crashes.py
@@ -46,7 +46,7 @@
         return False
     if run.suspected and math.isinf(run.sent_before_s):
         return True
-    # A loss may be noticed late: the last start tells when the worker was up.
+    # A loss may be noticed late: the worker was up at its last start.
     lost_before_s = max(0, run.last_sent_before_s - SURVIVAL_S)
     recent = run.sent_before_s - lost_before_s <= SURVIVAL_S
     return recent and (run.suspected or run.lost_workers < MASS_LOSS)
--- a/libs/policy/src/jackdawlatch/policy/transfers.py
+++ b/libs/policy/src/jackdawlatch/policy/transfers.py
@@ -25,8 +25,8 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class BusyMachine:
-    """A machine with its runs; one with lasting runs does not become idle."""
+class PoolMachine:
+    """A machine of a pool, idle or not; lasting runs keep it from moving."""
 
     id: str
     service: str
@@ -92,10 +92,10 @@
 
 
 def vacate(
-    machines: Sequence[BusyMachine],
+    machines: Sequence[PoolMachine],
     surplus_by_service: Mapping[str, int],
     missing: int,
-) -> list[BusyMachine]:
+) -> list[PoolMachine]:
     """Return the machines to keep free of late jobs, so that they can move.
 
     ``missing`` machines are lacked by services with jobs that can be in time.
--- a/libs/policy/src/jackdawlatch/policy/withholding.py
+++ b/libs/policy/src/jackdawlatch/policy/withholding.py
@@ -24,7 +24,7 @@
     def __init__(self) -> None:
         self._begun_s_by_service: dict[str, float] = {}
         self._idle_since_s_by_machine: dict[str, float] = {}
-        self._chosen: tuple[transfers.BusyMachine, ...] = ()
+        self._chosen: tuple[transfers.PoolMachine, ...] = ()
 
     def machines(self, now_s: float) -> frozenset[str]:
         """Return the machines that are withheld at a time."""
@@ -35,9 +35,9 @@
         )
 
     def replace(
-        self, chosen: Iterable[transfers.BusyMachine], now_s: float
+        self, chosen: Iterable[transfers.PoolMachine], now_s: float
     ) -> None:
-        """Withhold the chosen machines for as long as each of them may be."""
+        """Replace the machines to withhold, each within its time limits."""
         self._chosen = tuple(chosen)
         for machine in self._chosen:
             begun_s = self._begun_s_by_service.get(machine.service)
@@ -50,7 +50,7 @@
         }
 
     def _is_withheld(
-        self, machine: transfers.BusyMachine, now_s: float
+        self, machine: transfers.PoolMachine, now_s: float
     ) -> bool:
         withheld_s = now_s - self._begun_s_by_service[machine.service]
         idle_since_s = self._idle_since_s_by_machine.get(machine.id, now_s)
--- a/libs/policy/tests/test_policy_withholding.py
+++ b/libs/policy/tests/test_policy_withholding.py
@@ -80,8 +80,8 @@
 
 def _machine(
     name: str, run_count: int = 0, lasting_count: int = 0
-) -> transfers.BusyMachine:
-    return transfers.BusyMachine(name, 'a', run_count, lasting_count)
+) -> transfers.PoolMachine:
+    return transfers.PoolMachine(name, 'a', run_count, lasting_count)
 
 
 load_tests = functions.loader(__name__)
--- a/libs/scheduler/src/jackdawlatch/scheduler/fleet.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/fleet.py
@@ -40,10 +40,10 @@
             if not worker.runs_by_task
         }
 
-    def busy_machines(self) -> list[transfers.BusyMachine]:
+    def pool_machines(self) -> list[transfers.PoolMachine]:
         """Return the machines of all usable workers, idle ones included."""
         return [
-            transfers.BusyMachine(
+            transfers.PoolMachine(
                 worker.entry.machine,
                 worker.entry.service,
                 run_count=len(worker.runs_by_task),
--- a/libs/scheduler/src/jackdawlatch/scheduler/pools.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/pools.py
@@ -119,7 +119,7 @@
         )
         before = self._withholding.machines(now_s)
         self._withholding.replace(
-            transfers.vacate(self._fleet.busy_machines(), surplus, missing),
+            transfers.vacate(self._fleet.pool_machines(), surplus, missing),
             now_s,
         )
         withheld = self._withholding.machines(now_s)
