Log when workers with runs announce their departure, and the leases of a takeover

The incident's record could not tell whether a lost lasting task waited for an announced departure, for a lease that a new leader assumed, or for a place: no line named its worker.

--- a/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
@@ -97,6 +97,7 @@
             worker.registered = False
             self._cluster.workers_by_id[progress.worker] = worker
         now_s = self._cluster.now_s
+        end_s = worker.lease.end_s
         if progress.lease_left_s is None:
             longest_s = self._cluster.dependencies.bounds.lease_s
             worker.extend_lease(polling.granted_lease_s(longest_s), now_s)
@@ -107,4 +108,11 @@
             worker.lease.end_s = max(
                 worker.lease.end_s, now_s + progress.lease_left_s
             )
+        if worker.lease.end_s > end_s:
+            self._cluster.dependencies.log.note(
+                'lease-assumed',
+                worker=worker.entry.id,
+                left_s=round(worker.lease.end_s - now_s, 3),
+                recorded=progress.lease_left_s is not None,
+            )
         return worker
--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -26,6 +26,8 @@
         known = by_id.get(entry.id)
         if known is not None and known.entry.born_ms == entry.born_ms:
             known.registered = True
+            if entry.draining and not known.entry.draining:
+                self._note_departure('worker-draining', known)
             known.update(entry)
             self._cluster.on_change()
             return known
@@ -43,6 +45,8 @@
         """Mark a worker whose entry was deleted."""
         known = self._cluster.workers_by_id.get(worker_id)
         if known is not None:
+            if known.runs_by_task:
+                self._note_departure('worker-unregistered', known)
             known.registered = False
 
     def retain(self, worker_ids: Collection[str]) -> None:
@@ -96,6 +100,17 @@
             if not job.ended:
                 self._cluster.end_job(job, stored.JobPhase.FAILED)
 
+    def _note_departure(self, event: str, worker: workers.Worker) -> None:
+        self._cluster.dependencies.log.note(
+            event,
+            worker=worker.entry.id,
+            machine=worker.entry.machine,
+            runs=len(worker.runs_by_task),
+            lasting=workers.lasting_count(worker),
+            draining=worker.entry.draining,
+            reachable=worker.reachable,
+        )
+
     def _note_replaced(self, old: workers.Worker, new: workers.Worker) -> None:
         now_s = self._cluster.now_s
         lost_s = now_s if old.health.lost_s is None else old.health.lost_s
