--- a/libs/scheduler/src/jackdawlatch/scheduler/reports.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reports.py
@@ -22,7 +22,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class WorkerEntry:
-    """The registration of a worker; ``born_ms`` identifies one boot of ``id``."""
+    """The registration of a worker; ``born_ms`` identifies one boot of ``id``.
+
+    ``remaining_s`` is how long a draining worker stays at least, counted from
+    its report; None if that is unknown.
+    """
 
     id: str
     born_ms: int
@@ -34,6 +38,7 @@
     labels: tuple[str, ...] = ()
     rack: str = ''
     draining: bool = False
+    remaining_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -27,7 +27,9 @@
         if known is not None and known.entry.born_ms == entry.born_ms:
             known.registered = True
             if entry.draining and not known.entry.draining:
-                self._note_departure('worker-draining', known)
+                self._note_departure(
+                    'worker-draining', known, remaining_s=entry.remaining_s or 0
+                )
             known.update(entry)
             self._cluster.on_change()
             return known
@@ -100,7 +102,9 @@
             if not job.ended:
                 self._cluster.end_job(job, stored.JobPhase.FAILED)
 
-    def _note_departure(self, event: str, worker: workers.Worker) -> None:
+    def _note_departure(
+        self, event: str, worker: workers.Worker, **details: float
+    ) -> None:
         self._cluster.dependencies.log.note(
             event,
             worker=worker.entry.id,
@@ -109,6 +113,7 @@
             lasting=workers.lasting_count(worker),
             draining=worker.entry.draining,
             reachable=worker.reachable,
+            **details,
         )
 
     def _note_replaced(self, old: workers.Worker, new: workers.Worker) -> None:
