--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -25,13 +25,7 @@
         by_id = self._cluster.workers_by_id
         known = by_id.get(entry.id)
         if known is not None and known.entry.born_ms == entry.born_ms:
-            known.registered = True
-            if entry.draining and not known.entry.draining:
-                self._note_departure(
-                    'worker-draining', known, remaining_s=entry.remaining_s or 0
-                )
-            known.update(entry)
-            self._cluster.on_change()
+            self._update(known, entry)
             return known
         worker = workers.Worker(entry)
         by_id[entry.id] = worker
@@ -77,6 +71,17 @@
             if not worker.registered and not worker.runs_by_task:
                 by_id.pop(worker.entry.id)
 
+    def _update(
+        self, known: workers.Worker, entry: reports.WorkerEntry
+    ) -> None:
+        known.registered = True
+        if entry.draining and not known.entry.draining:
+            self._note_departure(
+                'worker-draining', known, remaining_s=entry.remaining_s or 0
+            )
+        known.update(entry)
+        self._cluster.on_change()
+
     def _replace(self, old: workers.Worker, new: workers.Worker) -> None:
         same_id = old.entry.id == new.entry.id
         if not same_id:
