Move tasks away from workers that announce their departure

Callers saw a lasting task that did not run for 13.4 s (LOST), though the worker it ran on had announced 4 s before that it would leave, and others had room.

Cause: a draining worker got no new starts, and nothing else. What ran on it ended with it, and was restarted only once its lease was certainly over: 6.12 s and twice the time of a stop, later still when leaders changed meanwhile.

Ruled out: machines that we move or maintain, which have no runs; lack of room: the task started 10 ms after its release.

Change: lasting tasks on a draining worker are stopped as soon as another worker has room and the availability of their step allows it, so that they start there at once. What would outlast the notice is stopped just before its end. Where the availability of a step holds back the next stop, the workers that its tasks were moved to are polled, since a waiting poll shows only later that a task serves.

--- /dev/null
+++ b/libs/scheduler/src/jackdawlatch/scheduler/departures.py
@@ -0,0 +1,176 @@
+"""Moves tasks away from workers that have announced their departure."""
+
+import asyncio
+import collections
+import dataclasses
+import math
+from collections.abc import Callable, Iterable
+
+from jackdawlatch.policy import departures as policy
+from jackdawlatch.scheduler import (
+    cluster_state,
+    dispatch,
+    reservations,
+    runs,
+    waves,
+    workers,
+)
+
+PERIOD_S = 0.1
+# How often a worker is asked whether a task that was moved there serves.
+REFRESH_S = 0.3
+
+
+@dataclasses.dataclass(frozen=True)
+class Dependencies:
+    """Collaborators of the departures."""
+
+    cluster: cluster_state.ClusterState
+    dispatcher: dispatch.Dispatcher
+    leading: Callable[[], bool]
+
+
+@dataclasses.dataclass(frozen=True)
+class _Notice:
+    """What a worker announced, and until when it stays at least."""
+
+    remaining_s: float | None
+    departure_s: float
+
+
+class Departures:
+    """Stops the runs of leaving workers, which then start elsewhere."""
+
+    def __init__(self, dependencies: Dependencies) -> None:
+        self._dependencies = dependencies
+        self._cluster = dependencies.cluster
+        self._notices_by_worker: dict[workers.Worker, _Notice] = {}
+
+    async def run(self) -> None:
+        """Move tasks until cancelled."""
+        while True:
+            if self._dependencies.leading():
+                self._check_workers()
+                await self._refresh()
+            await asyncio.sleep(PERIOD_S)
+
+    def _check_workers(self) -> None:
+        leaving = [
+            worker
+            for worker in self._cluster.workers_by_id.values()
+            if worker.entry.draining and worker.runs_by_task
+        ]
+        self._notices_by_worker = {
+            worker: self._notice(worker) for worker in leaving
+        }
+        if not leaving:
+            return
+        reserved = self._reservations(leaving)
+        for worker in sorted(leaving, key=self._remaining_s):
+            for run in tuple(worker.runs_by_task.values()):
+                if run.phase is runs.RunPhase.RUNNING:
+                    self._check(run, reserved)
+
+    def _check(
+        self, run: runs.Run, reserved: reservations.Reservations
+    ) -> None:
+        remaining_s = self._remaining_s(run.worker)
+        held = policy.HeldRun(
+            lasting=run.task.step.lasting,
+            left_s=self._left_s(run),
+            replaceable=run.task.step.lasting and _replace(run, reserved),
+        )
+        stop_s = self._cluster.dependencies.bounds.stop_s
+        if policy.must_stop(held, remaining_s, stop_s):
+            self._cluster.note('evacuated', run, f'{remaining_s:.1f} s left')
+            self._dependencies.dispatcher.stop(run.worker, run.run_id)
+
+    def _reservations(
+        self, leaving: Iterable[workers.Worker]
+    ) -> reservations.Reservations:
+        """Return the room of all workers, less that of the tasks on their way."""
+        candidates: dict[str, list[workers.Worker]] = {}
+        for worker in self._cluster.workers_by_id.values():
+            candidates.setdefault(worker.entry.service, []).append(worker)
+        reserved = reservations.Reservations(candidates, self._cluster.now_s)
+        for worker in leaving:
+            for run in worker.runs_by_task.values():
+                if run.phase is runs.RunPhase.STOPPING:
+                    _reserve(run, reserved)
+        return reserved
+
+    def _notice(self, worker: workers.Worker) -> _Notice:
+        """Return the known notice of a worker, unless it reports a new one."""
+        known = self._notices_by_worker.get(worker)
+        remaining_s = worker.entry.remaining_s
+        if known is not None and known.remaining_s == remaining_s:
+            return known
+        if remaining_s is None:
+            return _Notice(None, math.inf)
+        return _Notice(remaining_s, self._cluster.now_s + remaining_s)
+
+    def _remaining_s(self, worker: workers.Worker) -> float:
+        notice = self._notices_by_worker[worker]
+        return notice.departure_s - self._cluster.now_s
+
+    def _left_s(self, run: runs.Run) -> float:
+        if run.task.step.lasting or run.task.started_s is None:
+            return math.inf
+        return policy.left_s(
+            run.age_s(self._cluster.now_s),
+            run.age_s(run.last_progress_s),
+            run.percent,
+        )
+
+    async def _refresh(self) -> None:
+        """Poll the workers whose answers decide whether more may be stopped.
+
+        The polls that wait for an end would show only later that a task serves.
+        """
+        now_s = self._cluster.now_s
+        blocked = {
+            run.task.state
+            for worker in self._notices_by_worker
+            for run in worker.runs_by_task.values()
+            if run.task.step.lasting and not waves.may_stop(run.task)
+        }
+        due = {
+            task.run.worker
+            for state in blocked
+            for task in state.tasks
+            if task.run is not None and _is_starting(task.run)
+        }
+        await asyncio.gather(
+            *(
+                self._dependencies.dispatcher.poll(worker, None, 0)
+                for worker in due
+                if now_s - worker.last_poll_s >= REFRESH_S
+            )
+        )
+
+
+def _is_starting(run: runs.Run) -> bool:
+    """Whether a lasting task was started, but is not known to serve."""
+    running = run.phase is runs.RunPhase.RUNNING
+    return running and run.worker.reachable and not run.serving
+
+
+def _replace(run: runs.Run, reserved: reservations.Reservations) -> bool:
+    """Reserve room elsewhere for a lasting task that may be stopped."""
+    return waves.may_stop(run.task) and _reserve(run, reserved)
+
+
+def _reserve(run: runs.Run, reserved: reservations.Reservations) -> bool:
+    """Reserve room for the task of a run; return whether there was any."""
+    task = run.task
+    step = task.step
+    count_by_worker = collections.Counter(
+        other.run.worker.entry.id
+        for other in task.state.tasks
+        if other.run is not None
+    )
+    for worker in reserved.candidates(task.job.service, step, late=False):
+        if not 0 < step.max_per_worker <= count_by_worker[worker.entry.id]:
+            reserved.reserve(worker, step.reserved_room)
+            return True
+    return False
--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -30,6 +30,7 @@
     waves,
     worker_registry,
 )
+from jackdawlatch.scheduler import departures as worker_departures
 from jackdawlatch.scheduler import pools as machine_pools
 from jackdawlatch.store import following, keyvalue, transactions
 from jackdawlatch.telemetry import decisions
@@ -199,6 +200,11 @@
             self._pools.run,
             *self._rounds.loops(),
             health.StallDetector(self.cluster, self._leading).run,
+            worker_departures.Departures(
+                worker_departures.Dependencies(
+                    self.cluster, self._dispatcher, self._leading
+                )
+            ).run,
             functools.partial(self._pacer.run, self.cluster.workers_by_id),
         )
         for loop in loops:
--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -75,11 +75,12 @@
         self, known: workers.Worker, entry: reports.WorkerEntry
     ) -> None:
         known.registered = True
-        if entry.draining and not known.entry.draining:
+        announced = entry.draining and not known.entry.draining
+        known.update(entry)
+        if announced:
             self._note_departure(
                 'worker-draining', known, remaining_s=entry.remaining_s or 0
             )
-        known.update(entry)
         self._cluster.on_change()
 
     def _replace(self, old: workers.Worker, new: workers.Worker) -> None:
