Let a next leader assume that notices of leaving workers are old

Callers would see a task wait for a lease although its worker had announced that it leaves: the evacuation came too late by up to 1.5 s.

Cause: the time that a draining worker stays counts from its report, and a new leader counted it from when it read the report.

Change: a leader takes the notices that it finds when it begins as one report period old. Later reports come through the watch, without delay.

The test failed before.

--- a/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
@@ -14,11 +14,13 @@
     """Documented limits of the platform, in seconds.
 
     ``lease_s`` is the longest lease of a worker, ``stop_s`` the longest time
-    that stopping a run takes.
+    that stopping a run takes, and ``report_s`` the time between two updates of
+    a worker's registration.
     """
 
     lease_s: float
     stop_s: float
+    report_s: float = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/scheduler/src/jackdawlatch/scheduler/departures.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/departures.py
@@ -45,6 +45,8 @@
         self._dependencies = dependencies
         self._cluster = dependencies.cluster
         self._notices_by_worker: dict[workers.Worker, _Notice] = {}
+        # A new leader reads notices that workers may have reported before.
+        self._report_age_s = dependencies.cluster.dependencies.bounds.report_s
 
     async def run(self) -> None:
         """Move tasks until cancelled."""
@@ -63,6 +65,7 @@
         self._notices_by_worker = {
             worker: self._notice(worker) for worker in leaving
         }
+        self._report_age_s = 0
         if not leaving:
             return
         reserved = self._reservations(leaving)
@@ -107,7 +110,8 @@
             return known
         if remaining_s is None:
             return _Notice(None, math.inf)
-        return _Notice(remaining_s, self._cluster.now_s + remaining_s)
+        read_s = self._cluster.now_s
+        return _Notice(remaining_s, read_s + remaining_s - self._report_age_s)
 
     def _remaining_s(self, worker: workers.Worker) -> float:
         notice = self._notices_by_worker[worker]
--- a/libs/scheduler/tests/test_scheduler_departure.py
+++ b/libs/scheduler/tests/test_scheduler_departure.py
@@ -13,7 +13,7 @@
 from jackdawlatch.standins import task_workers
 from jackdawlatch.testing import functions
 
-BOUNDS = cluster_state.Bounds(lease_s=10, stop_s=0.2)
+BOUNDS = cluster_state.Bounds(lease_s=10, stop_s=0.2, report_s=1.5)
 NOTICE_S = 4.0
 # The documented time: 3 s, counted from 6 s after the last run.
 RESTART_S = 9.0
@@ -101,6 +101,23 @@
     await asyncio.to_thread(_play, scenario)
 
 
+async def test_next_leader_moves_tasks_by_an_old_notice():
+    def scenario(simulation: simulations.Simulation) -> None:
+        _submit(simulation, count=1, lasting=False)
+        leaving = _announce(simulation, _worker_of(simulation, 0))
+        simulation.run(BOUNDS.report_s)
+        _announce(simulation, leaving, NOTICE_S - BOUNDS.report_s)
+        simulation.run(BOUNDS.report_s - STEP_S)
+        _hand_over(simulation)
+        simulation.run(NOTICE_S - 2 * BOUNDS.report_s)
+        assert not leaving.running
+        _leave(simulation, leaving)
+        simulation.run(MOVE_S)
+        _check_all_run(simulation, count=1)
+
+    await asyncio.to_thread(_play, scenario)
+
+
 async def test_short_tasks_stay_without_known_departure():
     """Without a known end of the notice, only lasting tasks are moved."""
 
--- a/libs/unified/src/jackdawlatch/unified/root.py
+++ b/libs/unified/src/jackdawlatch/unified/root.py
@@ -174,6 +174,7 @@
                     bounds=cluster_state.Bounds(
                         lease_s=bounds.lease_ms / MILLISECONDS_PER_SECOND,
                         stop_s=bounds.stop_ms / MILLISECONDS_PER_SECOND,
+                        report_s=bounds.report_ms / MILLISECONDS_PER_SECOND,
                     ),
                     retention_s=bounds.retention_s,
                     pools=pools.Limits(
--- a/libs/unified/src/jackdawlatch/unified/settings.py
+++ b/libs/unified/src/jackdawlatch/unified/settings.py
@@ -10,14 +10,16 @@
     """The documented limits of the platform.
 
     ``lease_ms`` is the longest lease of a worker and ``stop_ms`` the longest
-    time that it takes to stop a run.  ``drain_s`` is the grace period between
-    SIGTERM and the kill of a daemon.  Ended jobs are kept for ``retention_s``.
+    time that it takes to stop a run.  Workers update their registration every
+    ``report_ms``.  ``drain_s`` is the grace period between SIGTERM and the kill
+    of a daemon.  Ended jobs are kept for ``retention_s``.
     ``maintenance_s`` and ``migration_s`` are how long maintenance and a move of
     a machine take; the platform accepts ``moves_per_s`` moves a second.
     """
 
     lease_ms: int
     stop_ms: int
+    report_ms: int
     drain_s: float
     retention_s: float
     maintenance_s: float
--- a/libs/unified/tests/unified_bench.py
+++ b/libs/unified/tests/unified_bench.py
@@ -142,6 +142,7 @@
         bounds=unified_settings.Bounds(
             lease_ms=10_000,
             stop_ms=200,
+            report_ms=1500,
             drain_s=6,
             retention_s=120,
             maintenance_s=2,
