--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -41,15 +41,13 @@
         """Mark a worker whose entry was deleted."""
         known = self._cluster.workers_by_id.get(worker_id)
         if known is not None:
-            if known.runs_by_task:
-                self._note_departure('worker-unregistered', known)
-            known.registered = False
+            self._unregister(known)
 
     def retain(self, worker_ids: Collection[str]) -> None:
         """Mark every worker without an entry; ``worker_ids`` have one."""
         for known in tuple(self._cluster.workers_by_id.values()):
             if known.entry.id not in worker_ids:
-                known.registered = False
+                self._unregister(known)
 
     def release_expired_runs(self, worker: workers.Worker) -> None:
         """Release the runs of an unreachable worker whose lease has ended."""
@@ -83,6 +81,11 @@
             )
         self._cluster.on_change()
 
+    def _unregister(self, worker: workers.Worker) -> None:
+        if worker.registered and worker.runs_by_task:
+            self._note_departure('worker-unregistered', worker)
+        worker.registered = False
+
     def _replace(self, old: workers.Worker, new: workers.Worker) -> None:
         same_id = old.entry.id == new.entry.id
         if not same_id:
