--- a/libs/scheduler/src/jackdawlatch/scheduler/reports.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reports.py
@@ -40,6 +40,10 @@
     draining: bool = False
     remaining_s: float | None = None
 
+    def carries(self, label: str) -> bool:
+        """Whether the worker has a label; an empty one is no condition."""
+        return not label or label in self.labels
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunReport:
