Send a stop again that an unhealthy worker refused

Callers would see a task that runs on after its job was cancelled, or that ends with a leaving worker and waits for its lease.

Cause: each refusal ended the loop that sends a stop. A worker that answers 429 or 503 has done nothing, and the run counted as being stopped for the rest of the term, so that nothing sent the stop again.

test_refused_stop_is_sent_again failed before.

--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -267,13 +267,21 @@
             )
             if not isinstance(stopped, result.Failure):
                 break
-            if isinstance(stopped.failure(), calls.Refused):
+            if _is_final(stopped.failure()):
                 self._handle_failure(worker, stopped.failure())
                 break
             await asyncio.sleep(RETRY_S)
         self._stopping.discard(key)
 
 
+def _is_final(failure: calls.CallFailure) -> bool:
+    """Whether a stop that failed would fail again."""
+    return (
+        isinstance(failure, calls.Refused)
+        and failure.reason is not calls.Refusal.UNHEALTHY
+    )
+
+
 def _unsettled(run: runs.Run) -> bool:
     """Whether it is still unknown if the start of a run took effect."""
     assigned = run.worker.runs_by_task.get(run.task.id) is run
