Do not let a silent worker delay the departures of others

Callers would see a task wait for the lease of a worker that had announced its departure.

Cause: the loop that moves tasks waited for polls of the workers that they were moved to, up to 0.8 s for one that does not answer, which is longer than the time in which the last runs of a leaving worker are stopped.

Change: these polls run in the background, one for a worker at a time.

test_unresponsive_worker_delays_no_departure failed before.

--- a/libs/scheduler/src/jackdawlatch/scheduler/departures.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/departures.py
@@ -3,8 +3,10 @@
 import asyncio
 import collections
 import dataclasses
+import functools
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any
 
 from jackdawlatch.policy import departures as policy
 from jackdawlatch.scheduler import (
@@ -12,6 +14,7 @@
     dispatch,
     reservations,
     runs,
+    supervision,
     waves,
     workers,
 )
@@ -28,6 +31,7 @@
     cluster: cluster_state.ClusterState
     dispatcher: dispatch.Dispatcher
     leading: Callable[[], bool]
+    spawn: Callable[[Coroutine[Any, Any, None]], Any]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -45,6 +49,7 @@
         self._dependencies = dependencies
         self._cluster = dependencies.cluster
         self._notices_by_worker: dict[workers.Worker, _Notice] = {}
+        self._refreshing: set[workers.Worker] = set()
         # A new leader reads notices that workers may have reported before.
         self._report_age_s = dependencies.cluster.dependencies.bounds.report_s
 
@@ -53,7 +58,7 @@
         while True:
             if self._dependencies.leading():
                 self._check_workers()
-                await self._refresh()
+                self._refresh()
             await asyncio.sleep(PERIOD_S)
 
     def _check_workers(self) -> None:
@@ -126,12 +131,11 @@
             run.percent,
         )
 
-    async def _refresh(self) -> None:
+    def _refresh(self) -> None:
         """Poll the workers whose answers decide whether more may be stopped.
 
         The polls that wait for an end would show only later that a task serves.
         """
-        now_s = self._cluster.now_s
         blocked = {
             run.task.state
             for worker in self._notices_by_worker
@@ -144,13 +148,20 @@
             for task in state.tasks
             if task.run is not None and _is_starting(task.run)
         }
-        await asyncio.gather(
-            *(
-                self._dependencies.dispatcher.poll(worker, None, 0)
-                for worker in due
-                if now_s - worker.last_poll_s >= REFRESH_S
-            )
-        )
+        for worker in due - self._refreshing:
+            if self._cluster.now_s - worker.last_poll_s >= REFRESH_S:
+                self._refreshing.add(worker)
+                self._dependencies.spawn(
+                    supervision.keep_running(
+                        functools.partial(self._poll, worker),
+                        self._cluster.dependencies.clock.monotonic_s,
+                        max_failures=math.inf,
+                    )
+                )
+
+    async def _poll(self, worker: workers.Worker) -> None:
+        await self._dependencies.dispatcher.poll(worker, None, 0)
+        self._refreshing.discard(worker)
 
 
 def _is_starting(run: runs.Run) -> bool:
--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -202,7 +202,7 @@
             health.StallDetector(self.cluster, self._leading).run,
             worker_departures.Departures(
                 worker_departures.Dependencies(
-                    self.cluster, self._dispatcher, self._leading
+                    self.cluster, self._dispatcher, self._leading, self._spawn
                 )
             ).run,
             functools.partial(self._pacer.run, self.cluster.workers_by_id),
