Keep tasks of advised queues on a leaving worker until its last moment

Callers would see a lasting task that waits for advice, or for good, though its worker stays for seconds.

Cause: another worker with room counted as a place for a task of an advised queue, which may start only where it has a ticket.

test_task_without_ticket_elsewhere_stays failed before.

--- a/libs/scheduler/src/jackdawlatch/scheduler/departures.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/departures.py
@@ -149,8 +149,12 @@
 
 
 def _may_move(task: tasks.Task) -> bool:
-    """Whether a lasting task may be stopped while its worker stays."""
-    return task.step.lasting and waves.may_stop(task)
+    """Whether a lasting task may be stopped while its worker stays.
+
+    Tickets of an advised queue may be valid for no other worker.
+    """
+    advised = task.job.queue is not None and task.job.queue.advised
+    return task.step.lasting and not advised and waves.may_stop(task)
 
 
 def _is_starting(run: runs.Run) -> bool:
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -319,8 +319,8 @@
     Mutation(
         'moving tasks away keeps the availability of their step',
         'scheduler/departures.py',
-        'and waves.may_stop(task)',
-        '',
+        'and not advised and waves.may_stop(task)',
+        'and not advised',
         'scheduler',
         'test_departure_keeps_the_availability',
     ),
