Do not send a placed task to a worker that has announced its departure

Callers would see a task that starts late, on a worker that leaves.

test_start_is_not_sent_after_a_notice failed before.

--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -158,20 +158,26 @@
     def _send_start(self, run: runs.Run, ticket: str) -> None:
         if run.task.run is not run or run.phase is not runs.RunPhase.WRITING:
             return
-        if run.task.job.ended or not self._dependencies.leading():
-            self._dependencies.cluster.release(run, 'not-ordered')
-            return
-        if run.worker.lease.record is not None:
-            self._dependencies.cluster.release(run, 'lease-recorded')
-            return
-        if not run.worker.free.fits(model.Room()):
-            # Its capacity has shrunk since the run was placed.
-            self._dependencies.cluster.release(run, 'no-capacity')
+        obstacle = self._obstacle(run)
+        if obstacle:
+            self._dependencies.cluster.release(run, obstacle)
             return
         run.worker.extend_lease(START_EXPIRY_S, self._clock.monotonic_s())
         run.phase = runs.RunPhase.ORDERED
         self._dependencies.spawn(self._start(run, ticket))
 
+    def _obstacle(self, run: runs.Run) -> str:
+        """Return what has come up since a run was placed, empty if nothing."""
+        worker = run.worker
+        if run.task.job.ended or not self._dependencies.leading():
+            return 'not-ordered'
+        if worker.lease.record is not None:
+            return 'lease-recorded'
+        if worker.entry.draining:
+            return 'worker-draining'
+        # Its capacity may have shrunk.
+        return '' if worker.free.fits(model.Room()) else 'no-capacity'
+
     async def _start(self, run: runs.Run, ticket: str) -> None:
         worker = run.worker
         now_s = self._clock.monotonic_s()
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -295,8 +295,8 @@
     Mutation(
         'a placed task is not sent to a shrunk worker',
         'scheduler/dispatch.py',
-        'if not run.worker.free.fits(model.Room()):',
-        'if False:',
+        "return '' if worker.free.fits(model.Room()) else 'no-capacity'",
+        "return ''",
         'scheduler',
         'test_placed_task_is_not_sent',
     ),
