--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -158,7 +158,9 @@
     def _send_start(self, run: runs.Run, ticket: str) -> None:
         if run.task.run is not run or run.phase is not runs.RunPhase.WRITING:
             return
-        obstacle = self._obstacle(run)
+        obstacle = _obstacle(run)
+        if not self._dependencies.leading():
+            obstacle = 'not-leading'
         if obstacle:
             self._dependencies.cluster.release(run, obstacle)
             return
@@ -166,18 +168,6 @@
         run.phase = runs.RunPhase.ORDERED
         self._dependencies.spawn(self._start(run, ticket))
 
-    def _obstacle(self, run: runs.Run) -> str:
-        """Return what has come up since a run was placed, empty if nothing."""
-        worker = run.worker
-        if run.task.job.ended or not self._dependencies.leading():
-            return 'not-ordered'
-        if worker.lease.record is not None:
-            return 'lease-recorded'
-        if worker.entry.draining:
-            return 'worker-draining'
-        # Its capacity may have shrunk.
-        return '' if worker.free.fits(model.Room()) else 'no-capacity'
-
     async def _start(self, run: runs.Run, ticket: str) -> None:
         worker = run.worker
         now_s = self._clock.monotonic_s()
@@ -280,6 +270,19 @@
         self._stopping.discard(key)
 
 
+def _obstacle(run: runs.Run) -> str:
+    """Return what has come up since a run was placed, empty if nothing."""
+    worker = run.worker
+    if run.task.job.ended:
+        return 'job-ended'
+    if worker.lease.record is not None:
+        return 'lease-recorded'
+    if worker.entry.draining:
+        return 'worker-draining'
+    # Its capacity may have shrunk.
+    return '' if worker.free.fits(model.Room()) else 'no-capacity'
+
+
 def _is_final(failure: calls.CallFailure) -> bool:
     """Whether a stop that failed would fail again."""
     return (
