Release the tasks of a worker when another boot answers at its address

Callers would see tasks that wait for the lease of a worker that is certainly gone, 5.9 s in the test.

Cause: a refusal with 421 only suspended the worker, although an address belongs to one process at a time. Same class as the unused notices: what is known of a worker's end is not used.

Ruled out: a worker that restarted under its id, which accepts requests for it.

test_boot_at_the_same_address_releases_its_tasks failed before.

--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -220,6 +220,9 @@
             return
         if failure.reason is calls.Refusal.FENCED:
             self._dependencies.progress_writer.deposed.set()
+        if failure.reason is calls.Refusal.OTHER_BOOT:
+            # The address has passed to another worker.
+            self._dependencies.registry.end(worker)
         penalty_s = PENALTIES_S_BY_REASON.get(failure.reason, 0)
         worker.health.suspend(self._clock.monotonic_s() + penalty_s)
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -11,6 +11,7 @@
     tasks,
     workers,
 )
+from jackdawlatch.telemetry import decisions
 
 
 class WorkerRegistry:
@@ -55,12 +56,13 @@
             return
         slack_s = 2 * self._cluster.dependencies.bounds.stop_s
         if self._cluster.now_s > worker.lease.end_s + slack_s:
-            doomed: list[tasks.JobState] = []
-            if not worker.registered:
-                doomed = self._crash_blame.blame(worker)
-            for run in tuple(worker.runs_by_task.values()):
-                self._cluster.release(run, 'lease-over')
-            self._give_up(doomed)
+            self._release_all(worker, 'lease-over')
+
+    def end(self, worker: workers.Worker) -> None:
+        """Release the runs of a boot that is known to have ended."""
+        worker.registered = False
+        worker.reachable = False
+        self._release_all(worker, 'worker-ended')
 
     def remove_gone_workers(self) -> None:
         """Remove the workers that are not registered and have no runs."""
@@ -69,6 +71,14 @@
             if not worker.registered and not worker.runs_by_task:
                 by_id.pop(worker.entry.id)
 
+    def _release_all(self, worker: workers.Worker, reason: str) -> None:
+        doomed: list[tasks.JobState] = []
+        if not worker.registered:
+            doomed = self._crash_blame.blame(worker)
+        for run in tuple(worker.runs_by_task.values()):
+            self._cluster.release(run, reason)
+        self._give_up(doomed)
+
     def _update(
         self, known: workers.Worker, entry: reports.WorkerEntry
     ) -> None:
@@ -76,14 +86,19 @@
         announced = entry.draining and not known.entry.draining
         known.update(entry)
         if announced:
-            self._note_departure(
-                'worker-draining', known, remaining_s=entry.remaining_s or 0
+            _note_departure(
+                self._cluster.dependencies.log,
+                'worker-draining',
+                known,
+                remaining_s=entry.remaining_s or 0,
             )
         self._cluster.on_change()
 
     def _unregister(self, worker: workers.Worker) -> None:
         if worker.registered and worker.runs_by_task:
-            self._note_departure('worker-unregistered', worker)
+            _note_departure(
+                self._cluster.dependencies.log, 'worker-unregistered', worker
+            )
         worker.registered = False
 
     def _replace(self, old: workers.Worker, new: workers.Worker) -> None:
@@ -93,7 +108,7 @@
         old.registered = False
         old.reachable = False
         if old.runs_by_task:
-            self._note_replaced(old, new)
+            _note_replaced(self._cluster, old, new)
         doomed = self._crash_blame.blame(old)
         for run in tuple(old.runs_by_task.values()):
             if same_id and run.phase is not runs.RunPhase.RUNNING:
@@ -111,39 +126,48 @@
             if not job.ended:
                 self._cluster.end_job(job, stored.JobPhase.FAILED)
 
-    def _note_departure(
-        self, event: str, worker: workers.Worker, **details: float
-    ) -> None:
-        self._cluster.dependencies.log.note(
-            event,
-            worker=worker.entry.id,
-            machine=worker.entry.machine,
-            runs=len(worker.runs_by_task),
-            lasting=workers.lasting_count(worker),
-            draining=worker.entry.draining,
-            reachable=worker.reachable,
-            **details,
-        )
-
-    def _note_replaced(self, old: workers.Worker, new: workers.Worker) -> None:
-        now_s = self._cluster.now_s
-        lost_s = now_s if old.health.lost_s is None else old.health.lost_s
-        last = min(
-            old.runs_by_task.values(), key=lambda run: abs(run.age_s(lost_s))
-        )
-        self._cluster.dependencies.log.note(
-            'worker-replaced',
-            worker=old.entry.id,
-            successor=new.entry.id,
-            runs=len(old.runs_by_task),
-            away_s=round(now_s - lost_s, 3),
-            last_started=last.task.id.name,
-            ran_s=round(last.age_s(lost_s), 3),
-        )
-
 
 def _is_successor(new: reports.WorkerEntry, old: reports.WorkerEntry) -> bool:
     """Whether ``new`` is a later boot of the machine of ``old``."""
     return bool(new.machine) and (
         new.machine == old.machine and new.born_ms > old.born_ms
     )
+
+
+def _note_departure(
+    log: decisions.DecisionLog,
+    event: str,
+    worker: workers.Worker,
+    **details: float,
+) -> None:
+    log.note(
+        event,
+        worker=worker.entry.id,
+        machine=worker.entry.machine,
+        runs=len(worker.runs_by_task),
+        lasting=workers.lasting_count(worker),
+        draining=worker.entry.draining,
+        reachable=worker.reachable,
+        **details,
+    )
+
+
+def _note_replaced(
+    cluster: cluster_state.ClusterState,
+    old: workers.Worker,
+    new: workers.Worker,
+) -> None:
+    now_s = cluster.now_s
+    lost_s = now_s if old.health.lost_s is None else old.health.lost_s
+    last = min(
+        old.runs_by_task.values(), key=lambda run: abs(run.age_s(lost_s))
+    )
+    cluster.dependencies.log.note(
+        'worker-replaced',
+        worker=old.entry.id,
+        successor=new.entry.id,
+        runs=len(old.runs_by_task),
+        away_s=round(now_s - lost_s, 3),
+        last_started=last.task.id.name,
+        ran_s=round(last.age_s(lost_s), 3),
+    )
