Let the test of another boot wait for the poll that is under way

The fix sends the next poll at once, but a fake worker that ends does not break off the poll that waits on it, for up to 2 s, as a connection does.

--- a/libs/scheduler/tests/test_scheduler_departure_faults.py
+++ b/libs/scheduler/tests/test_scheduler_departure_faults.py
@@ -10,7 +10,7 @@
 
 from jackdawlatch.jobs import model
 from jackdawlatch.model import records
-from jackdawlatch.scheduler import calls, reports, waves
+from jackdawlatch.scheduler import calls, polling, reports, waves
 from jackdawlatch.standins import task_workers
 from jackdawlatch.testing import functions
 
@@ -102,7 +102,8 @@
         lost = departures._worker_of(simulation, 0)
         _replace_at_address(simulation.workers, lost)
         departures._leave(simulation, lost)
-        simulation.run(departures.MOVE_S)
+        # A fake worker that ends does not break off the waiting poll.
+        simulation.run(polling.POLL_WAIT_S + departures.MOVE_S)
         departures._check_all_run(simulation, count=1)
 
     await asyncio.to_thread(departures._play, scenario)
