Place lasting tasks on young workers while older ones leave

Callers would see a lasting task interrupted several times in one rolling replacement.

Cause: lasting tasks are packed on workers that hold others, which in a rolling replacement are the next to leave.

Change: while a worker of the service leaves, those that are at least as old come last for lasting tasks.

test_rolling_replacement_moves_each_task_once failed before.

--- a/libs/scheduler/src/jackdawlatch/scheduler/placing.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/placing.py
@@ -231,9 +231,12 @@
         if task.suspected:
             # A crash should hurt as few other tasks as possible.
             return (len(worker.runs_by_task), -free, remote)
+        if not self._step.lasting:
+            return (remote, free)
         # Packing keeps whole machines free for other services.
-        lasting = workers.lasting_count(worker) if self._step.lasting else 0
-        return (remote, -lasting, free)
+        lasting = workers.lasting_count(worker)
+        leaves = self._reservations.may_leave(worker)
+        return (leaves, remote, -lasting, free)
 
 
 def _any_worker(_worker: workers.Worker) -> bool:
--- a/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
@@ -53,8 +53,26 @@
         }
         self._no_workers = _groups([], ())
         self._free_by_worker: dict[str, model.Room] = {}
+        self._leaving_born_ms_by_service: dict[str, int] = {}
         self.trials = trials.Trials(candidates_by_service, now_s)
 
+    def may_leave(self, worker: workers.Worker) -> bool:
+        """Whether a worker leaves, or is as old as another one that does.
+
+        In a rolling replacement it is likely to leave next.
+        """
+        service = worker.entry.service
+        if service not in self._leaving_born_ms_by_service:
+            self._leaving_born_ms_by_service[service] = max(
+                (
+                    one.entry.born_ms
+                    for one in self._known_by_service.get(service, ())
+                    if one.entry.draining
+                ),
+                default=-1,
+            )
+        return worker.entry.born_ms <= self._leaving_born_ms_by_service[service]
+
     def withholds(self, service: str) -> bool:
         """Whether workers of a service are withheld from late jobs."""
         everything, open_to_late = self._groups(service)
--- a/libs/scheduler/tests/test_scheduler_departure.py
+++ b/libs/scheduler/tests/test_scheduler_departure.py
@@ -22,6 +22,7 @@
 # A stop, a start and a few answers of the store.
 MOVE_S = 1.0
 STEP_S = 0.05
+REPLACEMENT_PERIOD_S = 0.7
 JOB = 'lasting'
 
 
@@ -118,6 +119,25 @@
     await asyncio.to_thread(_play, scenario)
 
 
+async def test_rolling_replacement_moves_each_task_once():
+    def scenario(simulation: simulations.Simulation) -> None:
+        _submit(simulation, count=len(simulations.NAMES))
+        for number, name in enumerate(simulations.NAMES):
+            simulation.bench.add_worker(f'new{number}', born_ms=2)
+            simulation.run(REPLACEMENT_PERIOD_S)
+            _announce(simulation, simulation.workers.by_id[name])
+            simulation.run(REPLACEMENT_PERIOD_S)
+        starts = [
+            run
+            for one in simulation.workers.by_id.values()
+            for run in one.started_runs
+            if run.task.job == JOB
+        ]
+        assert len(starts) == 2 * len(simulations.NAMES)
+
+    await asyncio.to_thread(_play, scenario)
+
+
 async def test_short_tasks_stay_without_known_departure():
     """Without a known end of the notice, only lasting tasks are moved."""
 
