Show that the lease of a lost worker still begins again in part

What the users may see is LOST: a lasting task of a lost worker waits for a lease that has ended.

- leaders 1.5 s apart, stop_s 0.9 s: the stored rest ends at 0 and each leader waits for twice stop_s after it, so that the task never runs;
- leaders 0.5 s apart: the stored rest counts from when it is read, so that it does not fall;
- a leader is killed after it wrote some of the jobs of a lost worker: a job without a record extends the lease of its worker by the whole grant.

--- a/libs/scheduler/tests/test_scheduler_takeover.py
+++ b/libs/scheduler/tests/test_scheduler_takeover.py
@@ -6,16 +6,24 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import Callable, Iterator
+import itertools
+from collections.abc import Callable, Iterator, Sequence
 
 import scheduler_bench as benches
 import test_scheduler_fuzz as simulations
 
-from jackdawlatch.scheduler import cluster_state
+from jackdawlatch.jobs import model
+from jackdawlatch.scheduler import (
+    cluster_state,
+    persistence,
+    polling,
+    workers,
+)
 from jackdawlatch.standins import task_workers
 from jackdawlatch.testing import functions
 
 BOUNDS = cluster_state.Bounds(lease_s=10, stop_s=0.2)
+SLOW_STOP = cluster_state.Bounds(lease_s=10, stop_s=0.9)
 # The documented time: 3 s, counted from 6 s after the last run.
 RESTART_S = 9.0
 # Until the key of a leader that was killed expires.
@@ -26,6 +34,13 @@
 CUT_S = 4.0
 # More than a poll or a housekeeping round takes, less than any lease.
 PROMPT_S = 1.0
+# The leader notices a loss within this time.
+NOTICE_S = 2.5
+# Less than the time to stop, which follows the lease twice.
+QUICK_PERIOD_S = 1.5
+# A leader takes over and releases runs within this time.
+QUICKEST_PERIOD_S = 0.5
+LEASE_S = polling.LEASE_S * (1 + workers.CLOCK_DRIFT_FRACTION)
 TASK = benches.task('lasting')
 
 
@@ -53,6 +68,39 @@
     await asyncio.to_thread(_play, scenario)
 
 
+async def test_time_to_stop_does_not_begin_again():
+    def scenario(simulation: simulations.Simulation) -> None:
+        lost = _lose_worker(simulation)
+        _change_leaders(simulation, QUICK_PERIOD_S)
+        _check_runs_elsewhere(simulation, lost)
+
+    await asyncio.to_thread(_play, scenario, SLOW_STOP)
+
+
+async def test_lease_does_not_grow_by_the_age_of_its_record():
+    def scenario(simulation: simulations.Simulation) -> None:
+        lost = _lose_worker(simulation)
+        _change_leaders(simulation, QUICKEST_PERIOD_S)
+        _check_runs_elsewhere(simulation, lost)
+
+    await asyncio.to_thread(_play, scenario)
+
+
+async def test_lease_is_recorded_for_all_jobs_of_a_worker():
+    """A leader may be killed after it has written some of them."""
+
+    def scenario(simulation: simulations.Simulation) -> None:
+        lost, tasks = _lose_worker_with_many_jobs(simulation)
+        _kill_leader_at_second_write(simulation)
+        simulation.run(NOTICE_S + VACANCY_S)
+        simulation.bench.store.before_put = None
+        simulation.term = simulation.begin_term()
+        simulation.run(_due_s(simulation) - NOTICE_S - VACANCY_S)
+        _check_runs_elsewhere(simulation, lost, tasks)
+
+    await asyncio.to_thread(_play, scenario)
+
+
 async def test_worker_that_answers_again_keeps_its_lease():
     """The record of the rest of its lease must not outlive its return."""
 
@@ -89,27 +137,53 @@
     await asyncio.to_thread(_play, scenario)
 
 
-def _play(scenario: Callable[[simulations.Simulation], None]) -> None:
-    with _simulation() as simulation:
+def _play(
+    scenario: Callable[[simulations.Simulation], None],
+    bounds: cluster_state.Bounds = BOUNDS,
+) -> None:
+    with _simulation(bounds) as simulation:
         scenario(simulation)
 
 
 @contextlib.contextmanager
-def _simulation() -> Iterator[simulations.Simulation]:
+def _simulation(
+    bounds: cluster_state.Bounds,
+) -> Iterator[simulations.Simulation]:
     """Yield a simulation in which a lasting task runs."""
     simulation = simulations.Simulation()
     try:
-        simulation.bench.bounds = BOUNDS
+        simulation.bench.bounds = bounds
         _hand_over(simulation)
-        job = benches.job('lasting', lasting=True)
-        simulation.oracle.jobs_by_id[job.id] = job
-        simulation.bench.submit(job)
+        _submit(simulation, benches.job('lasting', lasting=True))
         simulation.run(SETTLED_S)
         yield simulation
     finally:
         simulation.close()
 
 
+def _submit(simulation: simulations.Simulation, job: model.Job) -> None:
+    simulation.oracle.jobs_by_id[job.id] = job
+    simulation.bench.submit(job)
+
+
+def _due_s(simulation: simulations.Simulation) -> float:
+    """Return within which time the tasks of a lost worker must run again."""
+    return LEASE_S + 2 * simulation.bench.bounds.stop_s + PROMPT_S
+
+
+def _change_leaders(
+    simulation: simulations.Simulation, period_s: float
+) -> None:
+    """Change leaders from the notice of a loss until the tasks must run."""
+    left_s = _due_s(simulation) - NOTICE_S
+    simulation.run(NOTICE_S)
+    for _ in range(int(left_s / period_s)):
+        _hand_over(simulation)
+        simulation.run(period_s)
+    _hand_over(simulation)
+    simulation.run(left_s % period_s)
+
+
 def _recorded_left_s(simulation: simulations.Simulation) -> float | None:
     progress = simulation.bench.progress(TASK.job)
     assert progress is not None
@@ -128,6 +202,40 @@
     return lost
 
 
+def _lose_worker_with_many_jobs(
+    simulation: simulations.Simulation,
+) -> tuple[task_workers.FakeWorker, list[model.TaskId]]:
+    """Cut off a worker with more jobs than one write takes."""
+    room = model.Room(processors_m=10)
+    for number in range(3 * persistence.JOBS_PER_WRITE):
+        _submit(
+            simulation,
+            benches.job(f'lasting-{number}', lasting=True, room=room),
+        )
+    simulation.run(SETTLED_S)
+    lost = max(
+        simulation.workers.by_id.values(), key=lambda one: len(one.running)
+    )
+    tasks = [task for task in lost.running if task.job.startswith('lasting')]
+    assert len(tasks) > persistence.JOBS_PER_WRITE
+    lost.down = True
+    return lost, tasks
+
+
+def _kill_leader_at_second_write(simulation: simulations.Simulation) -> None:
+    term = simulation.term
+    writes = itertools.count(1)
+
+    async def kill() -> None:
+        if next(writes) > 1:
+            term.until_s = simulation.loop.time()
+            assert term.running is not None
+            term.running.cancel()
+            await asyncio.sleep(VACANCY_S)
+
+    simulation.bench.store.before_put = kill
+
+
 def _add_boot(simulation: simulations.Simulation, machine: str) -> None:
     """Register a later boot of a machine, under another id."""
     bench = simulation.bench
@@ -149,16 +257,19 @@
 
 
 def _check_runs_elsewhere(
-    simulation: simulations.Simulation, lost: task_workers.FakeWorker
+    simulation: simulations.Simulation,
+    lost: task_workers.FakeWorker,
+    tasks: Sequence[model.TaskId] = (TASK,),
 ) -> None:
     violations = simulation.workers.violations
     assert not violations, violations[0]
-    running_on = [
-        one.entry.id
-        for one in simulation.workers.by_id.values()
-        if one is not lost and TASK in one.running
-    ]
-    assert running_on, f'{TASK.name} does not run'
+    for task in tasks:
+        running_on = [
+            one.entry.id
+            for one in simulation.workers.by_id.values()
+            if one is not lost and task in one.running
+        ]
+        assert running_on, f'{task.name} does not run'
 
 
 load_tests = functions.loader(__name__)
