Record the lease of a lost worker once, for every process that may lead next

What the users may see is LOST: a lasting task of a lost worker waits for a lease that has ended, while leaders follow each other.

Cause: the rest of the lease was part of the progress of each job. It ended at 0, so that twice stop_s began again with each leader; it counted from when it was read, so that each takeover added the age of the record; and one job without it extended the lease of its worker by the whole grant.

Ruled out: one key for each worker. A delayed first write finds the condition that the key is absent once more after the record was removed, and would restore a record beside an extended lease. Ruled out too: a trust in the record by the token of its leader, which a leader that is lost before its first write breaks.

Change: fleet/leases holds the boot, the rest and the episode of every lost worker with runs. The key is never deleted, each write requires its revision and the leadership key. Processes that may lead next note when they first saw an episode, and count from there; the rest may be negative. A record stands for every boot of its worker that a leader learns of, until a write without it is confirmed: it is no longer needed that the leader before cleared it. A worker that was not polled yet is not recorded. Records of workers whose runs were released go once the release is stored. A start expires relative to when it was ordered, since a record may be written between that and its request. Without a record the lease counts from the start of the term.

Progress keeps the place of lease_left_s, so that records of earlier releases are read (test_progress_of_earlier_releases_is_read).

The oracle of the fuzz is stricter: clocks of workers are 2 % slow, a lapsed run takes stop_s to end, polls arrive late, no leader extends a lease beside its record; a rule cuts a busy worker twice around a change of leaders.

--- a/libs/jobs/src/jackdawlatch/jobs/stored.py
+++ b/libs/jobs/src/jackdawlatch/jobs/stored.py
@@ -13,6 +13,7 @@
 FLEET_PREFIX = 'fleet/'
 LEADER_KEY = 'fleet/leader'
 PENDING_KEY = 'fleet/pending'
+LEASES_KEY = 'fleet/leases'
 
 
 class JobPhase(enum.StrEnum):
@@ -37,9 +38,8 @@
     ``failed_attempts`` lists the attempts that failed instead of counting them.
     ``worker`` and ``born_ms`` identify the worker process on which ``attempt``
     may still run, and ``machine`` its machine; they are empty when it does not
-    run.  ``lease_left_s`` is how long its lease may last, None if unknown.
-    ``crashed_attempts`` lists the attempts in a row whose worker crashed soon
-    after the start.
+    run.  ``crashed_attempts`` lists the attempts in a row whose worker crashed
+    soon after the start.
     """
 
     occurrence: int
@@ -52,7 +52,8 @@
     born_ms: int = 0
     checkpoint: str = ''
     machine: str = ''
-    lease_left_s: float | None = None
+    # Earlier releases stored the rest of a lease here.
+    unused: float | None = None
     crashed_attempts: tuple[int, ...] = ()
 
 
@@ -76,6 +77,26 @@
     name: str
 
 
+class LeaseRest(msgspec.Struct, frozen=True, array_like=True):
+    """How long the lease of an unreachable worker may last.
+
+    ``worker`` and ``born_ms`` identify one boot of the worker, and ``episode``
+    its loss.  ``left_s`` counts from when it is read; it is negative if the
+    lease has ended.
+    """
+
+    worker: str
+    born_ms: int
+    episode: str
+    left_s: float
+
+
+class Leases(records.Record, frozen=True, kw_only=True):
+    """The leases that the leader does not extend."""
+
+    rests: tuple[LeaseRest, ...] = ()
+
+
 class Pending(records.Record, frozen=True, kw_only=True):
     """Number of accepted jobs of each queue that have not begun."""
 
--- a/libs/jobs/tests/test_jobs_intake.py
+++ b/libs/jobs/tests/test_jobs_intake.py
@@ -3,6 +3,8 @@
 import contextlib
 import os
 
+import msgspec
+
 from jackdawlatch.jobs import checks, intake, model, stored
 from jackdawlatch.model import clocks, records
 from jackdawlatch.standins import fakes
@@ -82,6 +84,15 @@
     assert (await bench.intake.phase('a')).unwrap() is stored.JobPhase.DONE
 
 
+def test_progress_of_earlier_releases_is_read():
+    earlier = [0, 0, 0, 2, [1], False, 'w1', 5, 'c', 'm1', 2.5, [2]]
+    progress = msgspec.msgpack.decode(
+        msgspec.msgpack.encode(earlier), type=stored.TaskProgress
+    )
+    assert progress.machine == 'm1'
+    assert progress.crashed_attempts == (2,)
+
+
 def test_jobs_over_their_limits_are_typed_failures():
     step = model.Step(count=1)
     for job in (
--- a/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
@@ -5,7 +5,14 @@
 
 from jackdawlatch.jobs import model, queues, stored
 from jackdawlatch.model import clocks
-from jackdawlatch.scheduler import calls, persistence, runs, tasks, workers
+from jackdawlatch.scheduler import (
+    calls,
+    persistence,
+    reports,
+    runs,
+    tasks,
+    workers,
+)
 from jackdawlatch.telemetry import decisions
 
 
@@ -45,12 +52,15 @@
         self.catalog = catalog
         self.jobs_by_id: dict[str, tasks.JobState] = {}
         self.workers_by_id: dict[str, workers.Worker] = {}
+        self.lease_records_by_boot: dict[workers.Boot, workers.LeaseRecord] = {}
         self.on_change: Callable[[], None] = _ignore
         self.on_unwanted_run: Callable[[workers.Worker, calls.RunId], None] = (
             _ignore
         )
         self.on_unsettled_run: Callable[[runs.Run], None] = _ignore
         self.dependencies = dependencies
+        # No earlier leader extends a lease after this.
+        self.began_s = self.now_s
 
     @property
     def now_s(self) -> float:
@@ -70,6 +80,16 @@
         job = self.jobs_by_id.get(task_id.job)
         return job.task(task_id) if job else None
 
+    def add_worker(self, entry: reports.WorkerEntry) -> workers.Worker:
+        """Add a boot of a worker, with the record of its lease."""
+        worker = workers.Worker(entry)
+        record = self.lease_records_by_boot.get(entry.boot)
+        if record is not None:
+            worker.lease.record = record
+            worker.lease.end_s = record.end_s
+        self.workers_by_id[entry.id] = worker
+        return worker
+
     def assign(
         self,
         task: tasks.Task,
--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -170,15 +170,16 @@
             # Its capacity has shrunk since the run was placed.
             self._dependencies.cluster.release(run, 'no-capacity')
             return
-        run.worker.extend_lease(START_EXPIRY_S, self._clock.monotonic_s())
+        now_s = self._clock.monotonic_s()
+        run.worker.extend_lease(START_EXPIRY_S, now_s)
+        run.mark_sent(now_s)
         run.phase = runs.RunPhase.ORDERED
-        self._dependencies.spawn(self._start(run, ticket))
+        self._dependencies.spawn(self._start(run, ticket, now_s))
 
-    async def _start(self, run: runs.Run, ticket: str) -> None:
+    async def _start(
+        self, run: runs.Run, ticket: str, ordered_s: float
+    ) -> None:
         worker = run.worker
-        now_s = self._clock.monotonic_s()
-        worker.extend_lease(START_EXPIRY_S, now_s)
-        run.mark_sent(now_s)
         started = await self._dependencies.client.start(
             worker.target,
             calls.Start(
@@ -186,7 +187,8 @@
                 attempt=run.attempt,
                 spec=run.task.job.job.spec,
                 token=self._dependencies.term.token,
-                expires_s=worker.clock_s(now_s) + START_EXPIRY_S,
+                # The lease may have been recorded since it was ordered.
+                expires_s=worker.clock_s(ordered_s) + START_EXPIRY_S,
                 checkpoint=run.checkpoint,
                 ticket=ticket,
             ),
@@ -223,6 +225,7 @@
                 )
                 worker.health.lost_s = self._clock.monotonic_s()
             worker.reachable = False
+            worker.health.silent = True
             return
         if failure.reason is calls.Refusal.FENCED:
             self._dependencies.progress_writer.deposed.set()
--- a/libs/scheduler/src/jackdawlatch/scheduler/housekeeping.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/housekeeping.py
@@ -10,7 +10,6 @@
 from jackdawlatch.model import records
 from jackdawlatch.scheduler import (
     cluster_state,
-    lease_records,
     tasks,
     worker_registry,
 )
@@ -38,7 +37,6 @@
 
     def __init__(self, dependencies: Dependencies) -> None:
         self._dependencies = dependencies
-        self._lease_records = lease_records.LeaseRecords(dependencies.cluster)
 
     async def tick(self) -> None:
         """Release lost runs and delete old jobs until cancelled."""
@@ -63,7 +61,6 @@
     async def _tick(self) -> None:
         for worker in tuple(self._dependencies.cluster.workers_by_id.values()):
             self._dependencies.registry.release_expired_runs(worker)
-            self._lease_records.update(worker)
         self._dependencies.registry.remove_gone_workers()
         await self._delete_old_job()
         self._dependencies.cluster.on_change()
--- a/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
@@ -3,7 +3,6 @@
 from jackdawlatch.jobs import model, stored
 from jackdawlatch.scheduler import (
     cluster_state,
-    polling,
     reports,
     runs,
     tasks,
@@ -83,7 +82,7 @@
         """Return the worker of a run, which may be registered no longer."""
         worker = self._cluster.workers_by_id.get(progress.worker)
         if worker is None:
-            worker = workers.Worker(
+            worker = self._cluster.add_worker(
                 reports.WorkerEntry(
                     id=progress.worker,
                     born_ms=progress.born_ms,
@@ -95,16 +94,10 @@
                 )
             )
             worker.registered = False
-            self._cluster.workers_by_id[progress.worker] = worker
-        now_s = self._cluster.now_s
-        if progress.lease_left_s is None:
+        recorded = worker.lease.record is not None
+        if not recorded or worker.entry.born_ms != progress.born_ms:
             longest_s = self._cluster.dependencies.bounds.lease_s
-            worker.extend_lease(polling.granted_lease_s(longest_s), now_s)
-        else:
-            worker.lease.record = workers.LeaseRecord(
-                progress.lease_left_s, now_s
-            )
-            worker.lease.end_s = max(
-                worker.lease.end_s, now_s + progress.lease_left_s
+            worker.extend_lease(
+                workers.granted_lease_s(longest_s), self._cluster.began_s
             )
         return worker
--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -30,6 +30,7 @@
     waves,
     worker_registry,
 )
+from jackdawlatch.scheduler import lease_records as leases
 from jackdawlatch.scheduler import pools as machine_pools
 from jackdawlatch.store import following, keyvalue, transactions
 from jackdawlatch.telemetry import decisions
@@ -64,6 +65,7 @@
     machine_client: clients.MachineClient
     advice_client: clients.AdviceClient
     directory: observers.Directory
+    lease_sightings: observers.LeaseSightings
     leading: Callable[[], bool]
     held: Callable[[], bool]
     settings: Settings
@@ -110,8 +112,18 @@
         self.cluster.on_unwanted_run = dispatcher.stop
         self.cluster.on_unsettled_run = dispatcher.settle
         self._dispatcher = dispatcher
+        self._lease_records = leases.LeaseRecords(
+            leases.Dependencies(
+                self.cluster,
+                dependencies.store,
+                term,
+                dependencies.lease_sightings,
+                self._progress_writer,
+                self._leading,
+            )
+        )
         self._poller = polling.WorkerPoller(
-            self.cluster, dispatcher, self._spawn
+            self.cluster, dispatcher, self._lease_records, self._spawn
         )
         self._pacer = pacing.FillerPacer(
             pacing.Dependencies(dependencies.worker_client, term, self._leading)
@@ -159,6 +171,7 @@
                 task.cancel()
 
     async def _lead(self) -> None:
+        await self._load_leases()
         worker_follower = following.Follower(
             self._dependencies.store,
             self._dependencies.directory.prefix,
@@ -193,6 +206,7 @@
         )
         self._spawn(self._progress_writer.run())
         loops: tuple[supervision.Loop, ...] = (
+            self._lease_records.run,
             housekeeper.tick,
             housekeeper.publish_pending,
             self.waves.run,
@@ -212,6 +226,12 @@
                 async with asyncio.timeout(POLL_S):
                     await self._progress_writer.deposed.wait()
 
+    async def _load_leases(self) -> None:
+        while self._held():
+            if await self._lease_records.load():
+                return
+            await asyncio.sleep(POLL_S)
+
     async def _load_progress(self) -> dict[str, keyvalue.Entry]:
         while self._dependencies.held():
             scanned = await self._dependencies.store.scan(
--- a/libs/scheduler/src/jackdawlatch/scheduler/lease_records.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/lease_records.py
@@ -1,66 +1,218 @@
-"""Keeps how long the lease of an unreachable worker may last, for next leaders.
+"""Keeps how long the leases of unreachable workers may last, for next leaders.
 
 A next leader cannot know when a lease was last extended.  Without a record it
 assumes a whole lease, so that leaders that change often would never restart the
 tasks of a lost worker.  While a record stands, the lease is not extended and
 nothing is started on the worker.
+
+One key holds the records of all workers.  It is never deleted, so that a
+delayed write cannot find the revision that it requires once more.
 """
 
-import functools
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import Callable
+
+from absl import logging
+from returns import result
+
+from jackdawlatch.jobs import stored
+from jackdawlatch.model import records
+from jackdawlatch.scheduler import (
+    cluster_state,
+    observers,
+    persistence,
+    workers,
+)
+from jackdawlatch.store import keyvalue, transactions
 
-from jackdawlatch.scheduler import cluster_state, workers
+CHECK_PERIOD_S = 0.2
+# The records are rewritten, since a process that starts later counts from when
+# it reads them.
+REFRESH_PERIOD_S = 1.0
+# Workers that answer again within this time share a write.
+BATCH_DELAY_S = 0.02
 
-RECORD_PERIOD_S = 0.5
+
+@dataclasses.dataclass(frozen=True)
+class Dependencies:
+    """Collaborators of the lease records."""
+
+    cluster: cluster_state.ClusterState
+    store: transactions.TransactionalStore
+    term: persistence.Term
+    sightings: observers.LeaseSightings
+    progress_writer: persistence.ProgressWriter
+    leading: Callable[[], bool]
 
 
 class LeaseRecords:
-    """Writes and clears the records, in the progress of the jobs concerned."""
+    """Writes and clears the records.
 
-    def __init__(self, cluster: cluster_state.ClusterState) -> None:
-        self._cluster = cluster
+    ``lease_records_by_boot`` of the cluster state holds every record that the
+    store may hold.
+    """
 
-    def update(self, worker: workers.Worker) -> None:
-        """Record the rest of the lease, if the worker is unreachable."""
-        now_s = self._cluster.now_s
-        known = worker.lease.record
-        if worker.reachable or not worker.runs_by_task:
-            return
-        if known is None or now_s - known.written_s >= RECORD_PERIOD_S:
-            # The time until it is read is not subtracted: the rest is an
-            # upper bound, whatever the clocks of the hosts say.
-            worker.lease.record = workers.LeaseRecord(
-                left_s=max(0, worker.lease.end_s - now_s), written_s=now_s
+    def __init__(self, dependencies: Dependencies) -> None:
+        self._dependencies = dependencies
+        self._cluster = dependencies.cluster
+        self._revision = keyvalue.ABSENT
+        self._written_s: float = 0
+        self._episodes = 0
+        self._pending = False
+        self._wake = asyncio.Event()
+
+    async def load(self) -> bool:
+        """Read what the leader before wrote; return whether it was read."""
+        read = await self._dependencies.store.get(stored.LEASES_KEY)
+        if isinstance(read, result.Failure):
+            return False
+        entry = read.unwrap()
+        if entry is not None:
+            self._revision = entry.revision
+            self._dependencies.sightings.observe(entry)
+            self._cluster.lease_records_by_boot = dict(
+                self._dependencies.sightings.records_by_boot
             )
-            self._write(worker)
+        return True
+
+    def clear(self) -> None:
+        """Clear the records of the workers that answer again."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Update the records until cancelled."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_PERIOD_S):
+                    await self._wake.wait()
+            await asyncio.sleep(BATCH_DELAY_S)
+            self._wake.clear()
+            if self._dependencies.leading() and self._is_due():
+                await self._write(self._current())
+
+    def _is_due(self) -> bool:
+        if self._pending or any(
+            _is_changed(worker)
+            for worker in self._cluster.workers_by_id.values()
+        ):
+            return True
+        age_s = self._cluster.now_s - self._written_s
+        recorded = bool(self._cluster.lease_records_by_boot)
+        return recorded and age_s >= REFRESH_PERIOD_S
+
+    def _current(self) -> dict[workers.Boot, workers.LeaseRecord]:
+        """Return the records of all lost workers, of which some are new."""
+        current = {}
+        for worker in self._cluster.workers_by_id.values():
+            if worker.lease.record is None and _is_lost(worker):
+                # From now on the lease is not extended.
+                worker.lease.record = self._new_record(worker)
+            record = worker.lease.record
+            if record and worker.runs_by_task and not worker.reachable:
+                current[worker.entry.boot] = record
+        return current
 
-    def clear(self, worker: workers.Worker) -> None:
-        """Remove the record of a worker that answers again."""
-        known = worker.lease.record
-        if known is None or known.left_s is None:
+    def _new_record(self, worker: workers.Worker) -> workers.LeaseRecord:
+        self._episodes += 1
+        return workers.LeaseRecord(
+            f'{self._dependencies.term.token}-{self._episodes}',
+            worker.lease.end_s,
+        )
+
+    async def _write(
+        self, current: dict[workers.Boot, workers.LeaseRecord]
+    ) -> None:
+        self._pending = True
+        recorded = self._cluster.lease_records_by_boot
+        if recorded.keys() - current.keys():
+            # A next leader that reads neither a record nor the release of the
+            # runs would wait for a whole lease.
+            await self._dependencies.progress_writer.flush()
+        recorded.update(current)
+        written = await self._dependencies.store.commit(
+            self._transaction(current)
+        )
+        if isinstance(written, result.Success):
+            self._revision = written.unwrap()
+            self._written_s = self._cluster.now_s
+            self._pending = False
+            self._forget_others(current)
             return
-        cleared = workers.LeaseRecord(None, self._cluster.now_s)
-        worker.lease.record = cleared
-        if not self._write(worker, cleared):
-            worker.lease.record = None
-
-    def _write(
-        self,
-        worker: workers.Worker,
-        cleared: workers.LeaseRecord | None = None,
-    ) -> bool:
-        """Queue the jobs with runs on a worker; return whether there are any."""
-        jobs = {run.task.job for run in worker.runs_by_task.values()}
-        on_stored = None
-        if cleared is not None:
-            on_stored = functools.partial(self._end_clear, worker, cleared)
-        for job in jobs:
-            self._cluster.dependencies.progress_writer.enqueue(job, on_stored)
-        return bool(jobs)
-
-    def _end_clear(
-        self, worker: workers.Worker, cleared: workers.LeaseRecord
+        self._wake.set()
+        failure = written.failure()
+        if isinstance(failure, transactions.Rejected):
+            self._update_revision(failure)
+        else:
+            logging.info('lease records were not written: %s', failure.line())
+            await asyncio.sleep(persistence.RETRY_S)
+
+    def _transaction(
+        self, current: dict[workers.Boot, workers.LeaseRecord]
+    ) -> transactions.Transaction:
+        now_s = self._cluster.now_s
+        # The time until it is read is not subtracted: the rest is an upper
+        # bound, whatever the clocks of the hosts say.
+        rests = tuple(
+            stored.LeaseRest(
+                worker_id, born_ms, record.episode, record.end_s - now_s
+            )
+            for (worker_id, born_ms), record in current.items()
+        )
+        return transactions.Transaction(
+            conditions=(
+                transactions.Condition(
+                    key=stored.LEADER_KEY,
+                    revision=self._dependencies.term.token,
+                ),
+                transactions.Condition(
+                    key=stored.LEASES_KEY, revision=self._revision
+                ),
+            ),
+            puts=(
+                transactions.Put(
+                    key=stored.LEASES_KEY,
+                    content=records.pack(stored.Leases(rests=rests)),
+                ),
+            ),
+        )
+
+    def _forget_others(
+        self, current: dict[workers.Boot, workers.LeaseRecord]
     ) -> None:
-        # A later record may have replaced the cleared one.
-        if worker.lease.record is cleared:
-            worker.lease.record = None
+        self._cluster.lease_records_by_boot = current
+        cleared = False
+        for worker in self._cluster.workers_by_id.values():
+            known = worker.lease.record is not None
+            if known and worker.entry.boot not in current:
+                worker.lease.record = None
+                cleared = True
+        if cleared:
             self._cluster.on_change()
+
+    def _update_revision(self, rejected: transactions.Rejected) -> None:
+        revisions_by_key = {
+            entry.key: entry.revision for entry in rejected.entries
+        }
+        token = self._dependencies.term.token
+        if revisions_by_key.get(stored.LEADER_KEY) == token:
+            # An earlier write took effect without an answer.
+            self._revision = revisions_by_key.get(
+                stored.LEASES_KEY, keyvalue.ABSENT
+            )
+        else:
+            self._dependencies.progress_writer.deposed.set()
+
+
+def _is_changed(worker: workers.Worker) -> bool:
+    """Whether the record of a worker is missing, or has to be cleared."""
+    if worker.lease.record is None:
+        return _is_lost(worker)
+    return worker.reachable
+
+
+def _is_lost(worker: workers.Worker) -> bool:
+    """Whether a worker has runs and is known not to answer."""
+    known = worker.health.silent or not worker.registered
+    return known and not worker.reachable and bool(worker.runs_by_task)
--- a/libs/scheduler/src/jackdawlatch/scheduler/observers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/observers.py
@@ -112,6 +112,32 @@
         self._on_registered(self._registry.register(decoded.unwrap()))
 
 
+class LeaseSightings:
+    """Notes when this process first saw each record of a lease.
+
+    A process that leads next counts from there, on its own clock.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self.records_by_boot: dict[workers.Boot, workers.LeaseRecord] = {}
+        self._clock = clock
+
+    def observe(self, entry: keyvalue.Entry) -> None:
+        """Apply the entry that holds the records."""
+        leases = None if entry.deleted else decode(entry, stored.Leases)
+        rests = leases.rests if leases else ()
+        self.records_by_boot = {
+            (rest.worker, rest.born_ms): self._sighting(rest) for rest in rests
+        }
+
+    def _sighting(self, rest: stored.LeaseRest) -> workers.LeaseRecord:
+        end_s = self._clock.monotonic_s() + rest.left_s
+        known = self.records_by_boot.get((rest.worker, rest.born_ms))
+        if known is not None and known.episode == rest.episode:
+            end_s = min(end_s, known.end_s)
+        return workers.LeaseRecord(rest.episode, end_s)
+
+
 def decode(entry: keyvalue.Entry, record_type: type[Record]) -> Record | None:
     """Return the record of an entry; log a malformed one and return None."""
     try:
--- a/libs/scheduler/src/jackdawlatch/scheduler/persistence.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/persistence.py
@@ -56,6 +56,13 @@
             self._callbacks.append(on_stored)
         self._wake.set()
 
+    async def flush(self) -> None:
+        """Wait until every change that is queued by now is written."""
+        written = asyncio.Event()
+        self._callbacks.append(written.set)
+        self._wake.set()
+        await written.wait()
+
     async def run(self) -> None:
         """Write changes until the term ends."""
         while not self.deposed.is_set():
--- a/libs/scheduler/src/jackdawlatch/scheduler/polling.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/polling.py
@@ -14,9 +14,6 @@
     workers,
 )
 
-# Long enough to survive a change of leaders after a lost lease, short enough
-# that the tasks of a lost worker are restarted soon.
-LEASE_S = 6.0
 POLL_WAIT_S = 2.0
 POLLS_PER_LEASE = 3
 RETRY_S = 0.25
@@ -30,11 +27,6 @@
 STORE_WAIT_S = 1.0
 
 
-def granted_lease_s(longest_s: float) -> float:
-    """Return the lease that leaders grant where workers accept ``longest_s``."""
-    return min(LEASE_S, longest_s)
-
-
 class WorkerPoller:
     """Runs one poll loop for each worker.
 
@@ -45,15 +37,18 @@
         self,
         cluster: cluster_state.ClusterState,
         dispatcher: dispatch.Dispatcher,
+        records: lease_records.LeaseRecords,
         spawn: Callable[[Coroutine[Any, Any, None]], Any],
     ) -> None:
         self._cluster = cluster
         self._dispatcher = dispatcher
         self._spawn = spawn
-        self._lease_s = granted_lease_s(cluster.dependencies.bounds.lease_s)
+        self._lease_s = workers.granted_lease_s(
+            cluster.dependencies.bounds.lease_s
+        )
         # Several polls have to fit into one lease.
         self._wait_s = min(POLL_WAIT_S, self._lease_s / POLLS_PER_LEASE)
-        self._lease_records = lease_records.LeaseRecords(cluster)
+        self._lease_records = records
         self._active: set[workers.Worker] = set()
         self._waiting_count = 0
 
@@ -95,8 +90,7 @@
     async def _poll_reachable(self, worker: workers.Worker) -> bool:
         """Poll a worker and extend its lease, for about the waiting time."""
         if worker.lease.record is not None:
-            self._lease_records.clear(worker)
-        if worker.lease.record is not None:
+            self._lease_records.clear()
             answered = await self._dispatcher.poll(worker, None, 0)
             await asyncio.sleep(CLEAR_WAIT_S)
             return answered
--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -45,6 +45,7 @@
         worker.last_poll_s = requested_s
         worker.reachable = True
         worker.health.lost_s = None
+        worker.health.silent = False
         for end in status.ended:
             if end.number > worker.last_end_number:
                 self._apply_end(worker, end)
--- a/libs/scheduler/src/jackdawlatch/scheduler/reports.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reports.py
@@ -35,6 +35,11 @@
     rack: str = ''
     draining: bool = False
 
+    @property
+    def boot(self) -> tuple[str, int]:
+        """The identity of this boot."""
+        return self.id, self.born_ms
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunReport:
--- a/libs/scheduler/src/jackdawlatch/scheduler/runs.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/runs.py
@@ -74,12 +74,6 @@
         """The identity of this run in requests to its worker."""
         return calls.RunId(self.task.id, self.attempt)
 
-    @property
-    def lease_left_s(self) -> float | None:
-        """The recorded rest of the lease of its worker."""
-        record = self.worker.lease.record
-        return record.left_s if record else None
-
     def mark_sent(self, now_s: float) -> None:
         """Record that the start is sent now, or the run was taken over."""
         self._sent_s = now_s
--- a/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
@@ -117,8 +117,7 @@
             run.worker.entry.born_ms if run else 0,
             self.checkpoint,
             run.worker.entry.machine if run else '',
-            run.lease_left_s if run else None,
-            tuple(sorted(self._crashed_attempts)),
+            crashed_attempts=tuple(sorted(self._crashed_attempts)),
         )
 
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -29,8 +29,7 @@
             known.update(entry)
             self._cluster.on_change()
             return known
-        worker = workers.Worker(entry)
-        by_id[entry.id] = worker
+        worker = self._cluster.add_worker(entry)
         for other in tuple(by_id.values()):
             if other is not worker and _is_successor(entry, other.entry):
                 self._replace(other, worker)
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -12,21 +12,29 @@
     runs,
 )
 
+# Long enough to survive a change of leaders after a lost lease, short enough
+# that the tasks of a lost worker are restarted soon.
+LEASE_S = 6.0
 # The documented relative error of a worker's monotonic clock.
 CLOCK_DRIFT_FRACTION = 0.02
 
+# The id and the birth of a worker.
+Boot = tuple[str, int]
+
 
 class Health:
     """Recent failures of a worker, and how long it is suspended.
 
-    ``lost_s`` is when it stopped answering, None while it answers.
-    ``suspects`` are its runs of tasks that may crash it.
+    ``lost_s`` is when it stopped answering, None while it answers.  ``silent``
+    tells whether this leader is known to get no answer.  ``suspects`` are its
+    runs of tasks that may crash it.
     """
 
     def __init__(self) -> None:
         self.suspended_until_s: float = 0
         self.consecutive_failures = 0
         self.lost_s: float | None = None
+        self.silent = False
         self.suspects: set[runs.Run] = set()
 
     def suspend(self, until_s: float) -> None:
@@ -36,10 +44,14 @@
 
 @dataclasses.dataclass(frozen=True, eq=False)
 class LeaseRecord:
-    """How long a lease may last after this was stored; None once cleared."""
+    """When a lease that is not extended ends at the latest.
+
+    ``episode`` identifies the loss of the worker: a record that was cleared
+    and written anew says nothing about the lease before.
+    """
 
-    left_s: float | None
-    written_s: float
+    episode: str
+    end_s: float
 
 
 class Lease:
@@ -147,6 +159,11 @@
         return acknowledge
 
 
+def granted_lease_s(longest_s: float) -> float:
+    """Return the lease that leaders grant where workers accept ``longest_s``."""
+    return min(LEASE_S, longest_s)
+
+
 def lasting_count(worker: Worker) -> int:
     """Return how many lasting tasks may run on a worker."""
     return sum(run.task.step.lasting for run in worker.runs_by_task.values())
--- a/libs/scheduler/tests/scheduler_bench.py
+++ b/libs/scheduler/tests/scheduler_bench.py
@@ -176,9 +176,15 @@
             await asyncio.gather(running, return_exceptions=True)
 
     def leader(
-        self, leading: Callable[[], bool], held: Callable[[], bool]
+        self,
+        leading: Callable[[], bool],
+        held: Callable[[], bool],
+        sightings: observers.LeaseSightings | None = None,
     ) -> leader.Leader:
-        """Return a leader that has just won the leadership key."""
+        """Return a leader that has just won the leadership key.
+
+        By default its process has just started.
+        """
         self._put(stored.LEADER_KEY, b'')
         entry = self.store.content.get(stored.LEADER_KEY)
         assert entry is not None
@@ -191,6 +197,7 @@
                 self.machines,
                 self.advice,
                 Directory(self.entries_by_id),
+                sightings or observers.LeaseSightings(self.clock),
                 leading,
                 held,
                 leader.Settings(
--- a/libs/scheduler/tests/scheduler_oracle.py
+++ b/libs/scheduler/tests/scheduler_oracle.py
@@ -11,6 +11,11 @@
 from jackdawlatch.standins import task_workers
 
 LATE_START_S = 4.0
+LATE_POLL_S = 3.0
+# The clocks of workers are as slow, and stopping a run takes as long, as the
+# leader has to expect.
+CLOCK_SPEED = 0.98
+STOP_S = 0.05
 # A task may be given up once as many workers have crashed under it.
 MIN_CRASHES = 2
 ANSWER_TIMEOUT_S = 1.0
@@ -95,13 +100,14 @@
     ) -> None:
         super().__init__(entry)
         self.late = False
+        self.late_poll = False
         self.lease_end_s: float = 0
         self._fleet = fleet
         self._now = now
 
     def start(self, request: calls.Start) -> calls.Refusal | None:
         """Start a run, unless its request has expired."""
-        if request.expires_s < self._now():
+        if request.expires_s < self.clock_s:
             return calls.Refusal.EXPIRED
         known = len(self.started_runs)
         present = self.running.get(request.task, request.attempt)
@@ -122,28 +128,36 @@
         super().end(task, kind)
         self._fleet.oracle.ended(self.ends[-1])
 
-    def lapse(self) -> None:
-        """End all runs once the lease has expired."""
-        if self._now() > self.lease_end_s:
+    @property
+    def clock_s(self) -> float:
+        """The time on the clock of this worker."""
+        return self._now() * CLOCK_SPEED
+
+    def lapse(self, stop_s: float = 0) -> None:
+        """End all runs ``stop_s`` after the lease has expired."""
+        if self._now() - stop_s > self.lease_end_s / CLOCK_SPEED:
             for task in tuple(self.running):
                 self.end(task, reports.EndKind.LAPSED)
 
     def status(self) -> reports.WorkerStatus:
-        """Return the status, with the time of the shared clock."""
+        """Return the status, with the time of this worker's clock."""
         self.lapse()
         current = super().status()
         return reports.WorkerStatus(
-            self._now(), current.born_ms, current.running, current.ended
+            self.clock_s, current.born_ms, current.running, current.ended
         )
 
 
 class Workers(task_workers.FakeWorkers):
-    """Workers with leases, some of which carry out a start late."""
+    """Workers with leases, some of which carry out a start or poll late."""
 
     def __init__(self, oracle: Oracle, now: Callable[[], float]) -> None:
         super().__init__()
         self.oracle = oracle
         self.violations: list[AssertionError] = []
+        self.is_recorded: Callable[[reports.WorkerEntry, int], bool] = (
+            lambda entry, token: False
+        )
         self._now = now
 
     def create(self, entry: reports.WorkerEntry) -> Worker:
@@ -154,7 +168,7 @@
         """Return the current boot of each worker, without lapsed runs."""
         found = [one for one in self.by_id.values() if isinstance(one, Worker)]
         for one in found:
-            one.lapse()
+            one.lapse(STOP_S)
         return found
 
     async def start(
@@ -162,6 +176,7 @@
     ) -> result.Result[None, calls.CallFailure]:
         """Start a run now, or later and without an answer."""
         worker = self.by_id[target.id]
+        self._check_record(worker, request.token)
         if isinstance(worker, Worker) and worker.late:
             worker.late = False
             loop = asyncio.get_running_loop()
@@ -179,12 +194,31 @@
     ) -> result.Result[reports.WorkerStatus, calls.CallFailure]:
         """Return the status and extend the lease."""
         worker = self.by_id[target.id]
+        if poll.lease_s is not None:
+            self._check_record(worker, poll.token)
+        if isinstance(worker, Worker) and worker.late_poll:
+            worker.late_poll = False
+            loop = asyncio.get_running_loop()
+            loop.call_later(LATE_POLL_S, self._poll_late, worker, poll)
+            await asyncio.sleep(ANSWER_TIMEOUT_S)
+            return result.Failure(calls.Unanswered(message='late'))
         if isinstance(worker, Worker) and not worker.down:
             worker.lapse()
             if worker.admit(poll.token):
                 self._apply(worker, poll)
         return await super().poll(target, poll)
 
+    def _check_record(
+        self, worker: task_workers.FakeWorker, token: int
+    ) -> None:
+        if self.is_recorded(worker.entry, token):
+            self.violations.append(
+                AssertionError(
+                    f'the lease of {worker.entry.id} is extended beside its '
+                    'record'
+                )
+            )
+
     def _apply(self, worker: Worker, poll: calls.Poll) -> None:
         for end in worker.ends:
             if end.number <= poll.acked:
@@ -192,6 +226,11 @@
         if poll.lease_s is not None:
             worker.lease_end_s = max(worker.lease_end_s, poll.lease_s)
 
+    def _poll_late(self, worker: Worker, poll: calls.Poll) -> None:
+        worker.lapse()
+        if worker.admit(poll.token):
+            self._apply(worker, poll)
+
     def _start_late(self, worker_id: str, request: calls.Start) -> None:
         try:
             # The next boot of the worker has the same id.
--- a/libs/scheduler/tests/test_scheduler_fuzz.py
+++ b/libs/scheduler/tests/test_scheduler_fuzz.py
@@ -4,19 +4,21 @@
 """
 
 import asyncio
+import itertools
 from typing import Any
 from unittest import mock
 
 import async_solipsism
 import hypothesis
 import scheduler_bench as benches
+import scheduler_leases as leases
 import scheduler_oracle as oracles
 from hypothesis import stateful  # noqa: WPS458 settings are no module.
 from hypothesis import strategies as st
 
 from jackdawlatch.jobs import model, stored
 from jackdawlatch.model import clocks, records
-from jackdawlatch.scheduler import leader, polling, reports
+from jackdawlatch.scheduler import leader, observers, polling, reports
 from jackdawlatch.standins import fakes, task_workers
 from jackdawlatch.testing import functions
 
@@ -37,6 +39,8 @@
 POLL_S = 0.02
 COMPLETION_TIMEOUT_S = 60
 TASK_S = 0.3
+# Processes that may lead next.
+DAEMONS = 2
 
 
 class LoopClock(clocks.Clock):
@@ -90,8 +94,12 @@
         self.oracle = oracles.Oracle(benches.QUEUE.max_attempts)
         self.workers = oracles.Workers(self.oracle, self.loop.time)
         self.bench = benches.Bench(self.clock, self.workers)
+        self.workers.is_recorded = leases.extension_check(self.bench)
         for name in NAMES:
             self.bench.add_worker(name)
+        self.daemons = itertools.cycle(
+            [self._follow_leases() for _ in range(DAEMONS)]
+        )
         self.term = self.begin_term()
         self.submit_first()
 
@@ -104,11 +112,16 @@
         self.bench.submit(job)
         self.run(TASK_S)
 
-    def begin_term(self) -> Term:
-        """Start another leader with a new term."""
+    def begin_term(self, just_started: bool = False) -> Term:
+        """Start another leader with a new term.
+
+        Its process has followed the store, unless it has just started.
+        """
         term = Term(self.clock)
         led: leader.Leader = self.bench.leader(
-            lambda: term.leading, lambda: term.held
+            lambda: term.leading,
+            lambda: term.held,
+            None if just_started else next(self.daemons),
         )
         term.running = self.loop.create_task(led.run())
         return term
@@ -151,6 +164,12 @@
         for patch in self.patches:
             patch.stop()
 
+    def _follow_leases(self) -> observers.LeaseSightings:
+        sightings = observers.LeaseSightings(self.clock)
+        follower = leases.follower(self.bench, sightings)
+        self.loop.create_task(follower.run())
+        return sightings
+
 
 class SchedulerMachine(stateful.RuleBasedStateMachine):
     """Consecutive leaders, of which two may run at a time.
@@ -205,7 +224,9 @@
 
     @stateful.rule(
         worker=WORKERS,
-        fault=st.sampled_from(('cut', 'restore', 'restart', 'lose', 'late')),
+        fault=st.sampled_from(
+            ('cut', 'restore', 'restart', 'lose', 'late', 'late-poll')
+        ),
     )
     def harm(self, worker: str, fault: str) -> None:
         faulty = self.workers.by_id[worker]
@@ -218,6 +239,8 @@
             faulty.lose_answers += 1
         elif fault == 'late':
             faulty.late = True  # type: ignore[attr-defined]
+        elif fault == 'late-poll':
+            faulty.late_poll = True  # type: ignore[attr-defined]
         else:
             faulty.down = fault == 'cut'
 
@@ -226,10 +249,10 @@
         self.bench.store.down = down
         self.bench.store.lose_replies = lose
 
-    @stateful.rule(tenths=st.integers(0, 17))
-    def change_leader(self, tenths: int) -> None:
+    @stateful.rule(tenths=st.integers(0, 17), just_started=st.booleans())
+    def change_leader(self, tenths: int, just_started: bool) -> None:
         self.simulation.term.until_s = self.simulation.loop.time() + tenths / 10
-        self.simulation.term = self.simulation.begin_term()
+        self.simulation.term = self.simulation.begin_term(just_started)
 
     @stateful.rule(tenths=st.integers(1, 40))
     def leave_unconfirmed(self, tenths: int) -> None:
@@ -277,12 +300,26 @@
 
     @stateful.rule(tenths=st.integers(1, 15))
     def cut_busy_worker(self, tenths: int) -> None:
-        for worker in self.workers.by_id.values():
-            if worker.running:
-                worker.down = True
-                break
+        busy = self._busy_worker()
+        if busy is not None:
+            busy.down = True
         self.simulation.run(tenths / 10)
 
+    @stateful.rule(
+        away=st.integers(3, 15), back=st.integers(1, 15), again=st.booleans()
+    )
+    def cut_busy_worker_twice(self, away: int, back: int, again: bool) -> None:
+        busy = self._busy_worker()
+        if busy is not None:
+            busy.down = True
+            self.simulation.run(away / 10)
+            if again:
+                self.change_leader(0, just_started=False)
+            busy.down = False
+            self.simulation.run(back / 10)
+            busy.down = True
+            self.change_leader(0, just_started=False)
+
     @stateful.rule()
     def lose_answer_of_start(self) -> None:
         for worker in self.workers.by_id.values():
@@ -299,10 +336,16 @@
             self.end_task(name, kind)
         # Longer than STORE_WAIT_S, so that the workers are polled again.
         self.simulation.run(polling.STORE_WAIT_S + TASK_S)
-        self.change_leader(0)
+        self.change_leader(0, just_started=False)
         self.bench.store.down = False
         self.simulation.run(TASK_S)
 
+    def _busy_worker(self) -> task_workers.FakeWorker | None:
+        for worker in self.workers.by_id.values():
+            if worker.running:
+                return worker
+        return None
+
 
 def _name(task: model.TaskId) -> str:
     return task.name
--- a/libs/unified/src/jackdawlatch/unified/observers.py
+++ b/libs/unified/src/jackdawlatch/unified/observers.py
@@ -72,13 +72,17 @@
 
 
 class FleetObserver(following.Observer):
-    """Observes the leadership key and the number of pending jobs per queue."""
+    """Observes the leadership, the pending jobs per queue and the leases."""
 
     def __init__(
-        self, leader_election: election.Election, job_intake: intake.Intake
+        self,
+        leader_election: election.Election,
+        job_intake: intake.Intake,
+        lease_sightings: observers.LeaseSightings,
     ) -> None:
         self._election = leader_election
         self._intake = job_intake
+        self._lease_sightings = lease_sightings
 
     def reset(self, entries: Iterable[keyvalue.Entry]) -> None:
         """Apply all entries; without a leadership key there is no leader."""
@@ -95,3 +99,5 @@
             pending = observers.decode(entry, stored.Pending)
             if pending is not None:
                 self._intake.pending_by_queue = pending.counts_by_queue
+        elif entry.key == stored.LEASES_KEY:
+            self._lease_sightings.observe(entry)
--- a/libs/unified/src/jackdawlatch/unified/root.py
+++ b/libs/unified/src/jackdawlatch/unified/root.py
@@ -26,6 +26,7 @@
     pools,
     waves,
 )
+from jackdawlatch.scheduler import observers as scheduler_observers
 from jackdawlatch.store import following, monitored
 from jackdawlatch.telemetry import decisions, meters
 from jackdawlatch.unified import connections, metrics, observers
@@ -79,6 +80,7 @@
         self._intake = intake.Intake(
             intake.Dependencies(self._store, self._clock, self._log)
         )
+        self._lease_sightings = scheduler_observers.LeaseSightings(self._clock)
         self._leader: leader.Leader | None = None
         self._operator_observer = observers.OperatorObserver(
             self._intake, lambda: self._leader, self._log
@@ -101,7 +103,9 @@
         """Run until SIGTERM, then drain and close."""
         self._log.note('start', zone=self._settings.zone)
         self._handle_signals()
-        fleet_observer = observers.FleetObserver(self._election, self._intake)
+        fleet_observer = observers.FleetObserver(
+            self._election, self._intake, self._lease_sightings
+        )
         for prefix, observer in (
             (operator.PREFIX, self._operator_observer),
             (stored.FLEET_PREFIX, fleet_observer),
@@ -168,6 +172,7 @@
                     self._settings.advice_address, clients.requests
                 ),
                 directory=workers.RunnerDirectory(),
+                lease_sightings=self._lease_sightings,
                 leading=lambda: self._election.leading,
                 held=lambda: self._election.term is not None,
                 settings=leader.Settings(
