Ignore lease records that a leader of an earlier release did not clear

A leader of an earlier release extends leases beside fleet/leases, for instance after an update was taken back. The next leader that knows the key would read a record of a lease that was extended since, and could start its tasks twice.

The leadership key tells whether its leader keeps the records; what was written before one that does not is void for every process that saw it lead. A leader rewrites the records that it has read at once.

--- a/libs/jobs/src/jackdawlatch/jobs/stored.py
+++ b/libs/jobs/src/jackdawlatch/jobs/stored.py
@@ -72,9 +72,14 @@
 
 
 class Leader(records.Record, frozen=True, kw_only=True):
-    """The process that leads."""
+    """The process that leads.
+
+    ``records_leases`` is false for earlier releases, which extend leases
+    without clearing their records.
+    """
 
     name: str
+    records_leases: bool = False
 
 
 class LeaseRest(msgspec.Struct, frozen=True, array_like=True):
--- a/libs/scheduler/src/jackdawlatch/scheduler/election.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/election.py
@@ -137,7 +137,9 @@
                 puts=(
                     transactions.Put(
                         key=stored.LEADER_KEY,
-                        content=records.encode(stored.Leader(name=name)),
+                        content=records.encode(
+                            stored.Leader(name=name, records_leases=True)
+                        ),
                         lease=self._lease,
                     ),
                 ),
--- a/libs/scheduler/src/jackdawlatch/scheduler/lease_records.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/lease_records.py
@@ -71,6 +71,7 @@
         entry = read.unwrap()
         if entry is not None:
             self._revision = entry.revision
+            self._pending = True
             self._dependencies.sightings.observe(entry)
             self._cluster.lease_records_by_boot = dict(
                 self._dependencies.sightings.records_by_boot
--- a/libs/scheduler/src/jackdawlatch/scheduler/observers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/observers.py
@@ -121,10 +121,18 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self.records_by_boot: dict[workers.Boot, workers.LeaseRecord] = {}
         self._clock = clock
+        self._void_before = keyvalue.ABSENT
+
+    def observe_leader(self, entry: keyvalue.Entry) -> None:
+        """Apply a change of the leadership key."""
+        known = None if entry.deleted else decode(entry, stored.Leader)
+        if known is not None and not known.records_leases:
+            self._void_before = entry.revision
 
     def observe(self, entry: keyvalue.Entry) -> None:
         """Apply the entry that holds the records."""
-        leases = None if entry.deleted else decode(entry, stored.Leases)
+        void = entry.deleted or entry.revision < self._void_before
+        leases = None if void else decode(entry, stored.Leases)
         rests = leases.rests if leases else ()
         self.records_by_boot = {
             (rest.worker, rest.born_ms): self._sighting(rest) for rest in rests
--- a/libs/scheduler/tests/test_scheduler_leases.py
+++ b/libs/scheduler/tests/test_scheduler_leases.py
@@ -5,6 +5,7 @@
 
 import asyncio
 
+import msgspec
 import scheduler_leases as leases
 import scheduler_takeovers as takeovers
 import test_scheduler_fuzz as simulations
@@ -51,6 +52,17 @@
         assert not sightings.records_by_boot
 
 
+def test_records_before_an_earlier_release_are_void():
+    sightings = observers.LeaseSightings(clocks.ManualClock())
+    sightings.observe_leader(_leader(1, records_leases=True))
+    sightings.observe(_entry('a', LEASE_S, revision=2))
+    assert sightings.records_by_boot
+    sightings.observe_leader(_leader(3, records_leases=False))
+    sightings.observe_leader(_leader(4, records_leases=True))
+    sightings.observe(_entry('a', LEASE_S, revision=2))
+    assert not sightings.records_by_boot
+
+
 async def test_recorded_lease_is_cleared_then_extended():
     """The leader before may have stopped before it cleared them."""
 
@@ -125,9 +137,21 @@
     )
 
 
-def _entry(episode: str, left_s: float) -> keyvalue.Entry:
+def _entry(episode: str, left_s: float, revision: int = 1) -> keyvalue.Entry:
+    return keyvalue.Entry(
+        key=stored.LEASES_KEY,
+        value=_put(episode, left_s).content,
+        revision=revision,
+    )
+
+
+def _leader(revision: int, records_leases: bool) -> keyvalue.Entry:
+    # Earlier releases leave the field out.
+    fields = {'records_leases': True} if records_leases else {}
     return keyvalue.Entry(
-        key=stored.LEASES_KEY, value=_put(episode, left_s).content, revision=1
+        key=stored.LEADER_KEY,
+        value=msgspec.msgpack.encode({'name': 'n', **fields}),
+        revision=revision,
     )
 
 
--- a/libs/unified/src/jackdawlatch/unified/observers.py
+++ b/libs/unified/src/jackdawlatch/unified/observers.py
@@ -95,6 +95,7 @@
         """Apply one entry."""
         if entry.key == stored.LEADER_KEY:
             self._election.observe(entry)
+            self._lease_sightings.observe_leader(entry)
         elif entry.key == stored.PENDING_KEY and not entry.deleted:
             pending = observers.decode(entry, stored.Pending)
             if pending is not None:
