--- a/libs/scheduler/src/jackdawlatch/scheduler/reports.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reports.py
@@ -44,6 +44,11 @@
         """Whether the worker has a label; an empty one is no condition."""
         return not label or label in self.labels
 
+    @property
+    def boot(self) -> tuple[str, int]:
+        """The identity of this boot."""
+        return self.id, self.born_ms
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunReport:
--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -28,8 +28,7 @@
         if known is not None and known.entry.born_ms == entry.born_ms:
             self._update(known, entry)
             return known
-        worker = workers.Worker(entry)
-        by_id[entry.id] = worker
+        worker = self._cluster.add_worker(entry)
         for other in tuple(by_id.values()):
             if other is not worker and _is_successor(entry, other.entry):
                 self._replace(other, worker)
--- a/libs/scheduler/tests/test_scheduler_departure_faults.py
+++ b/libs/scheduler/tests/test_scheduler_departure_faults.py
@@ -1,7 +1,6 @@
 """Departures, stalls and waves beside other faults.  Time is virtual."""
 
 import asyncio
-from collections.abc import Callable
 
 import scheduler_bench as benches
 import test_scheduler_departure as departures
@@ -246,10 +245,8 @@
 def _add_to_each_leader(bench: benches.Bench, wave: waves.Wave) -> None:
     leader = bench.leader
 
-    def with_wave(
-        leading: Callable[[], bool], held: Callable[[], bool]
-    ) -> object:
-        led = leader(leading, held)
+    def with_wave(*collaborators: object) -> object:
+        led = leader(*collaborators)  # type: ignore[arg-type]
         led.waves.add(wave)
         return led
 
