Log the worker of a maintenance request, and workers that lose their entry

The log named the machine of a request but neither its worker nor the runs there, and no line told that the registration of a worker with runs had ended. `maintenance` now has `worker` and `runs`; `worker-unregistered` is new.

--- a/libs/scheduler/src/jackdawlatch/scheduler/waves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waves.py
@@ -202,6 +202,8 @@
             'maintenance',
             machine=machine,
             wave=state.wave.number,
+            worker=worker.entry.id if worker else '',
+            runs=len(worker.runs_by_task) if worker else 0,
             outcome=outcome,
         )
         self._record_down(state, machine, begun)
--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -43,13 +43,13 @@
         """Mark a worker whose entry was deleted."""
         known = self._cluster.workers_by_id.get(worker_id)
         if known is not None:
-            known.registered = False
+            self._unregister(known)
 
     def retain(self, worker_ids: Collection[str]) -> None:
         """Mark every worker without an entry; ``worker_ids`` have one."""
         for known in tuple(self._cluster.workers_by_id.values()):
             if known.entry.id not in worker_ids:
-                known.registered = False
+                self._unregister(known)
 
     def release_expired_runs(self, worker: workers.Worker) -> None:
         """Release the runs of an unreachable worker whose lease has ended."""
@@ -71,6 +71,17 @@
             if not worker.registered and not worker.runs_by_task:
                 by_id.pop(worker.entry.id)
 
+    def _unregister(self, worker: workers.Worker) -> None:
+        if worker.registered and worker.runs_by_task:
+            self._cluster.dependencies.log.note(
+                'worker-unregistered',
+                worker=worker.entry.id,
+                machine=worker.entry.machine,
+                runs=len(worker.runs_by_task),
+                reachable=worker.reachable,
+            )
+        worker.registered = False
+
     def _replace(self, old: workers.Worker, new: workers.Worker) -> None:
         same_id = old.entry.id == new.entry.id
         if not same_id:
