Stop the runs of workers whose registration has expired

A worker that reaches the leader but not the store loses its registration, and is polled for as long as it has runs. A stop of such a run was marked as sent, but the loop that sends it ended at once, as it ran for registered workers only; since the run counted as being stopped, no later report sent the stop either. So the tasks of a cancelled job went on until the lease ended, which the polls extend, and a stop that waited for its second attempt was dropped.

The loop now lasts until the worker is replaced, or removed with its last run. A worker that is known from the records of runs only has no address; its runs are stopped when it reports them, as before.

--- a/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
@@ -70,6 +70,10 @@
         job = self.jobs_by_id.get(task_id.job)
         return job.task(task_id) if job else None
 
+    def knows(self, worker: workers.Worker) -> bool:
+        """Whether a boot of a worker was neither replaced nor removed."""
+        return self.workers_by_id.get(worker.entry.id) is worker
+
     def assign(
         self,
         task: tasks.Task,
--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -96,7 +96,8 @@
     def stop(self, worker: workers.Worker, run_id: calls.RunId) -> None:
         """Stop a run in the background, retried until the worker answers."""
         key = (worker.entry.id, worker.entry.born_ms, run_id)
-        if key not in self._stopping:
+        # Without an address, the run is stopped once the worker reports it.
+        if worker.entry.address and key not in self._stopping:
             self._stopping.add(key)
             # Set before the call: a caller that stops several runs counts the
             # ones that are stopping already.
@@ -129,10 +130,7 @@
                 wait_s=wait_s,
             ),
         )
-        if (
-            self._dependencies.cluster.workers_by_id.get(worker.entry.id)
-            is not worker
-        ):
+        if not self._dependencies.cluster.knows(worker):
             # A later boot of the worker has replaced this one meanwhile.
             return False
         if isinstance(polled, result.Failure):
@@ -259,7 +257,11 @@
         run_id: calls.RunId,
         key: tuple[str, int, calls.RunId],
     ) -> None:
-        while worker.registered and await self._wait_until_leading():
+        # A worker without registration may go on running its tasks.
+        while (
+            self._dependencies.cluster.knows(worker)
+            and await self._wait_until_leading()
+        ):
             stopped = await self._dependencies.client.stop(
                 worker.target, run_id, self._dependencies.term.token
             )
--- a/libs/scheduler/tests/test_scheduler_waves.py
+++ b/libs/scheduler/tests/test_scheduler_waves.py
@@ -1,4 +1,4 @@
-"""Maintenance of machines whose worker is not registered."""
+"""Maintenance and stops on machines whose worker is not registered."""
 
 import asyncio
 
@@ -30,4 +30,16 @@
     assert min_serving == 1
 
 
+async def test_run_without_registration_is_stopped(bench):
+    worker = bench.add_worker('w1')
+    bench.submit(benches.job(lasting=True))
+    async with bench.lead() as leader:
+        await waiting.until(lambda: worker.running)
+        known = leader.cluster.workers_by_id['w1']
+        bench.remove_worker('w1')
+        await waiting.until(lambda: not known.registered)
+        bench.cancel('a')
+        await waiting.until(lambda: not worker.running)
+
+
 load_tests = functions.loader(__name__, {'bench': benches.bench})
