Vacate machines whose worker has lost its registration

Cause: a worker that reaches the leader but not the store loses its entry and goes on running its tasks. Waves looked at registered workers only, so its machine counted as idle and went down first, without stopping anything.

Ruled out: a new leader that repeats maintenance. There was one leader from 21.8 s on, each machine had one accepted request, and the wave began at 25.5 s.

Change: a worker without registration that has runs counts for its machine, as it does for polls and leases. All workers of a machine have to be without runs before it goes down. Runs of a worker that doesn't answer are waited for until its lease has ended, as with registered workers. What concerns a machine's workers moves to machine_workers.py.

--- a/libs/scheduler/src/jackdawlatch/scheduler/waves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waves.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from returns import result
 
@@ -12,6 +12,7 @@
     clients,
     cluster_state,
     dispatch,
+    machine_workers,
     persistence,
     reports,
     runs,
@@ -142,25 +143,22 @@
             return
         if state.reported_done is None:
             await self._report(state, done=False)
-        by_machine = {
-            worker.entry.machine: worker
-            for worker in self._dependencies.cluster.workers_by_id.values()
-            if worker.registered
-        }
+        by_machine = machine_workers.by_machine(
+            self._dependencies.cluster.workers_by_id.values()
+        )
         now_s = self._dependencies.cluster.now_s
         chosen = self._choose(state, by_machine, now_s)
         for machine in state.remaining:
-            worker = by_machine.get(machine)
-            if worker is not None:
+            for worker in by_machine.get(machine, ()):
                 worker.cordoned = machine in chosen
         state.record_chosen(chosen, now_s)
         for machine in chosen:
-            await self._maintain(state, machine, by_machine.get(machine))
+            await self._maintain(state, machine, by_machine.get(machine, ()))
 
     def _choose(
         self,
         state: _WaveState,
-        by_machine: Mapping[str, workers.Worker],
+        by_machine: Mapping[str, Sequence[workers.Worker]],
         now_s: float,
     ) -> list[str]:
         """Return the machines to vacate; more than may go down now."""
@@ -172,22 +170,28 @@
             frozenset() if urgent else self._dependencies.undersupplied()
         )
         due = [
-            _due_machine(name, by_machine.get(name))
+            machine_workers.due_machine(name, by_machine.get(name, ()))
             for name in state.remaining
-            if _may_vacate(by_machine.get(name), undersupplied)
+            if machine_workers.may_vacate(
+                by_machine.get(name, ()), undersupplied
+            )
         ]
         return wave_order.choose(due, state.slots(now_s), state.wave.max_count)
 
     async def _maintain(
-        self, state: _WaveState, machine: str, worker: workers.Worker | None
+        self,
+        state: _WaveState,
+        machine: str,
+        held_by: Sequence[workers.Worker],
     ) -> None:
         now_s = self._dependencies.cluster.now_s
-        if worker is not None:
-            waited_s = now_s - state.chosen_s_by_machine[machine]
-            if not self._is_vacated(
-                worker, wait_for_short_tasks=waited_s < STOP_TASKS_AFTER_S
-            ):
-                return
+        waited_s = now_s - state.chosen_s_by_machine[machine]
+        wait_for_short_tasks = waited_s < STOP_TASKS_AFTER_S
+        vacated = [
+            self._is_vacated(worker, wait_for_short_tasks) for worker in held_by
+        ]
+        if not all(vacated):
+            return
         # Machines are vacated ahead of a free slot.
         if not self._dependencies.leading() or not state.slots(now_s):
             return
@@ -202,13 +206,14 @@
             'maintenance',
             machine=machine,
             wave=state.wave.number,
-            worker=worker.entry.id if worker else '',
-            runs=len(worker.runs_by_task) if worker else 0,
+            worker=','.join(worker.entry.id for worker in held_by),
+            runs=sum(len(worker.runs_by_task) for worker in held_by),
             outcome=outcome,
         )
         self._record_down(state, machine, begun)
-        if worker is not None and not isinstance(begun, result.Failure):
-            worker.registered = False
+        if not isinstance(begun, result.Failure):
+            for worker in held_by:
+                worker.registered = False
 
     def _record_down(
         self,
@@ -262,25 +267,3 @@
     state = task.job.step_state(task.id.occurrence, task.id.step)
     others_unavailable = state.unavailable_count() - (not task.serving)
     return others_unavailable < step.max_unavailable
-
-
-def _may_vacate(
-    worker: workers.Worker | None, undersupplied: frozenset[str]
-) -> bool:
-    if worker is None or worker.cordoned or not worker.runs_by_task:
-        return True
-    return worker.entry.service not in undersupplied
-
-
-def _due_machine(
-    name: str, worker: workers.Worker | None
-) -> wave_order.DueMachine:
-    if worker is None:
-        return wave_order.DueMachine(name, 0, 0, cordoned=False)
-    held = worker.runs_by_task.values()
-    return wave_order.DueMachine(
-        name,
-        run_count=len(held),
-        lasting_count=sum(run.task.step.lasting for run in held),
-        cordoned=worker.cordoned,
-    )
