Keep tasks off workers that register while their machine goes down

A round of a wave looks at the workers once and then sends its maintenance requests one by one, each of which may take up to 2 s. A worker that registered in the meantime on a machine without one was not seen and not cordoned: it got tasks, and the next request ended them; so did the request under way, if it took effect after the worker had registered.

The machines chosen are now known to the wave until they have gone down, each new boot of a worker on one of them is cordoned, and the workers are looked up again before each request.

--- a/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
@@ -35,8 +35,9 @@
     """Jobs and workers by id.
 
     ``on_change`` is called when tasks may have become ready or capacity free,
-    ``on_unwanted_run`` with each run that has to be stopped, and
-    ``on_unsettled_run`` with each run whose start has an unknown outcome.
+    ``on_unwanted_run`` with each run that has to be stopped,
+    ``on_unsettled_run`` with each run whose start has an unknown outcome, and
+    ``on_new_worker`` with each boot of a worker that registers.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
             _ignore
         )
         self.on_unsettled_run: Callable[[runs.Run], None] = _ignore
+        self.on_new_worker: Callable[[workers.Worker], None] = _ignore
         self.dependencies = dependencies
 
     @property
--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -149,6 +149,7 @@
                 dependencies.settings.waves,
             )
         )
+        self.cluster.on_new_worker = self.waves.cordon
 
     async def run(self) -> None:
         """Run every scheduler loop until the leadership is lost."""
--- a/libs/scheduler/src/jackdawlatch/scheduler/machine_workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/machine_workers.py
@@ -20,6 +20,15 @@
     return grouped
 
 
+def on_machine(
+    machine: str, known: Iterable[workers.Worker]
+) -> list[workers.Worker]:
+    """Return the workers of one machine, as ``by_machine`` does."""
+    return by_machine(
+        worker for worker in known if worker.entry.machine == machine
+    ).get(machine, [])
+
+
 def may_vacate(
     held_by: Iterable[workers.Worker], undersupplied: frozenset[str]
 ) -> bool:
--- a/libs/scheduler/src/jackdawlatch/scheduler/waves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waves.py
@@ -85,6 +85,7 @@
         self.begun: set[str] = set()
         self.up_s_by_machine: dict[str, float] = {}
         self.chosen_s_by_machine: dict[str, float] = {}
+        self.cordoned: frozenset[str] = frozenset()
         self.reported_done: bool | None = None
 
     @property
@@ -128,6 +129,13 @@
                 wave, self._dependencies.cluster.now_s
             )
 
+    def cordon(self, worker: workers.Worker) -> None:
+        """Place no tasks on a worker whose machine is about to go down."""
+        worker.cordoned = any(
+            worker.entry.machine in state.cordoned
+            for state in self._states_by_number.values()
+        )
+
     async def run(self) -> None:
         """Carry out waves until cancelled."""
         await asyncio.sleep(HANDOVER_S)
@@ -148,9 +156,10 @@
         )
         now_s = self._dependencies.cluster.now_s
         chosen = self._choose(state, by_machine, now_s)
+        state.cordoned = frozenset(chosen)
         for machine in state.remaining:
             for worker in by_machine.get(machine, ()):
-                worker.cordoned = machine in chosen
+                self.cordon(worker)
         state.record_chosen(chosen, now_s)
         for machine in chosen:
             await self._maintain(state, machine, by_machine.get(machine, ()))
@@ -190,10 +199,15 @@
         vacated = [
             self._is_vacated(worker, wait_for_short_tasks) for worker in held_by
         ]
-        if not all(vacated):
-            return
         # Machines are vacated ahead of a free slot.
-        if not self._dependencies.leading() or not state.slots(now_s):
+        if all(vacated) and state.slots(now_s):
+            await self._order(state, machine)
+
+    async def _order(self, state: _WaveState, machine: str) -> None:
+        # A worker may have registered during the requests before this one.
+        held_by = self._workers_on(machine)
+        occupied = any(worker.runs_by_task for worker in held_by)
+        if occupied or not self._dependencies.leading():
             return
         begun = await self._dependencies.client.maintain(
             machine, state.wave.number, self._dependencies.term.token
@@ -212,8 +226,15 @@
         )
         self._record_down(state, machine, begun)
         if not isinstance(begun, result.Failure):
-            for worker in held_by:
-                worker.registered = False
+            for old in held_by:
+                old.registered = False
+            for new in self._workers_on(machine):
+                self.cordon(new)
+
+    def _workers_on(self, machine: str) -> list[workers.Worker]:
+        return machine_workers.on_machine(
+            machine, self._dependencies.cluster.workers_by_id.values()
+        )
 
     def _record_down(
         self,
@@ -227,6 +248,7 @@
         )
         if not isinstance(begun, result.Failure):
             state.begun.add(machine)
+            state.cordoned -= {machine}
             state.up_s_by_machine[machine] = up_s + ANSWER_SLACK_S
         elif not begun.failure().refused:
             # The maintenance may have begun all the same, or may begin soon.
--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -30,6 +30,7 @@
             self._cluster.on_change()
             return known
         worker = workers.Worker(entry)
+        self._cluster.on_new_worker(worker)
         by_id[entry.id] = worker
         for other in tuple(by_id.values()):
             if other is not worker and _is_successor(entry, other.entry):
--- a/libs/scheduler/tests/scheduler_bench.py
+++ b/libs/scheduler/tests/scheduler_bench.py
@@ -52,10 +52,19 @@
 
 
 class FakeMachines(clients.MachineClient):
-    """Accepts every request; ``reboot`` starts a maintained machine again."""
+    """Accepts every request, once ``opened`` is set.
 
-    def __init__(self, reboot: Callable[[str], object]) -> None:
+    ``reboot`` starts a maintained machine again and returns how many runs that
+    ended, which ``ended_runs`` adds up.  ``requested`` holds the machines of
+    all maintenance requests, ``maintained`` those of the accepted ones.
+    """
+
+    def __init__(self, reboot: Callable[[str], int]) -> None:
+        self.opened = asyncio.Event()
+        self.opened.set()
+        self.requested: list[str] = []
         self.maintained: list[str] = []
+        self.ended_runs = 0
         self._reboot_worker = reboot
 
     async def list_all(
@@ -74,8 +83,10 @@
         self, machine: str, wave: int, token: int
     ) -> result.Result[None, reports.MachineFailure]:
         """Accept the request."""
+        self.requested.append(machine)
+        await self.opened.wait()
         self.maintained.append(machine)
-        self._reboot_worker(machine.removeprefix('m-'))
+        self.ended_runs += self._reboot_worker(machine.removeprefix('m-'))
         return result.Success(None)
 
 
@@ -204,8 +215,10 @@
             CATALOG,
         )
 
-    def _reboot(self, name: str) -> None:
+    def _reboot(self, name: str) -> int:
+        before = self.workers.by_id.get(name)
         self.add_worker(name, born_ms=2)
+        return len(before.running) if before else 0
 
     def _put(self, key: str, content: bytes) -> None:
         self.store.content.commit(
--- a/libs/scheduler/tests/test_scheduler_pools.py
+++ b/libs/scheduler/tests/test_scheduler_pools.py
@@ -48,7 +48,7 @@
     """Records moves; the list of machines is empty."""
 
     def __init__(self) -> None:
-        super().__init__(lambda _: None)
+        super().__init__(lambda _: 0)
         self.moves: list[tuple[str, str]] = []
         self.refusing = False
 
--- a/libs/scheduler/tests/test_scheduler_waves.py
+++ b/libs/scheduler/tests/test_scheduler_waves.py
@@ -8,6 +8,8 @@
 from jackdawlatch.testing import functions, waiting
 
 WAVE_S = 9
+# More than two rounds of waves; idle workers get tasks at once.
+PLACED_S = 0.5
 
 
 async def test_wave_vacates_worker_without_registration(bench):
@@ -42,4 +44,37 @@
         await waiting.until(lambda: not worker.running)
 
 
+async def test_wave_sees_worker_that_registers_meanwhile(bench):
+    bench.add_worker('w1')
+    bench.machines.opened.clear()
+    async with bench.lead() as leader:
+        leader.waves.add(waves.Wave(1, ('m-w1', 'm-w2'), WAVE_S, 2))
+        await waiting.until(lambda: bench.machines.requested)
+        added = bench.add_worker('w2')
+        by_id = leader.cluster.workers_by_id
+        await waiting.until(lambda: 'w2' in by_id)
+        # As after a move that was refused.
+        by_id['w2'].cordoned = False
+        bench.submit(benches.job(lasting=True))
+        await waiting.until(lambda: added.running)
+        bench.machines.opened.set()
+        await waiting.until(lambda: len(bench.machines.maintained) == 2)
+    assert not bench.machines.ended_runs
+
+
+async def test_machine_being_requested_gets_no_tasks(bench):
+    bench.machines.opened.clear()
+    async with bench.lead() as leader:
+        leader.waves.add(waves.Wave(1, ('m-w1',), WAVE_S, 1))
+        await waiting.until(lambda: bench.machines.requested)
+        added = bench.add_worker('w1')
+        bench.submit(benches.job(lasting=True))
+        await asyncio.sleep(PLACED_S)
+        bench.machines.opened.set()
+        await waiting.until(lambda: bench.machines.maintained)
+        await waiting.until(lambda: bench.workers.by_id['w1'].running)
+    assert not added.started_runs
+    assert not bench.machines.ended_runs
+
+
 load_tests = functions.loader(__name__, {'bench': benches.bench})
