Keep tasks off a machine whose maintenance request had no answer

A maintenance request that is not answered may be carried out later. The wave counted such a machine as possibly down, but a machine that it could not choose again, as it filled a place itself, was no longer cordoned: it got tasks, and the late request ended them.

The machine stays cordoned for as long as it counts as possibly down.

--- a/libs/scheduler/src/jackdawlatch/scheduler/waves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waves.py
@@ -102,6 +102,14 @@
         down = sum(up_s > now_s for up_s in self.up_s_by_machine.values())
         return max(0, self.wave.max_count - down)
 
+    def unanswered(self, now_s: float) -> list[str]:
+        """Return the machines that a request without answer may take down."""
+        return [
+            machine
+            for machine in self.remaining
+            if self.up_s_by_machine.get(machine, 0) > now_s
+        ]
+
     def record_chosen(self, chosen: Iterable[str], now_s: float) -> None:
         """Record since when each chosen machine is being vacated."""
         self.chosen_s_by_machine = {
@@ -156,7 +164,7 @@
         )
         now_s = self._dependencies.cluster.now_s
         chosen = self._choose(state, by_machine, now_s)
-        state.cordoned = frozenset(chosen)
+        state.cordoned = frozenset((*chosen, *state.unanswered(now_s)))
         for machine in state.remaining:
             for worker in by_machine.get(machine, ()):
                 self.cordon(worker)
--- a/libs/scheduler/tests/test_scheduler_waves.py
+++ b/libs/scheduler/tests/test_scheduler_waves.py
@@ -1,15 +1,18 @@
 """Maintenance and stops on machines whose worker is not registered."""
 
 import asyncio
+from unittest import mock
 
 import scheduler_bench as benches
+from returns import result
 
-from jackdawlatch.scheduler import waves
+from jackdawlatch.scheduler import reports, waves
 from jackdawlatch.testing import functions, waiting
 
 WAVE_S = 9
 # More than two rounds of waves; idle workers get tasks at once.
 PLACED_S = 0.5
+UNANSWERED = result.Failure(reports.MachineFailure(message='no answer'))
 
 
 async def test_wave_vacates_worker_without_registration(bench):
@@ -77,4 +80,22 @@
     assert not bench.machines.ended_runs
 
 
+async def test_machine_that_may_go_down_gets_no_tasks(bench):
+    """A maintenance request without answer may be carried out later."""
+    worker = bench.add_worker('w1')
+    async with bench.lead() as leader:
+        with mock.patch.object(
+            bench.machines, 'maintain', return_value=UNANSWERED
+        ) as maintain:
+            leader.waves.add(waves.Wave(1, ('m-w1',), WAVE_S, 1))
+            await waiting.until(lambda: maintain.call_count)
+            await asyncio.sleep(PLACED_S)
+            bench.submit(benches.job(lasting=True))
+            await asyncio.sleep(PLACED_S)
+        assert not worker.started_runs
+        await waiting.until(lambda: bench.machines.maintained)
+        await waiting.until(lambda: bench.workers.by_id['w1'].running)
+    assert not bench.machines.ended_runs
+
+
 load_tests = functions.loader(__name__, {'bench': benches.bench})
