Keep a worker closed until each cause of its cordon has ended

Waves and moves both set the cordon of a worker. A round of a wave, five times a second, removed it from every worker of a due machine that it had not chosen, also from one whose move was under way: it got tasks, and the move ended them.

A worker now has a set of cordons, one for maintenance and one for a move.

Tests that set the flag name a cordon; the one of unusable workers tries both. test_wave_sees_worker_that_registers_meanwhile removed the cordon to get a task on the worker; the task is now one that an earlier leader started, and the test still fails without the second look-up.

--- a/libs/scheduler/src/jackdawlatch/scheduler/crash_blame.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/crash_blame.py
@@ -26,7 +26,7 @@
 
         Return the jobs with a task that is given up for it.
         """
-        if worker.cordoned or worker.entry.draining:
+        if worker.cordons or worker.entry.draining:
             return []
         self._record_losses(worker)
         lost_s = worker.health.lost_s
--- a/libs/scheduler/src/jackdawlatch/scheduler/machine_moves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/machine_moves.py
@@ -68,9 +68,9 @@
         """Move the machine of an idle worker; return whether it was moved."""
         if worker.runs_by_task:
             return False
-        worker.cordoned = True
+        worker.cordons.add(workers.Cordon.MOVE)
         moved = await self.move(worker.entry.machine, service)
-        worker.cordoned = False
+        worker.cordons.discard(workers.Cordon.MOVE)
         if moved:
             worker.registered = False
             worker.reachable = False
--- a/libs/scheduler/src/jackdawlatch/scheduler/machine_workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/machine_workers.py
@@ -34,7 +34,7 @@
 ) -> bool:
     """Whether a machine is being vacated, or can be spared by its service."""
     return all(
-        worker.cordoned
+        bool(worker.cordons)
         or not worker.runs_by_task
         or worker.entry.service not in undersupplied
         for worker in held_by
@@ -49,5 +49,5 @@
         name,
         run_count=sum(len(worker.runs_by_task) for worker in held_by),
         lasting_count=sum(map(workers.lasting_count, held_by)),
-        cordoned=any(worker.cordoned for worker in held_by),
+        cordoned=any(worker.cordons for worker in held_by),
     )
--- a/libs/scheduler/src/jackdawlatch/scheduler/waves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waves.py
@@ -139,10 +139,10 @@
 
     def cordon(self, worker: workers.Worker) -> None:
         """Place no tasks on a worker whose machine is about to go down."""
-        worker.cordoned = any(
-            worker.entry.machine in state.cordoned
-            for state in self._states_by_number.values()
-        )
+        worker.cordons.discard(workers.Cordon.MAINTENANCE)
+        for state in self._states_by_number.values():
+            if worker.entry.machine in state.cordoned:
+                worker.cordons.add(workers.Cordon.MAINTENANCE)
 
     async def run(self) -> None:
         """Carry out waves until cancelled."""
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import enum
 from collections.abc import Callable
 
 from jackdawlatch.jobs import model
@@ -16,6 +17,13 @@
 CLOCK_DRIFT_FRACTION = 0.02
 
 
+class Cordon(enum.Enum):
+    """Why a worker gets no tasks: its machine may go down, or to another."""
+
+    MAINTENANCE = 'maintenance'
+    MOVE = 'move'
+
+
 class Health:
     """Recent failures of a worker, and how long it is suspended.
 
@@ -57,7 +65,7 @@
         self.entry = entry
         self.registered = True
         self.reachable = False
-        self.cordoned = False
+        self.cordons: set[Cordon] = set()
         self.last_poll_s: float = 0
         self.lease = Lease()
         self.health = Health()
@@ -77,7 +85,7 @@
     @property
     def usable(self) -> bool:
         """Whether new runs may be placed here."""
-        closed = self.cordoned or self.entry.draining
+        closed = self.cordons or self.entry.draining
         startable = not closed and self.lease.record is None
         return self.registered and self.reachable and startable
 
--- a/libs/scheduler/tests/test_scheduler_crashes.py
+++ b/libs/scheduler/tests/test_scheduler_crashes.py
@@ -262,7 +262,8 @@
     for name in ('draining', 'cordoned'):
         task = fleet.add_job(name)
         worker = fleet.boot(name)
-        worker.cordoned = name == 'cordoned'
+        if name == 'cordoned':
+            worker.cordons.add(workers.Cordon.MAINTENANCE)
         if name == 'draining':
             worker.update(dataclasses.replace(worker.entry, draining=True))
         fleet.start(task, worker)
--- a/libs/scheduler/tests/test_scheduler_decisions.py
+++ b/libs/scheduler/tests/test_scheduler_decisions.py
@@ -68,9 +68,12 @@
 
 
 def test_unusable_workers_get_no_tasks():
-    for field in ('cordoned', 'reachable', 'registered'):
-        worker = _worker('w1')
-        setattr(worker, field, field == 'cordoned')
+    fleet = [_worker('w1') for _ in range(4)]
+    fleet[0].reachable = False
+    fleet[1].registered = False
+    fleet[2].cordons.add(workers.Cordon.MAINTENANCE)
+    fleet[3].cordons.add(workers.Cordon.MOVE)
+    for worker in fleet:
         assert not _place(_job(model.Step(count=1, room=CORE)), [worker])
 
 
--- a/libs/scheduler/tests/test_scheduler_waits.py
+++ b/libs/scheduler/tests/test_scheduler_waits.py
@@ -141,7 +141,7 @@
     worker.health.suspend(bench.clock.monotonic_s() + 9)
     bench.wait(1)
     assert bench.reasons() == {'workers-suspended'}
-    worker.cordoned = True
+    worker.cordons.add(workers.Cordon.MOVE)
     bench.wait(1)
     assert bench.reasons() == {'workers-unusable'}
 
--- a/libs/scheduler/tests/test_scheduler_waves.py
+++ b/libs/scheduler/tests/test_scheduler_waves.py
@@ -6,7 +6,7 @@
 import scheduler_bench as benches
 from returns import result
 
-from jackdawlatch.scheduler import reports, waves
+from jackdawlatch.scheduler import reports, waves, workers
 from jackdawlatch.testing import functions, waiting
 
 WAVE_S = 9
@@ -53,18 +53,32 @@
     async with bench.lead() as leader:
         leader.waves.add(waves.Wave(1, ('m-w1', 'm-w2'), WAVE_S, 2))
         await waiting.until(lambda: bench.machines.requested)
-        added = bench.add_worker('w2')
-        by_id = leader.cluster.workers_by_id
-        await waiting.until(lambda: 'w2' in by_id)
-        # As after a move that was refused.
-        by_id['w2'].cordoned = False
+        # An earlier leader started the task there.
         bench.submit(benches.job(lasting=True))
-        await waiting.until(lambda: added.running)
+        bench.add_worker('w2').running[benches.task()] = 1
+        by_id = leader.cluster.workers_by_id
+        await waiting.until(lambda: 'w2' in by_id and by_id['w2'].runs_by_task)
         bench.machines.opened.set()
         await waiting.until(lambda: len(bench.machines.maintained) == 2)
     assert not bench.machines.ended_runs
 
 
+async def test_wave_does_not_open_a_worker_that_is_moving(bench):
+    worker = bench.add_worker('w1')
+    bench.machines.opened.clear()
+    async with bench.lead() as leader:
+        by_id = leader.cluster.workers_by_id
+        await waiting.until(lambda: 'w1' in by_id)
+        by_id['w1'].cordons.add(workers.Cordon.MOVE)
+        leader.waves.add(waves.Wave(1, ('m-w0', 'm-w1'), WAVE_S, 1))
+        await waiting.until(lambda: bench.machines.requested)
+        bench.submit(benches.job(lasting=True))
+        await asyncio.sleep(PLACED_S)
+        assert not worker.started_runs
+        by_id['w1'].cordons.clear()
+        await waiting.until(lambda: worker.running)
+
+
 async def test_machine_being_requested_gets_no_tasks(bench):
     bench.machines.opened.clear()
     async with bench.lead() as leader:
