Keep tasks off a machine whose move had no answer

A request to move a machine that is not answered may be carried out later. The worker was open for tasks again at once, and the late move ended them.

It stays closed for 3 s more, as with maintenance requests.

--- a/libs/scheduler/src/jackdawlatch/scheduler/machine_moves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/machine_moves.py
@@ -6,7 +6,13 @@
 from absl import logging
 from returns import result
 
-from jackdawlatch.scheduler import clients, cluster_state, persistence, workers
+from jackdawlatch.scheduler import (
+    clients,
+    cluster_state,
+    persistence,
+    reports,
+    workers,
+)
 
 # How long the list of standby machines is cached.
 LIST_MAX_AGE_S = 1.5
@@ -15,6 +21,9 @@
 ARRIVAL_SLACK_S = 2.0
 # A move whose answer was late ends a little after its documented duration.
 RETURN_SLACK_S = 0.1
+# How much later a request without answer may still be carried out.
+UNANSWERED_SLACK_S = 3.0
+NOT_TRIED = reports.MachineFailure(message='not tried', refused=True)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -46,6 +55,7 @@
         self._dependencies = dependencies
         self._arrivals_by_machine: dict[str, _Arrival] = {}
         self._blocked_until_s_by_machine: dict[str, float] = {}
+        self._cordoned_until_s_by_worker: dict[workers.Worker, float] = {}
         self.standby: list[str] = []
         self._standby_due_s_by_machine: dict[str, float] = {}
         self._listed_s: float = 0
@@ -69,12 +79,25 @@
         if worker.runs_by_task:
             return False
         worker.cordons.add(workers.Cordon.MOVE)
-        moved = await self.move(worker.entry.machine, service)
+        failure = await self.move(worker.entry.machine, service)
+        if failure is not None and not failure.refused:
+            self._cordoned_until_s_by_worker[worker] = (
+                self._dependencies.cluster.now_s + UNANSWERED_SLACK_S
+            )
+            return False
         worker.cordons.discard(workers.Cordon.MOVE)
-        if moved:
+        if failure is None:
             worker.registered = False
             worker.reachable = False
-        return moved
+        return failure is None
+
+    def release_unmoved(self) -> None:
+        """Allow tasks again on workers whose move can take effect no longer."""
+        now_s = self._dependencies.cluster.now_s
+        for worker, until_s in tuple(self._cordoned_until_s_by_worker.items()):
+            if until_s <= now_s:
+                self._cordoned_until_s_by_worker.pop(worker)
+                worker.cordons.discard(workers.Cordon.MOVE)
 
     async def refresh_standby(self) -> None:
         """Update the standby machines; list them if none are known."""
@@ -91,32 +114,39 @@
         if machine not in self.standby:
             return False
         self.standby.remove(machine)
-        return await self.move(machine, service)
+        return await self.move(machine, service) is None
 
-    async def move(self, machine: str, service: str) -> bool:
-        """Move a machine without runs; return whether it was moved.
+    async def move(
+        self, machine: str, service: str
+    ) -> reports.MachineFailure | None:
+        """Move a machine without runs; return why it was not moved.
 
         A machine whose last move failed is not tried again for a while.
         """
         now_s = self._dependencies.cluster.now_s
         if self._blocked_until_s_by_machine.get(machine, 0) > now_s:
-            return False
+            return NOT_TRIED
         if not self._dependencies.leading():
-            return False
+            return NOT_TRIED
         moved = await self._dependencies.client.move(
             machine, service, self._dependencies.term.token
         )
-        outcome = 'moved'
+        failure = None
         if isinstance(moved, result.Failure):
-            outcome = moved.failure().line()
+            failure = moved.failure()
             self._blocked_until_s_by_machine[machine] = (
                 now_s + REFUSED_PENALTY_S
             )
         else:
             self._record_move(machine, service, now_s)
         log = self._dependencies.cluster.dependencies.log
-        log.note('move', machine=machine, service=service, outcome=outcome)
-        return not isinstance(moved, result.Failure)
+        log.note(
+            'move',
+            machine=machine,
+            service=service,
+            outcome=failure.line() if failure else 'moved',
+        )
+        return failure
 
     def _record_move(self, machine: str, service: str, now_s: float) -> None:
         due_s = now_s + self._dependencies.migration_s
--- a/libs/scheduler/src/jackdawlatch/scheduler/pools.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/pools.py
@@ -88,6 +88,7 @@
 
     async def round(self) -> None:
         """Start all moves that are due, and wait for their answers."""
+        self._mover.release_unmoved()
         self._fleet.record_idle()
         open_demand = self._demand()
         demand_by_service = self._divided(open_demand)
--- a/libs/scheduler/tests/test_scheduler_pools.py
+++ b/libs/scheduler/tests/test_scheduler_pools.py
@@ -27,6 +27,8 @@
 MIGRATION_S = 1.5
 MOVES_PER_S = 100
 LATE_S = 60
+# No request is carried out later than this.
+UNANSWERED_S = 5
 DAY_S = 86400
 # Ready work may wait this long beside free capacity.
 ALLOWED_WAIT_S = 3
@@ -51,14 +53,15 @@
         super().__init__(lambda _: 0)
         self.moves: list[tuple[str, str]] = []
         self.refusing = False
+        self.silent = False
 
     async def move(
         self, machine: str, service: str, token: int
     ) -> result.Result[None, reports.MachineFailure]:
-        """Accept the request, unless ``refusing``."""
-        if self.refusing:
+        """Accept the request, unless ``refusing`` or ``silent``."""
+        if self.refusing or self.silent:
             return result.Failure(
-                reports.MachineFailure(message='busy', refused=True)
+                reports.MachineFailure(message='-', refused=self.refusing)
             )
         self.moves.append((machine, service))
         return result.Success(None)
@@ -257,6 +260,24 @@
     assert await bench.wait_until_planned('late') < ALLOWED_WAIT_S
 
 
+async def test_worker_whose_move_had_no_answer_gets_no_tasks(bench):
+    """The request may be carried out later."""
+    bench.add_workers('photo', 2)
+    bench.add_workers('desk', 3)
+    bench.machines.silent = True
+    bench.submit('a', count=40)
+    await bench.rounds(1)
+    fleet = bench.cluster.workers_by_id.values()
+    assert sum(not worker.usable for worker in fleet) == 1
+    # Later requests are refused, which settles nothing.
+    bench.machines.silent = False
+    bench.machines.refusing = True
+    await bench.rounds(1)
+    assert sum(not worker.usable for worker in fleet) == 1
+    await bench.rounds(UNANSWERED_S)
+    assert all(worker.usable for worker in fleet)
+
+
 def test_peak_expires_after_the_window():
     peak = forecasts.PeakDemand(window_s=4)
     for now_s, machines in ((0, 3), (1, 9), (2, 5), (4, 1)):
