--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -166,8 +166,7 @@
     Mutation(
         'an answer of an earlier boot is ignored',
         'scheduler/dispatch.py',
-        'if (\n            self._dependencies.cluster.workers_by_id.get(worker'
-        '.entry.id)\n            is not worker\n        ):',
+        'if not self._dependencies.cluster.knows(worker):',
         'if False:',
         'scheduler',
         'test_answer_of_an_earlier_boot',
