Let refused machines come last in a wave

A machine without runs goes down first. A machine that is gone has none, and is refused each time: with few places it took them in every round, and the idle machines of the wave were never maintained.

A machine whose last request was refused now comes after all others, and is tried again while places are left. may_stop moves to machine_workers.py, with its mutation.

--- a/libs/policy/src/jackdawlatch/policy/wave_order.py
+++ b/libs/policy/src/jackdawlatch/policy/wave_order.py
@@ -16,12 +16,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class DueMachine:
-    """A machine whose maintenance is due, and the runs that it holds."""
+    """A machine whose maintenance is due, and the runs that it holds.
+
+    ``refused`` means that its last maintenance request was refused, as for a
+    machine that is in transit, or gone.
+    """
 
     id: str
     run_count: int
     lasting_count: int
     cordoned: bool
+    refused: bool = False
 
 
 def choose(due: Iterable[DueMachine], places: int, max_count: int) -> list[str]:
@@ -38,7 +43,12 @@
 
 
 def _vacate_cost(machine: DueMachine) -> tuple[int, int]:
-    """Return a sort key: machines without runs first, then cordoned ones."""
+    """Return a sort key: machines without runs first, then cordoned ones.
+
+    Refused machines come last, since they would hold up a wave with few places.
+    """
+    if machine.refused:
+        return (3, machine.run_count)
     if not machine.run_count:
         return (0, 0)
     return (1 if machine.cordoned else 2, machine.run_count)
--- a/libs/scheduler/src/jackdawlatch/scheduler/machine_workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/machine_workers.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Sequence
 
 from jackdawlatch.policy import wave_order
-from jackdawlatch.scheduler import workers
+from jackdawlatch.scheduler import tasks, workers
 
 
 def by_machine(
@@ -42,7 +42,7 @@
 
 
 def due_machine(
-    name: str, held_by: Sequence[workers.Worker]
+    name: str, held_by: Sequence[workers.Worker], refused: bool
 ) -> wave_order.DueMachine:
     """Return a machine that is due for maintenance."""
     return wave_order.DueMachine(
@@ -50,4 +50,15 @@
         run_count=sum(len(worker.runs_by_task) for worker in held_by),
         lasting_count=sum(map(workers.lasting_count, held_by)),
         cordoned=any(worker.cordons for worker in held_by),
+        refused=refused,
     )
+
+
+def may_stop(task: tasks.Task) -> bool:
+    """Whether stopping a lasting task keeps ``max_unavailable`` of its step."""
+    step = task.step
+    if not step.max_unavailable:
+        return True
+    state = task.job.step_state(task.id.occurrence, task.id.step)
+    others_unavailable = state.unavailable_count() - (not task.serving)
+    return others_unavailable < step.max_unavailable
--- a/libs/scheduler/src/jackdawlatch/scheduler/waves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waves.py
@@ -16,7 +16,6 @@
     persistence,
     reports,
     runs,
-    tasks,
     workers,
 )
 from jackdawlatch.store import transactions
@@ -83,6 +82,7 @@
         self.wave = wave
         self.ends_s = now_s + wave.duration_s
         self.begun: set[str] = set()
+        self.refused: set[str] = set()
         self.up_s_by_machine: dict[str, float] = {}
         self.chosen_s_by_machine: dict[str, float] = {}
         self.cordoned: frozenset[str] = frozenset()
@@ -187,7 +187,9 @@
             frozenset() if urgent else self._dependencies.undersupplied()
         )
         due = [
-            machine_workers.due_machine(name, by_machine.get(name, ()))
+            machine_workers.due_machine(
+                name, by_machine.get(name, ()), name in state.refused
+            )
             for name in state.remaining
             if machine_workers.may_vacate(
                 by_machine.get(name, ()), undersupplied
@@ -254,11 +256,14 @@
             self._dependencies.cluster.now_s
             + self._dependencies.settings.maintenance_s
         )
-        if not isinstance(begun, result.Failure):
+        state.refused.discard(machine)
+        if isinstance(begun, result.Success):
             state.begun.add(machine)
             state.cordoned -= {machine}
             state.up_s_by_machine[machine] = up_s + ANSWER_SLACK_S
-        elif not begun.failure().refused:
+        elif begun.failure().refused:
+            state.refused.add(machine)
+        else:
             # The maintenance may have begun all the same, or may begin soon.
             state.up_s_by_machine[machine] = up_s + UNANSWERED_SLACK_S
 
@@ -269,7 +274,9 @@
         for run in tuple(worker.runs_by_task.values()):
             lasting = run.task.step.lasting
             stoppable = (
-                may_stop(run.task) if lasting else not wait_for_short_tasks
+                machine_workers.may_stop(run.task)
+                if lasting
+                else not wait_for_short_tasks
             )
             if stoppable and run.phase is runs.RunPhase.RUNNING:
                 self._dependencies.dispatcher.stop(worker, run.run_id)
@@ -287,13 +294,3 @@
         )
         if not isinstance(written, result.Failure):
             state.reported_done = done
-
-
-def may_stop(task: tasks.Task) -> bool:
-    """Whether stopping a lasting task keeps ``max_unavailable`` of its step."""
-    step = task.step
-    if not step.max_unavailable:
-        return True
-    state = task.job.step_state(task.id.occurrence, task.id.step)
-    others_unavailable = state.unavailable_count() - (not task.serving)
-    return others_unavailable < step.max_unavailable
--- a/libs/scheduler/tests/scheduler_bench.py
+++ b/libs/scheduler/tests/scheduler_bench.py
@@ -52,7 +52,7 @@
 
 
 class FakeMachines(clients.MachineClient):
-    """Accepts every request, once ``opened`` is set.
+    """Accepts every request, once ``opened`` is set, but for ``refused``.
 
     ``reboot`` starts a maintained machine again and returns how many runs that
     ended, which ``ended_runs`` adds up.  ``requested`` holds the machines of
@@ -62,6 +62,7 @@
     def __init__(self, reboot: Callable[[str], int]) -> None:
         self.opened = asyncio.Event()
         self.opened.set()
+        self.refused: set[str] = set()
         self.requested: list[str] = []
         self.maintained: list[str] = []
         self.ended_runs = 0
@@ -85,6 +86,10 @@
         """Accept the request."""
         self.requested.append(machine)
         await self.opened.wait()
+        if machine in self.refused:
+            return result.Failure(
+                reports.MachineFailure(message='busy', refused=True)
+            )
         self.maintained.append(machine)
         self.ended_runs += self._reboot_worker(machine.removeprefix('m-'))
         return result.Success(None)
--- a/libs/scheduler/tests/test_scheduler_leader.py
+++ b/libs/scheduler/tests/test_scheduler_leader.py
@@ -10,6 +10,7 @@
 from jackdawlatch.scheduler import (
     calls,
     housekeeping,
+    machine_workers,
     polling,
     reports,
     runs,
@@ -358,7 +359,9 @@
         first.down = True
         await waiting.until(lambda: sum(one.serving for one in tasks) == 1)
         assert all(one.run for one in tasks)
-        assert not any(waves.may_stop(one) for one in tasks if one.serving)
+        assert not any(
+            machine_workers.may_stop(one) for one in tasks if one.serving
+        )
 
 
 async def test_wave_keeps_max_unavailable_of_a_step(bench):
--- a/libs/scheduler/tests/test_scheduler_waves.py
+++ b/libs/scheduler/tests/test_scheduler_waves.py
@@ -112,4 +112,14 @@
     assert not bench.machines.ended_runs
 
 
+async def test_refused_machine_does_not_hold_up_a_wave(bench):
+    bench.add_worker('w1')
+    bench.machines.refused.add('m-gone')
+    async with bench.lead() as leader:
+        leader.waves.add(waves.Wave(1, ('m-gone', 'm-w1'), WAVE_S, 1))
+        await waiting.until(lambda: bench.machines.maintained)
+        bench.machines.refused.clear()
+        await waiting.until(lambda: len(bench.machines.maintained) == 2)
+
+
 load_tests = functions.loader(__name__, {'bench': benches.bench})
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -125,7 +125,7 @@
     ),
     Mutation(
         'a wave keeps max_unavailable of a step',
-        'scheduler/waves.py',
+        'scheduler/machine_workers.py',
         'return others_unavailable < step.max_unavailable',
         'return True',
         'scheduler',
