--- /dev/null
+++ b/libs/scheduler/src/jackdawlatch/scheduler/wave_states.py
@@ -0,0 +1,82 @@
+"""The progress of maintenance waves."""
+
+import typing
+from collections.abc import Iterable
+
+from returns import result
+
+from jackdawlatch.scheduler import reports
+
+if typing.TYPE_CHECKING:
+    from jackdawlatch.scheduler import waves
+
+# The answer to a maintenance request comes after the machine went down.
+ANSWER_SLACK_S = 0.3
+# How much later an unanswered maintenance request may still be carried out.
+UNANSWERED_SLACK_S = 3.0
+
+
+class WaveState:
+    """The progress of a wave."""
+
+    def __init__(self, wave: 'waves.Wave', now_s: float) -> None:
+        self.wave = wave
+        self.ends_s = now_s + wave.duration_s
+        self.begun: set[str] = set()
+        self.refused: set[str] = set()
+        self.up_s_by_machine: dict[str, float] = {}
+        self.chosen_s_by_machine: dict[str, float] = {}
+        self.cordoned: frozenset[str] = frozenset()
+        self.reported_done: bool | None = None
+
+    @property
+    def remaining(self) -> list[str]:
+        """The machines whose maintenance has not begun."""
+        return [
+            machine
+            for machine in self.wave.machines
+            if machine not in self.begun
+        ]
+
+    def slots(self, now_s: float) -> int:
+        """Return how many more machines may go down now."""
+        down = sum(up_s > now_s for up_s in self.up_s_by_machine.values())
+        return max(0, self.wave.max_count - down)
+
+    def unanswered(self, now_s: float) -> list[str]:
+        """Return the machines that a request without answer may take down."""
+        return [
+            machine
+            for machine in self.remaining
+            if self.up_s_by_machine.get(machine, 0) > now_s
+        ]
+
+    def record_chosen(self, chosen: Iterable[str], now_s: float) -> None:
+        """Record since when each chosen machine is being vacated."""
+        self.chosen_s_by_machine = {
+            machine: self.chosen_s_by_machine.get(machine, now_s)
+            for machine in chosen
+        }
+
+    def urgent(self, now_s: float, round_s: float) -> bool:
+        """Whether the wave would miss its deadline by waiting for less load."""
+        rounds = -(-len(self.remaining) // max(1, self.wave.max_count))
+        return now_s + (rounds + 1) * round_s > self.ends_s
+
+    def record_outcome(
+        self,
+        machine: str,
+        begun: result.Result[None, reports.MachineFailure],
+        up_s: float,
+    ) -> None:
+        """Record the answer to a request; ``up_s`` is when maintenance ends."""
+        self.refused.discard(machine)
+        if isinstance(begun, result.Success):
+            self.begun.add(machine)
+            self.cordoned -= {machine}
+            self.up_s_by_machine[machine] = up_s + ANSWER_SLACK_S
+        elif begun.failure().refused:
+            self.refused.add(machine)
+        else:
+            # The maintenance may have begun all the same, or may begin soon.
+            self.up_s_by_machine[machine] = up_s + UNANSWERED_SLACK_S
--- a/libs/scheduler/src/jackdawlatch/scheduler/waves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waves.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from returns import result
 
@@ -14,8 +14,8 @@
     dispatch,
     machine_workers,
     persistence,
-    reports,
     runs,
+    wave_states,
     workers,
 )
 from jackdawlatch.store import transactions
@@ -23,10 +23,6 @@
 PERIOD_S = 0.2
 # Machines that the previous leader took down are up again by then.
 HANDOVER_S = 3.0
-# The answer to a maintenance request comes after the machine went down.
-ANSWER_SLACK_S = 0.3
-# How much later an unanswered maintenance request may still be carried out.
-UNANSWERED_SLACK_S = 3.0
 # Short tasks end by themselves within about this time.
 VACATE_S = 2.5
 # The remaining tasks are stopped after this time, since some never end.
@@ -75,65 +71,17 @@
     settings: Settings
 
 
-class _WaveState:
-    """The progress of a wave."""
-
-    def __init__(self, wave: Wave, now_s: float) -> None:
-        self.wave = wave
-        self.ends_s = now_s + wave.duration_s
-        self.begun: set[str] = set()
-        self.refused: set[str] = set()
-        self.up_s_by_machine: dict[str, float] = {}
-        self.chosen_s_by_machine: dict[str, float] = {}
-        self.cordoned: frozenset[str] = frozenset()
-        self.reported_done: bool | None = None
-
-    @property
-    def remaining(self) -> list[str]:
-        """The machines whose maintenance has not begun."""
-        return [
-            machine
-            for machine in self.wave.machines
-            if machine not in self.begun
-        ]
-
-    def slots(self, now_s: float) -> int:
-        """Return how many more machines may go down now."""
-        down = sum(up_s > now_s for up_s in self.up_s_by_machine.values())
-        return max(0, self.wave.max_count - down)
-
-    def unanswered(self, now_s: float) -> list[str]:
-        """Return the machines that a request without answer may take down."""
-        return [
-            machine
-            for machine in self.remaining
-            if self.up_s_by_machine.get(machine, 0) > now_s
-        ]
-
-    def record_chosen(self, chosen: Iterable[str], now_s: float) -> None:
-        """Record since when each chosen machine is being vacated."""
-        self.chosen_s_by_machine = {
-            machine: self.chosen_s_by_machine.get(machine, now_s)
-            for machine in chosen
-        }
-
-    def urgent(self, now_s: float, round_s: float) -> bool:
-        """Whether the wave would miss its deadline by waiting for less load."""
-        rounds = -(-len(self.remaining) // max(1, self.wave.max_count))
-        return now_s + (rounds + 1) * round_s > self.ends_s
-
-
 class Waves:
     """Carries out the requested waves."""
 
     def __init__(self, dependencies: Dependencies) -> None:
         self._dependencies = dependencies
-        self._states_by_number: dict[int, _WaveState] = {}
+        self._states_by_number: dict[int, wave_states.WaveState] = {}
 
     def add(self, wave: Wave) -> None:
         """Add a wave, unless it is known already."""
         if wave.number not in self._states_by_number:
-            self._states_by_number[wave.number] = _WaveState(
+            self._states_by_number[wave.number] = wave_states.WaveState(
                 wave, self._dependencies.cluster.now_s
             )
 
@@ -153,7 +101,7 @@
                     await self._advance(state)
             await asyncio.sleep(PERIOD_S)
 
-    async def _advance(self, state: _WaveState) -> None:
+    async def _advance(self, state: wave_states.WaveState) -> None:
         if not state.remaining:
             await self._report(state, done=True)
             return
@@ -174,7 +122,7 @@
 
     def _choose(
         self,
-        state: _WaveState,
+        state: wave_states.WaveState,
         by_machine: Mapping[str, Sequence[workers.Worker]],
         now_s: float,
     ) -> list[str]:
@@ -199,7 +147,7 @@
 
     async def _maintain(
         self,
-        state: _WaveState,
+        state: wave_states.WaveState,
         machine: str,
         held_by: Sequence[workers.Worker],
     ) -> None:
@@ -213,7 +161,7 @@
         if all(vacated) and state.slots(now_s):
             await self._order(state, machine)
 
-    async def _order(self, state: _WaveState, machine: str) -> None:
+    async def _order(self, state: wave_states.WaveState, machine: str) -> None:
         # A worker may have registered during the requests before this one.
         held_by = self._workers_on(machine)
         occupied = any(worker.runs_by_task for worker in held_by)
@@ -234,7 +182,12 @@
             runs=sum(len(worker.runs_by_task) for worker in held_by),
             outcome=outcome,
         )
-        self._record_down(state, machine, begun)
+        state.record_outcome(
+            machine,
+            begun,
+            self._dependencies.cluster.now_s
+            + self._dependencies.settings.maintenance_s,
+        )
         if not isinstance(begun, result.Failure):
             for old in held_by:
                 old.registered = False
@@ -246,27 +199,6 @@
             machine, self._dependencies.cluster.workers_by_id.values()
         )
 
-    def _record_down(
-        self,
-        state: _WaveState,
-        machine: str,
-        begun: result.Result[None, reports.MachineFailure],
-    ) -> None:
-        up_s = (
-            self._dependencies.cluster.now_s
-            + self._dependencies.settings.maintenance_s
-        )
-        state.refused.discard(machine)
-        if isinstance(begun, result.Success):
-            state.begun.add(machine)
-            state.cordoned -= {machine}
-            state.up_s_by_machine[machine] = up_s + ANSWER_SLACK_S
-        elif begun.failure().refused:
-            state.refused.add(machine)
-        else:
-            # The maintenance may have begun all the same, or may begin soon.
-            state.up_s_by_machine[machine] = up_s + UNANSWERED_SLACK_S
-
     def _is_vacated(
         self, worker: workers.Worker, wait_for_short_tasks: bool
     ) -> bool:
@@ -282,7 +214,7 @@
                 self._dependencies.dispatcher.stop(worker, run.run_id)
         return not worker.runs_by_task
 
-    async def _report(self, state: _WaveState, done: bool) -> None:
+    async def _report(self, state: wave_states.WaveState, done: bool) -> None:
         written = await self._dependencies.store.commit(
             transactions.Transaction(
                 puts=(
