Open workers whose maintenance was done before the request

The platform accepts a maintenance request again that is done already, without effect. A new leader sends such requests, as it doesn't know what its predecessor had begun. The worker was marked as without registration and stayed cordoned; if its next entry came before it was forgotten, in up to 0.2 s, it got no tasks for the rest of the term.

A worker that is still there once its machine should be up again is now opened.

--- a/libs/scheduler/src/jackdawlatch/scheduler/waves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waves.py
@@ -77,6 +77,7 @@
     def __init__(self, dependencies: Dependencies) -> None:
         self._dependencies = dependencies
         self._states_by_number: dict[int, wave_states.WaveState] = {}
+        self._down_until_s_by_worker: dict[workers.Worker, float] = {}
 
     def add(self, wave: Wave) -> None:
         """Add a wave, unless it is known already."""
@@ -96,11 +97,20 @@
         """Carry out waves until cancelled."""
         await asyncio.sleep(HANDOVER_S)
         while True:
+            self._reopen()
             for state in tuple(self._states_by_number.values()):
                 if self._dependencies.leading() and not state.reported_done:
                     await self._advance(state)
             await asyncio.sleep(PERIOD_S)
 
+    def _reopen(self) -> None:
+        """Open workers whose machine had its maintenance before the request."""
+        now_s = self._dependencies.cluster.now_s
+        for worker, until_s in tuple(self._down_until_s_by_worker.items()):
+            if until_s <= now_s:
+                self._down_until_s_by_worker.pop(worker)
+                self.cordon(worker)
+
     async def _advance(self, state: wave_states.WaveState) -> None:
         if not state.remaining:
             await self._report(state, done=True)
@@ -191,6 +201,9 @@
         if not isinstance(begun, result.Failure):
             for old in held_by:
                 old.registered = False
+                self._down_until_s_by_worker[old] = state.up_s_by_machine[
+                    machine
+                ]
             for new in self._workers_on(machine):
                 self.cordon(new)
 
--- a/libs/scheduler/tests/test_scheduler_waves.py
+++ b/libs/scheduler/tests/test_scheduler_waves.py
@@ -122,4 +122,18 @@
         await waiting.until(lambda: len(bench.machines.maintained) == 2)
 
 
+async def test_worker_opens_after_repeated_maintenance(bench):
+    """The platform accepts a request of a new leader that is done already."""
+    worker = bench.add_worker('w1')
+    with mock.patch.object(
+        bench.machines, 'maintain', return_value=result.Success(None)
+    ) as maintain:
+        async with bench.lead() as leader:
+            leader.waves.add(waves.Wave(1, ('m-w1',), WAVE_S, 1))
+            await waiting.until(lambda: maintain.call_count)
+            bench.add_entry(worker.entry)
+            bench.submit(benches.job(lasting=True))
+            await waiting.until(lambda: worker.running)
+
+
 load_tests = functions.loader(__name__, {'bench': benches.bench})
