List the maintenance that a new leader repeats as known red

What earlier leaders have begun is not stored: a new leader vacates and requests again each machine of every wave that it has seen, of finished ones too. The platform answers that it is done, so that neither max_unavailable nor max-count is broken, but tasks are stopped for nothing and the wave takes longer.

--- a/libs/scheduler/tests/test_scheduler_waves.py
+++ b/libs/scheduler/tests/test_scheduler_waves.py
@@ -136,4 +136,21 @@
             await waiting.until(lambda: worker.running)
 
 
+async def test_new_leader_does_not_repeat_maintenance(bench):
+    bench.add_worker('w1')
+    wave = waves.Wave(1, ('m-w1', 'm-w2'), WAVE_S, 1)
+    bench.machines.refused.add('m-w2')
+    async with bench.lead() as first:
+        first.waves.add(wave)
+        await waiting.until(lambda: bench.machines.maintained)
+        await asyncio.sleep(PLACED_S)
+    bench.machines.refused.clear()
+    bench.machines.maintained.clear()
+    async with bench.lead() as second:
+        second.waves.add(wave)
+        await waiting.until(lambda: 'm-w2' in bench.machines.maintained)
+        await asyncio.sleep(PLACED_S)
+    assert bench.machines.maintained == ['m-w2']
+
+
 load_tests = functions.loader(__name__, {'bench': benches.bench})
