--- a/libs/scheduler/src/jackdawlatch/scheduler/departures.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/departures.py
@@ -11,11 +11,11 @@
 from jackdawlatch.scheduler import (
     cluster_state,
     dispatch,
+    machine_workers,
     places,
     runs,
     supervision,
     tasks,
-    waves,
     workers,
 )
 
@@ -124,7 +124,7 @@
             run.task.state
             for worker in self._notices_by_worker
             for run in worker.runs_by_task.values()
-            if run.task.step.lasting and not waves.may_stop(run.task)
+            if run.task.step.lasting and not machine_workers.may_stop(run.task)
         }
         due = {
             task.run.worker
@@ -154,7 +154,7 @@
     Tickets of an advised queue may be valid for no other worker.
     """
     advised = task.job.queue is not None and task.job.queue.advised
-    return task.step.lasting and not advised and waves.may_stop(task)
+    return task.step.lasting and not advised and machine_workers.may_stop(task)
 
 
 def _is_starting(run: runs.Run) -> bool:
--- a/libs/scheduler/src/jackdawlatch/scheduler/waves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waves.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from returns import result
 
@@ -14,9 +14,8 @@
     dispatch,
     machine_workers,
     persistence,
-    reports,
     runs,
-    tasks,
+    wave_states,
     workers,
 )
 from jackdawlatch.store import transactions
@@ -24,10 +23,6 @@
 PERIOD_S = 0.2
 # Machines that the previous leader took down are up again by then.
 HANDOVER_S = 3.0
-# The answer to a maintenance request comes after the machine went down.
-ANSWER_SLACK_S = 0.3
-# How much later an unanswered maintenance request may still be carried out.
-UNANSWERED_SLACK_S = 3.0
 # Short tasks end by themselves within about this time.
 VACATE_S = 2.5
 # The remaining tasks are stopped after this time, since some never end.
@@ -76,68 +71,47 @@
     settings: Settings
 
 
-class _WaveState:
-    """The progress of a wave."""
-
-    def __init__(self, wave: Wave, now_s: float) -> None:
-        self.wave = wave
-        self.ends_s = now_s + wave.duration_s
-        self.begun: set[str] = set()
-        self.up_s_by_machine: dict[str, float] = {}
-        self.chosen_s_by_machine: dict[str, float] = {}
-        self.reported_done: bool | None = None
-
-    @property
-    def remaining(self) -> list[str]:
-        """The machines whose maintenance has not begun."""
-        return [
-            machine
-            for machine in self.wave.machines
-            if machine not in self.begun
-        ]
-
-    def slots(self, now_s: float) -> int:
-        """Return how many more machines may go down now."""
-        down = sum(up_s > now_s for up_s in self.up_s_by_machine.values())
-        return max(0, self.wave.max_count - down)
-
-    def record_chosen(self, chosen: Iterable[str], now_s: float) -> None:
-        """Record since when each chosen machine is being vacated."""
-        self.chosen_s_by_machine = {
-            machine: self.chosen_s_by_machine.get(machine, now_s)
-            for machine in chosen
-        }
-
-    def urgent(self, now_s: float, round_s: float) -> bool:
-        """Whether the wave would miss its deadline by waiting for less load."""
-        rounds = -(-len(self.remaining) // max(1, self.wave.max_count))
-        return now_s + (rounds + 1) * round_s > self.ends_s
-
-
 class Waves:
     """Carries out the requested waves."""
 
     def __init__(self, dependencies: Dependencies) -> None:
         self._dependencies = dependencies
-        self._states_by_number: dict[int, _WaveState] = {}
+        self._states_by_number: dict[int, wave_states.WaveState] = {}
+        self._down_until_s_by_worker: dict[workers.Worker, float] = {}
 
     def add(self, wave: Wave) -> None:
         """Add a wave, unless it is known already."""
         if wave.number not in self._states_by_number:
-            self._states_by_number[wave.number] = _WaveState(
+            self._states_by_number[wave.number] = wave_states.WaveState(
                 wave, self._dependencies.cluster.now_s
             )
 
+    def cordon(self, worker: workers.Worker) -> None:
+        """Place no tasks on a worker whose machine is about to go down."""
+        worker.cordons.discard(workers.Cordon.MAINTENANCE)
+        for state in self._states_by_number.values():
+            if worker.entry.machine in state.cordoned:
+                worker.cordons.add(workers.Cordon.MAINTENANCE)
+
     async def run(self) -> None:
         """Carry out waves until cancelled."""
         await asyncio.sleep(HANDOVER_S)
         while True:
+            self._reopen()
             for state in tuple(self._states_by_number.values()):
                 if self._dependencies.leading() and not state.reported_done:
                     await self._advance(state)
             await asyncio.sleep(PERIOD_S)
 
-    async def _advance(self, state: _WaveState) -> None:
+    def _reopen(self) -> None:
+        """Open workers whose machine had its maintenance before the request."""
+        now_s = self._dependencies.cluster.now_s
+        for worker, until_s in tuple(self._down_until_s_by_worker.items()):
+            if until_s <= now_s:
+                self._down_until_s_by_worker.pop(worker)
+                self.cordon(worker)
+
+    async def _advance(self, state: wave_states.WaveState) -> None:
         if not state.remaining:
             await self._report(state, done=True)
             return
@@ -148,16 +122,17 @@
         )
         now_s = self._dependencies.cluster.now_s
         chosen = self._choose(state, by_machine, now_s)
+        state.cordoned = frozenset((*chosen, *state.unanswered(now_s)))
         for machine in state.remaining:
             for worker in by_machine.get(machine, ()):
-                worker.cordoned = machine in chosen
+                self.cordon(worker)
         state.record_chosen(chosen, now_s)
         for machine in chosen:
             await self._maintain(state, machine, by_machine.get(machine, ()))
 
     def _choose(
         self,
-        state: _WaveState,
+        state: wave_states.WaveState,
         by_machine: Mapping[str, Sequence[workers.Worker]],
         now_s: float,
     ) -> list[str]:
@@ -170,7 +145,9 @@
             frozenset() if urgent else self._dependencies.undersupplied()
         )
         due = [
-            machine_workers.due_machine(name, by_machine.get(name, ()))
+            machine_workers.due_machine(
+                name, by_machine.get(name, ()), name in state.refused
+            )
             for name in state.remaining
             if machine_workers.may_vacate(
                 by_machine.get(name, ()), undersupplied
@@ -180,7 +157,7 @@
 
     async def _maintain(
         self,
-        state: _WaveState,
+        state: wave_states.WaveState,
         machine: str,
         held_by: Sequence[workers.Worker],
     ) -> None:
@@ -190,10 +167,15 @@
         vacated = [
             self._is_vacated(worker, wait_for_short_tasks) for worker in held_by
         ]
-        if not all(vacated):
-            return
         # Machines are vacated ahead of a free slot.
-        if not self._dependencies.leading() or not state.slots(now_s):
+        if all(vacated) and state.slots(now_s):
+            await self._order(state, machine)
+
+    async def _order(self, state: wave_states.WaveState, machine: str) -> None:
+        # A worker may have registered during the requests before this one.
+        held_by = self._workers_on(machine)
+        occupied = any(worker.runs_by_task for worker in held_by)
+        if occupied or not self._dependencies.leading():
             return
         begun = await self._dependencies.client.maintain(
             machine, state.wave.number, self._dependencies.term.token
@@ -210,27 +192,25 @@
             runs=sum(len(worker.runs_by_task) for worker in held_by),
             outcome=outcome,
         )
-        self._record_down(state, machine, begun)
-        if not isinstance(begun, result.Failure):
-            for worker in held_by:
-                worker.registered = False
-
-    def _record_down(
-        self,
-        state: _WaveState,
-        machine: str,
-        begun: result.Result[None, reports.MachineFailure],
-    ) -> None:
-        up_s = (
+        state.record_outcome(
+            machine,
+            begun,
             self._dependencies.cluster.now_s
-            + self._dependencies.settings.maintenance_s
+            + self._dependencies.settings.maintenance_s,
         )
         if not isinstance(begun, result.Failure):
-            state.begun.add(machine)
-            state.up_s_by_machine[machine] = up_s + ANSWER_SLACK_S
-        elif not begun.failure().refused:
-            # The maintenance may have begun all the same, or may begin soon.
-            state.up_s_by_machine[machine] = up_s + UNANSWERED_SLACK_S
+            for old in held_by:
+                old.registered = False
+                self._down_until_s_by_worker[old] = state.up_s_by_machine[
+                    machine
+                ]
+            for new in self._workers_on(machine):
+                self.cordon(new)
+
+    def _workers_on(self, machine: str) -> list[workers.Worker]:
+        return machine_workers.on_machine(
+            machine, self._dependencies.cluster.workers_by_id.values()
+        )
 
     def _is_vacated(
         self, worker: workers.Worker, wait_for_short_tasks: bool
@@ -239,13 +219,15 @@
         for run in tuple(worker.runs_by_task.values()):
             lasting = run.task.step.lasting
             stoppable = (
-                may_stop(run.task) if lasting else not wait_for_short_tasks
+                machine_workers.may_stop(run.task)
+                if lasting
+                else not wait_for_short_tasks
             )
             if stoppable and run.phase is runs.RunPhase.RUNNING:
                 self._dependencies.dispatcher.stop(worker, run.run_id)
         return not worker.runs_by_task
 
-    async def _report(self, state: _WaveState, done: bool) -> None:
+    async def _report(self, state: wave_states.WaveState, done: bool) -> None:
         written = await self._dependencies.store.commit(
             transactions.Transaction(
                 puts=(
@@ -257,13 +239,3 @@
         )
         if not isinstance(written, result.Failure):
             state.reported_done = done
-
-
-def may_stop(task: tasks.Task) -> bool:
-    """Whether stopping a lasting task keeps ``max_unavailable`` of its step."""
-    step = task.step
-    if not step.max_unavailable:
-        return True
-    state = task.job.step_state(task.id.occurrence, task.id.step)
-    others_unavailable = state.unavailable_count() - (not task.serving)
-    return others_unavailable < step.max_unavailable
--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -29,6 +29,7 @@
             self._update(known, entry)
             return known
         worker = self._cluster.add_worker(entry)
+        self._cluster.on_new_worker(worker)
         for other in tuple(by_id.values()):
             if other is not worker and _is_successor(entry, other.entry):
                 self._replace(other, worker)
--- a/libs/scheduler/tests/test_scheduler_waves.py
+++ b/libs/scheduler/tests/test_scheduler_waves.py
@@ -1,13 +1,18 @@
 """Maintenance and stops on machines whose worker is not registered."""
 
 import asyncio
+from unittest import mock
 
 import scheduler_bench as benches
+from returns import result
 
-from jackdawlatch.scheduler import waves
+from jackdawlatch.scheduler import reports, waves, workers
 from jackdawlatch.testing import functions, waiting
 
 WAVE_S = 9
+# More than two rounds of waves; idle workers get tasks at once.
+PLACED_S = 0.5
+UNANSWERED = result.Failure(reports.MachineFailure(message='no answer'))
 
 
 async def test_wave_vacates_worker_without_registration(bench):
@@ -42,4 +47,110 @@
         await waiting.until(lambda: not worker.running)
 
 
+async def test_wave_sees_worker_that_registers_meanwhile(bench):
+    bench.add_worker('w1')
+    bench.machines.opened.clear()
+    async with bench.lead() as leader:
+        leader.waves.add(waves.Wave(1, ('m-w1', 'm-w2'), WAVE_S, 2))
+        await waiting.until(lambda: bench.machines.requested)
+        # An earlier leader started the task there.
+        bench.submit(benches.job(lasting=True))
+        bench.add_worker('w2').running[benches.task()] = 1
+        by_id = leader.cluster.workers_by_id
+        await waiting.until(lambda: 'w2' in by_id and by_id['w2'].runs_by_task)
+        bench.machines.opened.set()
+        await waiting.until(lambda: len(bench.machines.maintained) == 2)
+    assert not bench.machines.ended_runs
+
+
+async def test_wave_does_not_open_a_worker_that_is_moving(bench):
+    worker = bench.add_worker('w1')
+    bench.machines.opened.clear()
+    async with bench.lead() as leader:
+        by_id = leader.cluster.workers_by_id
+        await waiting.until(lambda: 'w1' in by_id)
+        by_id['w1'].cordons.add(workers.Cordon.MOVE)
+        leader.waves.add(waves.Wave(1, ('m-w0', 'm-w1'), WAVE_S, 1))
+        await waiting.until(lambda: bench.machines.requested)
+        bench.submit(benches.job(lasting=True))
+        await asyncio.sleep(PLACED_S)
+        assert not worker.started_runs
+        by_id['w1'].cordons.clear()
+        await waiting.until(lambda: worker.running)
+
+
+async def test_machine_being_requested_gets_no_tasks(bench):
+    bench.machines.opened.clear()
+    async with bench.lead() as leader:
+        leader.waves.add(waves.Wave(1, ('m-w1',), WAVE_S, 1))
+        await waiting.until(lambda: bench.machines.requested)
+        added = bench.add_worker('w1')
+        bench.submit(benches.job(lasting=True))
+        await asyncio.sleep(PLACED_S)
+        bench.machines.opened.set()
+        await waiting.until(lambda: bench.machines.maintained)
+        await waiting.until(lambda: bench.workers.by_id['w1'].running)
+    assert not added.started_runs
+    assert not bench.machines.ended_runs
+
+
+async def test_machine_that_may_go_down_gets_no_tasks(bench):
+    """A maintenance request without answer may be carried out later."""
+    worker = bench.add_worker('w1')
+    async with bench.lead() as leader:
+        with mock.patch.object(
+            bench.machines, 'maintain', return_value=UNANSWERED
+        ) as maintain:
+            leader.waves.add(waves.Wave(1, ('m-w1',), WAVE_S, 1))
+            await waiting.until(lambda: maintain.call_count)
+            await asyncio.sleep(PLACED_S)
+            bench.submit(benches.job(lasting=True))
+            await asyncio.sleep(PLACED_S)
+        assert not worker.started_runs
+        await waiting.until(lambda: bench.machines.maintained)
+        await waiting.until(lambda: bench.workers.by_id['w1'].running)
+    assert not bench.machines.ended_runs
+
+
+async def test_refused_machine_does_not_hold_up_a_wave(bench):
+    bench.add_worker('w1')
+    bench.machines.refused.add('m-gone')
+    async with bench.lead() as leader:
+        leader.waves.add(waves.Wave(1, ('m-gone', 'm-w1'), WAVE_S, 1))
+        await waiting.until(lambda: bench.machines.maintained)
+        bench.machines.refused.clear()
+        await waiting.until(lambda: len(bench.machines.maintained) == 2)
+
+
+async def test_worker_opens_after_repeated_maintenance(bench):
+    """The platform accepts a request of a new leader that is done already."""
+    worker = bench.add_worker('w1')
+    with mock.patch.object(
+        bench.machines, 'maintain', return_value=result.Success(None)
+    ) as maintain:
+        async with bench.lead() as leader:
+            leader.waves.add(waves.Wave(1, ('m-w1',), WAVE_S, 1))
+            await waiting.until(lambda: maintain.call_count)
+            bench.add_entry(worker.entry)
+            bench.submit(benches.job(lasting=True))
+            await waiting.until(lambda: worker.running)
+
+
+async def test_new_leader_does_not_repeat_maintenance(bench):
+    bench.add_worker('w1')
+    wave = waves.Wave(1, ('m-w1', 'm-w2'), WAVE_S, 1)
+    bench.machines.refused.add('m-w2')
+    async with bench.lead() as first:
+        first.waves.add(wave)
+        await waiting.until(lambda: bench.machines.maintained)
+        await asyncio.sleep(PLACED_S)
+    bench.machines.refused.clear()
+    bench.machines.maintained.clear()
+    async with bench.lead() as second:
+        second.waves.add(wave)
+        await waiting.until(lambda: 'm-w2' in bench.machines.maintained)
+        await asyncio.sleep(PLACED_S)
+    assert bench.machines.maintained == ['m-w2']
+
+
 load_tests = functions.loader(__name__, {'bench': benches.bench})
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -157,7 +157,7 @@
     ),
     Mutation(
         'a wave keeps max_unavailable of a step',
-        'scheduler/waves.py',
+        'scheduler/machine_workers.py',
         'return others_unavailable < step.max_unavailable',
         'return True',
         'scheduler',
@@ -198,8 +198,7 @@
     Mutation(
         'an answer of an earlier boot is ignored',
         'scheduler/dispatch.py',
-        'if (\n            self._dependencies.cluster.workers_by_id.get(worker'
-        '.entry.id)\n            is not worker\n        ):',
+        'if not self._dependencies.cluster.knows(worker):',
         'if False:',
         'scheduler',
         'test_answer_of_an_earlier_boot',
@@ -351,7 +350,7 @@
     Mutation(
         'moving tasks away keeps the availability of their step',
         'scheduler/departures.py',
-        'and not advised and waves.may_stop(task)',
+        'and not advised and machine_workers.may_stop(task)',
         'and not advised',
         'scheduler',
         'test_departure_keeps_the_availability',
