--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -25,9 +25,7 @@
         by_id = self._cluster.workers_by_id
         known = by_id.get(entry.id)
         if known is not None and known.entry.born_ms == entry.born_ms:
-            known.registered = True
-            known.update(entry)
-            self._cluster.on_change()
+            self._update(known, entry)
             return known
         worker = workers.Worker(entry)
         by_id[entry.id] = worker
@@ -43,6 +41,8 @@
         """Mark a worker whose entry was deleted."""
         known = self._cluster.workers_by_id.get(worker_id)
         if known is not None:
+            if known.runs_by_task:
+                self._note_departure('worker-unregistered', known)
             known.registered = False
 
     def retain(self, worker_ids: Collection[str]) -> None:
@@ -71,6 +71,18 @@
             if not worker.registered and not worker.runs_by_task:
                 by_id.pop(worker.entry.id)
 
+    def _update(
+        self, known: workers.Worker, entry: reports.WorkerEntry
+    ) -> None:
+        known.registered = True
+        announced = entry.draining and not known.entry.draining
+        known.update(entry)
+        if announced:
+            self._note_departure(
+                'worker-draining', known, remaining_s=entry.remaining_s or 0
+            )
+        self._cluster.on_change()
+
     def _replace(self, old: workers.Worker, new: workers.Worker) -> None:
         same_id = old.entry.id == new.entry.id
         if not same_id:
@@ -96,6 +108,20 @@
             if not job.ended:
                 self._cluster.end_job(job, stored.JobPhase.FAILED)
 
+    def _note_departure(
+        self, event: str, worker: workers.Worker, **details: float
+    ) -> None:
+        self._cluster.dependencies.log.note(
+            event,
+            worker=worker.entry.id,
+            machine=worker.entry.machine,
+            runs=len(worker.runs_by_task),
+            lasting=workers.lasting_count(worker),
+            draining=worker.entry.draining,
+            reachable=worker.reachable,
+            **details,
+        )
+
     def _note_replaced(self, old: workers.Worker, new: workers.Worker) -> None:
         now_s = self._cluster.now_s
         lost_s = now_s if old.health.lost_s is None else old.health.lost_s
