--- a/libs/scheduler/src/jackdawlatch/scheduler/departures.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/departures.py
@@ -1,17 +1,20 @@
 """Moves tasks away from workers that have announced their departure."""
 
 import asyncio
-import collections
 import dataclasses
+import functools
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from jackdawlatch.policy import departures as policy
 from jackdawlatch.scheduler import (
     cluster_state,
     dispatch,
-    reservations,
+    places,
     runs,
+    supervision,
+    tasks,
     waves,
     workers,
 )
@@ -28,6 +31,7 @@
     cluster: cluster_state.ClusterState
     dispatcher: dispatch.Dispatcher
     leading: Callable[[], bool]
+    spawn: Callable[[Coroutine[Any, Any, None]], Any]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -45,6 +49,7 @@
         self._dependencies = dependencies
         self._cluster = dependencies.cluster
         self._notices_by_worker: dict[workers.Worker, _Notice] = {}
+        self._refreshing: set[workers.Worker] = set()
         # A new leader reads notices that workers may have reported before.
         self._report_age_s = dependencies.cluster.dependencies.bounds.report_s
 
@@ -53,55 +58,39 @@
         while True:
             if self._dependencies.leading():
                 self._check_workers()
-                await self._refresh()
+                self._refresh()
             await asyncio.sleep(PERIOD_S)
 
     def _check_workers(self) -> None:
-        leaving = [
-            worker
-            for worker in self._cluster.workers_by_id.values()
-            if worker.entry.draining and worker.runs_by_task
-        ]
+        known = self._cluster.workers_by_id.values()
+        # Those without runs as well: a run may be found there later.
         self._notices_by_worker = {
-            worker: self._notice(worker) for worker in leaving
+            worker: self._notice(worker)
+            for worker in known
+            if worker.entry.draining
         }
         self._report_age_s = 0
+        leaving = [one for one in self._notices_by_worker if one.runs_by_task]
         if not leaving:
             return
-        reserved = self._reservations(leaving)
+        free = places.Places(known, leaving, self._cluster.now_s)
         for worker in sorted(leaving, key=self._remaining_s):
             for run in tuple(worker.runs_by_task.values()):
                 if run.phase is runs.RunPhase.RUNNING:
-                    self._check(run, reserved)
+                    self._check(run, free)
 
-    def _check(
-        self, run: runs.Run, reserved: reservations.Reservations
-    ) -> None:
+    def _check(self, run: runs.Run, free: places.Places) -> None:
         remaining_s = self._remaining_s(run.worker)
         held = policy.HeldRun(
             lasting=run.task.step.lasting,
             left_s=self._left_s(run),
-            replaceable=run.task.step.lasting and _replace(run, reserved),
+            replaceable=_may_move(run.task) and free.take(run.task),
         )
         stop_s = self._cluster.dependencies.bounds.stop_s
         if policy.must_stop(held, remaining_s, stop_s):
             self._cluster.note('evacuated', run, f'{remaining_s:.1f} s left')
             self._dependencies.dispatcher.stop(run.worker, run.run_id)
 
-    def _reservations(
-        self, leaving: Iterable[workers.Worker]
-    ) -> reservations.Reservations:
-        """Return the room of all workers, less that of the tasks on their way."""
-        candidates: dict[str, list[workers.Worker]] = {}
-        for worker in self._cluster.workers_by_id.values():
-            candidates.setdefault(worker.entry.service, []).append(worker)
-        reserved = reservations.Reservations(candidates, self._cluster.now_s)
-        for worker in leaving:
-            for run in worker.runs_by_task.values():
-                if run.phase is runs.RunPhase.STOPPING:
-                    _reserve(run, reserved)
-        return reserved
-
     def _notice(self, worker: workers.Worker) -> _Notice:
         """Return the known notice of a worker, unless it reports a new one."""
         known = self._notices_by_worker.get(worker)
@@ -126,12 +115,11 @@
             run.percent,
         )
 
-    async def _refresh(self) -> None:
+    def _refresh(self) -> None:
         """Poll the workers whose answers decide whether more may be stopped.
 
         The polls that wait for an end would show only later that a task serves.
         """
-        now_s = self._cluster.now_s
         blocked = {
             run.task.state
             for worker in self._notices_by_worker
@@ -144,37 +132,32 @@
             for task in state.tasks
             if task.run is not None and _is_starting(task.run)
         }
-        await asyncio.gather(
-            *(
-                self._dependencies.dispatcher.poll(worker, None, 0)
-                for worker in due
-                if now_s - worker.last_poll_s >= REFRESH_S
-            )
-        )
+        for worker in due - self._refreshing:
+            if self._cluster.now_s - worker.last_poll_s >= REFRESH_S:
+                self._refreshing.add(worker)
+                self._dependencies.spawn(
+                    supervision.keep_running(
+                        functools.partial(self._poll, worker),
+                        self._cluster.dependencies.clock.monotonic_s,
+                        max_failures=math.inf,
+                    )
+                )
+
+    async def _poll(self, worker: workers.Worker) -> None:
+        await self._dependencies.dispatcher.poll(worker, None, 0)
+        self._refreshing.discard(worker)
+
+
+def _may_move(task: tasks.Task) -> bool:
+    """Whether a lasting task may be stopped while its worker stays.
+
+    Tickets of an advised queue may be valid for no other worker.
+    """
+    advised = task.job.queue is not None and task.job.queue.advised
+    return task.step.lasting and not advised and waves.may_stop(task)
 
 
 def _is_starting(run: runs.Run) -> bool:
     """Whether a lasting task was started, but is not known to serve."""
     running = run.phase is runs.RunPhase.RUNNING
     return running and run.worker.reachable and not run.serving
-
-
-def _replace(run: runs.Run, reserved: reservations.Reservations) -> bool:
-    """Reserve room elsewhere for a lasting task that may be stopped."""
-    return waves.may_stop(run.task) and _reserve(run, reserved)
-
-
-def _reserve(run: runs.Run, reserved: reservations.Reservations) -> bool:
-    """Reserve room for the task of a run; return whether there was any."""
-    task = run.task
-    step = task.step
-    count_by_worker = collections.Counter(
-        other.run.worker.entry.id
-        for other in task.state.tasks
-        if other.run is not None
-    )
-    for worker in reserved.candidates(task.job.service, step, late=False):
-        if not 0 < step.max_per_worker <= count_by_worker[worker.entry.id]:
-            reserved.reserve(worker, step.reserved_room)
-            return True
-    return False
--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -158,15 +158,11 @@
     def _send_start(self, run: runs.Run, ticket: str) -> None:
         if run.task.run is not run or run.phase is not runs.RunPhase.WRITING:
             return
-        if run.task.job.ended or not self._dependencies.leading():
-            self._dependencies.cluster.release(run, 'not-ordered')
-            return
-        if run.worker.lease.record is not None:
-            self._dependencies.cluster.release(run, 'lease-recorded')
-            return
-        if not run.worker.free.fits(model.Room()):
-            # Its capacity has shrunk since the run was placed.
-            self._dependencies.cluster.release(run, 'no-capacity')
+        obstacle = _obstacle(run)
+        if not self._dependencies.leading():
+            obstacle = 'not-leading'
+        if obstacle:
+            self._dependencies.cluster.release(run, obstacle)
             return
         run.worker.extend_lease(START_EXPIRY_S, self._clock.monotonic_s())
         run.phase = runs.RunPhase.ORDERED
@@ -224,6 +220,9 @@
             return
         if failure.reason is calls.Refusal.FENCED:
             self._dependencies.progress_writer.deposed.set()
+        if failure.reason is calls.Refusal.OTHER_BOOT:
+            # The address has passed to another worker.
+            self._dependencies.registry.end(worker)
         penalty_s = PENALTIES_S_BY_REASON.get(failure.reason, 0)
         worker.health.suspend(self._clock.monotonic_s() + penalty_s)
 
@@ -267,13 +266,34 @@
             )
             if not isinstance(stopped, result.Failure):
                 break
-            if isinstance(stopped.failure(), calls.Refused):
+            if _is_final(stopped.failure()):
                 self._handle_failure(worker, stopped.failure())
                 break
             await asyncio.sleep(RETRY_S)
         self._stopping.discard(key)
 
 
+def _obstacle(run: runs.Run) -> str:
+    """Return what has come up since a run was placed, empty if nothing."""
+    worker = run.worker
+    if run.task.job.ended:
+        return 'job-ended'
+    if worker.lease.record is not None:
+        return 'lease-recorded'
+    if worker.entry.draining:
+        return 'worker-draining'
+    # Its capacity may have shrunk.
+    return '' if worker.free.fits(model.Room()) else 'no-capacity'
+
+
+def _is_final(failure: calls.CallFailure) -> bool:
+    """Whether a stop that failed would fail again."""
+    return (
+        isinstance(failure, calls.Refused)
+        and failure.reason is not calls.Refusal.UNHEALTHY
+    )
+
+
 def _unsettled(run: runs.Run) -> bool:
     """Whether it is still unknown if the start of a run took effect."""
     assigned = run.worker.runs_by_task.get(run.task.id) is run
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -295,8 +295,8 @@
     Mutation(
         'a placed task is not sent to a shrunk worker',
         'scheduler/dispatch.py',
-        'if not run.worker.free.fits(model.Room()):',
-        'if False:',
+        "return '' if worker.free.fits(model.Room()) else 'no-capacity'",
+        "return ''",
         'scheduler',
         'test_placed_task_is_not_sent',
     ),
@@ -319,8 +319,8 @@
     Mutation(
         'moving tasks away keeps the availability of their step',
         'scheduler/departures.py',
-        'return waves.may_stop(run.task) and _reserve(run, reserved)',
-        'return _reserve(run, reserved)',
+        'and not advised and waves.may_stop(task)',
+        'and not advised',
         'scheduler',
         'test_departure_keeps_the_availability',
     ),
