Let failures of a worker age, and count serving as success

Callers would see: a lasting task that waits 8 s beside workers with room, although each of them failed one run a minute.

Cause: a worker's failures counted as in a row however far apart they were. Only a run that ended as done ended the row, and lasting tasks never end so. Every worker of a service with lasting tasks thus came to the longest penalty, for each later failure. Class of fault: a count that an event resets which may never come.

Ruled out: a cap below 8 s, since a worker that fails every run has to be avoided that long.

Change: failures more than 20 s apart are not in a row, and a lasting task that has served for 10 s since the last failure counts as a success. A worker that fails every run still reaches the longest penalty.

test_rare_failures_do_not_suspend_all_workers: waited 8.2 s before, 0.6 s now; target 3 s. test_serving_task_ends_a_row_of_failures failed without the change.

--- a/libs/scheduler/src/jackdawlatch/scheduler/health.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/health.py
@@ -14,13 +14,21 @@
 # the penalty.
 FAILURE_PENALTY_S = 0.5
 MAX_FAILURE_PENALTY_S = 8.0
+# Failures further apart are not in a row.  A worker that fails every run fails
+# the next one within this time, even after the longest penalty.
+FAILURE_MEMORY_S = 20.0
+# A lasting task that has served for this long counts as a successful run.
+SERVED_S = 10.0
 
 
 def record_failure(worker: workers.Worker, now_s: float) -> None:
     """Suspend a worker after a failed run, longer for each one in a row."""
     health = worker.health
+    if now_s - health.last_failure_s > FAILURE_MEMORY_S:
+        health.consecutive_failures = 0
     penalty_s = FAILURE_PENALTY_S * 2**health.consecutive_failures
     health.consecutive_failures += 1
+    health.last_failure_s = now_s
     health.suspend(now_s + min(penalty_s, MAX_FAILURE_PENALTY_S))
 
 
@@ -29,6 +37,17 @@
     worker.health.consecutive_failures = 0
 
 
+def record_serving(run: runs.Run, now_s: float) -> None:
+    """Count a lasting task that has served for a while as a success.
+
+    A task that has served since before the last failure is no sign that other
+    tasks succeed again, so its time counts from that failure.
+    """
+    since_s = max(run.last_progress_s, run.worker.health.last_failure_s)
+    if run.task.step.lasting and run.serving and now_s - since_s > SERVED_S:
+        record_success(run.worker)
+
+
 class StallDetector:
     """Stops runs that make no progress, so that they restart elsewhere."""
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -71,6 +71,7 @@
         if run.phase in ORDERED:
             run.phase = runs.RunPhase.RUNNING
             run.last_progress_s = self._cluster.now_s
+        health.record_serving(run, self._cluster.now_s)
         if run.task.crashed_attempts and crashes.survives(run.confirmed_s):
             run.task.clear_crashes()
             self._cluster.dependencies.progress_writer.enqueue(run.task.job)
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -26,6 +26,7 @@
     def __init__(self) -> None:
         self.suspended_until_s: float = 0
         self.consecutive_failures = 0
+        self.last_failure_s: float = 0
         self.lost_s: float | None = None
         self.suspects: set[runs.Run] = set()
 
