Ask for advice on other workers when the first are refused or full

Callers would see: a step of an advised queue that waits beside approved workers with room.

Cause: a request named the 30 workers of the service with most room, and its answer was all that was known until it expired. Workers that were refused keep their room, so the next request named the same ones again. Class of fault: a choice that its own outcome never changes.

Ruled out: naming more workers a call, since each one adds to its time.

--- a/libs/scheduler/src/jackdawlatch/scheduler/placing.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/placing.py
@@ -80,11 +80,6 @@
             self._service, self._step, self._late
         )
 
-    @property
-    def waiting_count(self) -> int:
-        """How many tasks waited before ``place``."""
-        return self.state.waiting_count()
-
     def place(self) -> list[Placement]:
         """Return the placements; a gang is placed whole or not at all."""
         waiting = [
@@ -103,6 +98,8 @@
         if gang and len(waiting) < len(self.state.tasks):
             return []
         assigned = self._assign_step(waiting)
+        if len(assigned) < len(waiting):
+            self._request_tickets()
         if gang and len(assigned) < len(waiting):
             self._release(assigned)
             return []
@@ -139,6 +136,17 @@
         )
         return Wait(self.state, reason, counts)
 
+    def _request_tickets(self) -> None:
+        """Request tickets for the workers that still have capacity, if any."""
+        if (
+            self._advisor is not None
+            and self._tickets
+            and self._reservations.candidates(
+                self._service, self._step, self._late
+            )
+        ):
+            self._advisor.request_more(self.state)
+
     def _assign_step(self, waiting: list[tasks.Task]) -> Assignments:
         if not self._step.same_rack:
             return self._assign(waiting, _any_worker)
--- a/libs/scheduler/src/jackdawlatch/scheduler/planner.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/planner.py
@@ -30,7 +30,7 @@
         for placer in placers:
             placed = placer.place()
             self.placements.extend(placed)
-            if len(placed) < placer.waiting_count:
+            if len(placed) < placer.state.waiting_count():
                 self.unplaced.append(placer)
 
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/reports.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reports.py
@@ -35,6 +35,10 @@
     rack: str = ''
     draining: bool = False
 
+    def carries(self, label: str) -> bool:
+        """Whether the worker has a label; an empty one is no condition."""
+        return not label or label in self.labels
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunReport:
--- a/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
@@ -77,10 +77,7 @@
             worker
             for worker in group.available
             if self.free(worker).fits(need)
-            and (
-                not step.required_label
-                or step.required_label in worker.entry.labels
-            )
+            and worker.entry.carries(step.required_label)
         ]
         if not found:
             unfit.append(need)
