Withhold machines with much free capacity no longer than idle ones

Callers would see: a late job that waits 5.4 s while most of the capacity of its service is free.

Cause: machines are withheld from late jobs so that they become idle and move, 2.5 s at most while idle and 6 s otherwise. A machine that one long task keeps from becoming idle counted as busy, although ready work had most of its capacity.

Ruled out: 2.5 s for all machines, since a busy one needs the tasks of several seconds on it to end (docs/incidents/deferred-for-ever.md).

Change: the limit of idle machines holds for each machine with half of its capacity or more free, from when it came to that. PoolMachine has the share that is in use instead of the number of runs; the tests of withholding follow that (no runs is 0, a machine that never becomes idle is 1), with the same asserts and bounds.

Remains: a machine whose use goes to and fro about one half counts anew each time it falls to it, so that late jobs may wait up to 6 s beside it.

--- a/libs/policy/src/jackdawlatch/policy/transfers.py
+++ b/libs/policy/src/jackdawlatch/policy/transfers.py
@@ -26,11 +26,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class PoolMachine:
-    """A machine of a pool, idle or not; lasting runs keep it from moving."""
+    """A machine of a pool, idle or not; lasting runs keep it from moving.
+
+    ``used_share`` is the part of its capacity that runs hold, from 0 to 1.
+    """
 
     id: str
     service: str
-    run_count: int
+    used_share: float
     lasting_count: int = 0
 
 
--- a/libs/policy/src/jackdawlatch/policy/withholding.py
+++ b/libs/policy/src/jackdawlatch/policy/withholding.py
@@ -2,15 +2,18 @@
 
 Load pattern: demand beyond the fleet, where a service has late jobs and more
 machines than its share.  A machine may fail to become idle or to move, so no
-machine is withheld without a bound.
+machine is withheld without a bound, and one with much free capacity only as
+long as ready work may wait beside it.
 """
 
 from collections.abc import Iterable
 
 from jackdawlatch.policy import transfers
 
-# Below the 3 s for which ready work may wait beside idle capacity.
-MAX_IDLE_S = 2.5
+# Below the 3 s for which ready work may wait while most capacity is free.
+MAX_SPARE_S = 2.5
+# A machine with at most this share of its capacity in use counts as spare.
+SPARE_USED_SHARE = 0.5
 # The tasks on withheld machines have ended by then, unless they stall.
 MAX_WITHHELD_S = 6.0
 # A service takes late jobs on all of its machines for this time: a gang may
@@ -23,7 +26,7 @@
 
     def __init__(self) -> None:
         self._begun_s_by_service: dict[str, float] = {}
-        self._idle_since_s_by_machine: dict[str, float] = {}
+        self._spare_since_s_by_machine: dict[str, float] = {}
         self._chosen: tuple[transfers.PoolMachine, ...] = ()
 
     def machines(self, now_s: float) -> frozenset[str]:
@@ -43,15 +46,16 @@
             begun_s = self._begun_s_by_service.get(machine.service)
             if begun_s is None or now_s - begun_s >= MAX_WITHHELD_S + REST_S:
                 self._begun_s_by_service[machine.service] = now_s
-        self._idle_since_s_by_machine = {
-            idle.id: self._idle_since_s_by_machine.get(idle.id, now_s)
-            for idle in self._chosen
-            if not idle.run_count
+        self._spare_since_s_by_machine = {
+            spare.id: self._spare_since_s_by_machine.get(spare.id, now_s)
+            for spare in self._chosen
+            if spare.used_share <= SPARE_USED_SHARE
         }
 
     def _is_withheld(
         self, machine: transfers.PoolMachine, now_s: float
     ) -> bool:
         withheld_s = now_s - self._begun_s_by_service[machine.service]
-        idle_since_s = self._idle_since_s_by_machine.get(machine.id, now_s)
-        return withheld_s < MAX_WITHHELD_S and now_s - idle_since_s < MAX_IDLE_S
+        spare_since_s = self._spare_since_s_by_machine.get(machine.id, now_s)
+        spare_s = now_s - spare_since_s
+        return withheld_s < MAX_WITHHELD_S and spare_s < MAX_SPARE_S
--- a/libs/policy/tests/test_policy_withholding.py
+++ b/libs/policy/tests/test_policy_withholding.py
@@ -11,7 +11,7 @@
 
 
 def test_service_with_a_surplus_is_vacated_for_another():
-    machines = [_machine('m0'), _machine('m1', run_count=2)]
+    machines = [_machine('m0'), _machine('m1', used_share=1)]
     assert transfers.vacate(machines, {'a': 1, 'b': -9}, missing=9) == machines
     assert not transfers.vacate(machines, {'a': 0, 'b': -9}, missing=9)
 
@@ -28,12 +28,17 @@
 
 
 def test_idle_machine_that_cannot_move_is_released():
-    withheld_steps = _replay(run_count=0)
+    withheld_steps = _replay(used_share=0)
+    assert _longest(withheld_steps) * STEP_S < ALLOWED_WAIT_S
+
+
+def test_machine_with_most_capacity_free_is_released():
+    withheld_steps = _replay(used_share=0.25)
     assert _longest(withheld_steps) * STEP_S < ALLOWED_WAIT_S
 
 
 def test_machine_that_never_becomes_idle_is_released():
-    withheld_steps = _replay(run_count=1)
+    withheld_steps = _replay(used_share=1)
     assert _longest(withheld_steps) * STEP_S <= withholding.MAX_WITHHELD_S
 
 
@@ -50,7 +55,7 @@
     assert not kept_free.machines(now_s=ALLOWED_WAIT_S)
 
 
-def _replay(run_count: int, max_machines: int = 1) -> list[frozenset[str]]:
+def _replay(used_share: float, max_machines: int = 1) -> list[frozenset[str]]:
     """Return what is withheld in each step of a day on which no move succeeds.
 
     Up to ``max_machines`` are vacated at different times.
@@ -60,7 +65,7 @@
     for step in range(300):
         now_s = step * STEP_S
         machines = [
-            _machine(f'm{number}', run_count)
+            _machine(f'm{number}', used_share)
             for number in range(1 + step % max_machines)
         ]
         kept_free.replace(machines, now_s)
@@ -79,9 +84,9 @@
 
 
 def _machine(
-    name: str, run_count: int = 0, lasting_count: int = 0
+    name: str, used_share: float = 0, lasting_count: int = 0
 ) -> transfers.PoolMachine:
-    return transfers.PoolMachine(name, 'a', run_count, lasting_count)
+    return transfers.PoolMachine(name, 'a', used_share, lasting_count)
 
 
 load_tests = functions.loader(__name__)
--- a/libs/scheduler/src/jackdawlatch/scheduler/demand.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/demand.py
@@ -66,7 +66,7 @@
             shares[job.service] += max(
                 (
                     (state.step.count - state.done_count)
-                    * _share(state.step.reserved_room, machine)
+                    * share(state.step.reserved_room, machine)
                     for state in job.steps
                 ),
                 default=0,
@@ -77,6 +77,14 @@
     }
 
 
+def share(need: model.Room, machine: model.Room) -> float:
+    """Return the share of a machine's capacity that is needed."""
+    return max(
+        need.processors_m / max(1, machine.processors_m),
+        need.memory_mb / max(1, machine.memory_mb),
+    )
+
+
 def divide(open_demand: Demand, machines: int) -> dict[str, int]:
     """Divide machines among services, each gets at most its demand.
 
@@ -97,10 +105,3 @@
     return {
         service: math.ceil(number * scale) for service, number in demand.items()
     }
-
-
-def _share(need: model.Room, machine: model.Room) -> float:
-    return max(
-        need.processors_m / max(1, machine.processors_m),
-        need.memory_mb / max(1, machine.memory_mb),
-    )
--- a/libs/scheduler/src/jackdawlatch/scheduler/fleet.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/fleet.py
@@ -2,7 +2,7 @@
 
 from jackdawlatch.jobs import model
 from jackdawlatch.policy import transfers
-from jackdawlatch.scheduler import cluster_state, workers
+from jackdawlatch.scheduler import cluster_state, demand, workers
 
 
 class Fleet:
@@ -46,7 +46,7 @@
             transfers.PoolMachine(
                 worker.entry.machine,
                 worker.entry.service,
-                run_count=len(worker.runs_by_task),
+                used_share=_used_share(worker),
                 lasting_count=workers.lasting_count(worker),
             )
             for worker in self.usable()
@@ -63,3 +63,9 @@
             for worker, since_s in ordered
             if worker.usable and not worker.runs_by_task
         ]
+
+
+def _used_share(worker: workers.Worker) -> float:
+    """Return the share of a worker's capacity that its runs hold."""
+    room = worker.entry.room
+    return demand.share(room.minus(worker.free), room)
