--- a/libs/scheduler/src/jackdawlatch/scheduler/reports.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reports.py
@@ -49,10 +49,6 @@
         """The identity of this boot."""
         return self.id, self.born_ms
 
-    def carries(self, label: str) -> bool:
-        """Whether the worker has a label; an empty one is no condition."""
-        return not label or label in self.labels
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunReport:
