--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -10,7 +10,7 @@
 from absl import logging
 from returns import result
 
-from jackdawlatch.jobs import model, stored
+from jackdawlatch.jobs import stored
 from jackdawlatch.scheduler import (
     calls,
     clients,
@@ -158,7 +158,7 @@
     def _send_start(self, run: runs.Run, ticket: str) -> None:
         if run.task.run is not run or run.phase is not runs.RunPhase.WRITING:
             return
-        obstacle = _obstacle(run)
+        obstacle = run.obstacle
         if not self._dependencies.leading():
             obstacle = 'not-leading'
         if obstacle:
@@ -276,19 +276,6 @@
         self._stopping.discard(key)
 
 
-def _obstacle(run: runs.Run) -> str:
-    """Return what has come up since a run was placed, empty if nothing."""
-    worker = run.worker
-    if run.task.job.ended:
-        return 'job-ended'
-    if worker.lease.record is not None:
-        return 'lease-recorded'
-    if worker.entry.draining:
-        return 'worker-draining'
-    # Its capacity may have shrunk.
-    return '' if worker.free.fits(model.Room()) else 'no-capacity'
-
-
 def _is_final(failure: calls.CallFailure) -> bool:
     """Whether a stop that failed would fail again."""
     return (
--- a/libs/scheduler/src/jackdawlatch/scheduler/runs.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/runs.py
@@ -3,6 +3,7 @@
 import enum
 import typing
 
+from jackdawlatch.jobs import model
 from jackdawlatch.scheduler import calls, reports
 
 if typing.TYPE_CHECKING:
@@ -74,6 +75,19 @@
         """The identity of this run in requests to its worker."""
         return calls.RunId(self.task.id, self.attempt)
 
+    @property
+    def obstacle(self) -> str:
+        """What has come up against its start, empty if nothing has."""
+        worker = self.worker
+        if self.task.job.ended:
+            return 'job-ended'
+        if worker.lease.record is not None:
+            return 'lease-recorded'
+        if worker.entry.draining:
+            return 'worker-draining'
+        # Its capacity may have shrunk since the run was placed.
+        return '' if worker.free.fits(model.Room()) else 'no-capacity'
+
     def mark_sent(self, now_s: float) -> None:
         """Record that the start is sent now, or the run was taken over."""
         self._sent_s = now_s
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -325,7 +325,7 @@
     ),
     Mutation(
         'a placed task is not sent to a shrunk worker',
-        'scheduler/dispatch.py',
+        'scheduler/runs.py',
         "return '' if worker.free.fits(model.Room()) else 'no-capacity'",
         "return ''",
         'scheduler',
