Let a host that withdraws while it wins not lead

Callers would see up to 2 s without a leader: a host that got SIGTERM between its candidacy and the answer of the store held the leadership key while it stopped, and until the lease of the key had ended.

Cause: a withdrawal gave up the term that it found, and the candidacy under way set one afterwards.

test_host_that_withdraws_meanwhile_does_not_lead failed before.

--- a/libs/scheduler/src/jackdawlatch/scheduler/election.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/election.py
@@ -69,7 +69,9 @@
             await asyncio.sleep(self._candidate.candidacy_delay_s + jitter_s)
             if self._vacancy.is_set() and not self._withdrawn:
                 term = await self._compete()
-                if term is not None:
+                if self._withdrawn:
+                    await self.resign()
+                elif term is not None:
                     self._vacancy.clear()
                     return term
 
--- a/libs/scheduler/tests/test_scheduler_election.py
+++ b/libs/scheduler/tests/test_scheduler_election.py
@@ -58,6 +58,24 @@
         candidate.cancel()
 
 
+async def test_host_that_withdraws_meanwhile_does_not_lead(bench):
+    leaving = bench.candidate('a')
+    commit = bench.store.commit
+
+    async def withdraw_first(transaction):
+        await leaving.withdraw()
+        return await commit(transaction)
+
+    bench.store.commit = withdraw_first
+    competing = asyncio.create_task(leaving.win())
+    await waiting.until(lambda: bench.store.calls_by_name['commit'])
+    await waiting.until(
+        lambda: bench.store.content.get(stored.LEADER_KEY) is None
+    )
+    assert not leaving.leading
+    competing.cancel()
+
+
 async def test_later_term_has_a_higher_token(bench):
     first, second = bench.candidate('a'), bench.candidate('b')
     earlier = await first.win()
