Let a stopping host lead while no other one does

Cause: a host that stops gave up the lead for good at once, though it answers callers for 2.8 s more, and all others did the same.

Ruled out: to keep the lead until the host ends. Others that stay would lead only after its end, while it may be killed at any moment.

Change: a stopping host gives up the lead at once, competes again a second later than any other host, and withdraws when it has drained.

--- a/libs/scheduler/src/jackdawlatch/scheduler/election.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/election.py
@@ -20,6 +20,8 @@
 # A weaker host lets the stronger ones compete first.  Longer than an answer of a
 # store that is fifty times slower than usual, and shorter than the lease.
 MAX_CANDIDACY_DELAY_S = 0.5
+# A host that is about to stop lets all others compete first.
+RELUCTANCE_S = 1.0
 # Peak use of a leader with about two hundred workers.
 LEADER_CORES = 1.0
 LEADER_LINK_MBPS = 100.0
@@ -53,6 +55,7 @@
         self._candidate = candidate
         self._lease = ''
         self._withdrawn = False
+        self._reluctance_s: float = 0
         self._renewed_s: float = 0
 
     @property
@@ -66,7 +69,8 @@
         while True:
             await self._vacancy.wait()
             jitter_s = random.uniform(0, JITTER_S)  # noqa: S311
-            await asyncio.sleep(self._candidate.candidacy_delay_s + jitter_s)
+            delay_s = self._candidate.candidacy_delay_s + self._reluctance_s
+            await asyncio.sleep(delay_s + jitter_s)
             if self._vacancy.is_set() and not self._withdrawn:
                 term = await self._compete()
                 if self._withdrawn:
@@ -85,6 +89,11 @@
                 await asyncio.sleep(TTL_S / RENEWALS_PER_TTL)
                 renewals.create_task(self._renew(self._lease))
 
+    async def step_aside(self) -> None:
+        """Give up the leadership, and compete only if no other host leads."""
+        self._reluctance_s = RELUCTANCE_S
+        await self.resign()
+
     async def withdraw(self) -> None:
         """Give up the leadership and never compete again."""
         self._withdrawn = True
--- a/libs/scheduler/tests/test_scheduler_election.py
+++ b/libs/scheduler/tests/test_scheduler_election.py
@@ -12,6 +12,8 @@
 from jackdawlatch.store import keyvalue
 from jackdawlatch.testing import functions, waiting
 
+WEAKEST_S = election.candidacy_delay_s(0, 0)
+
 
 class Bench:
     """Candidates with one store, on a clock that the test advances."""
@@ -58,6 +60,30 @@
         candidate.cancel()
 
 
+async def test_hosts_that_all_stop_keep_a_leader(bench):
+    holder, other = bench.candidate('a'), bench.candidate('b')
+    await holder.win()
+    for stopping in (holder, other):
+        await stopping.step_aside()
+    holder.record_vacancy(vacant=True)
+    competing = [asyncio.create_task(one.win()) for one in (holder, other)]
+    await waiting.until(lambda: holder.leading or other.leading)
+    for candidate in competing:
+        candidate.cancel()
+
+
+async def test_stopping_host_leaves_the_lead_to_others(bench):
+    stopping, staying = bench.candidate('a'), bench.candidate('b', WEAKEST_S)
+    await stopping.win()
+    await stopping.step_aside()
+    stopping.record_vacancy(vacant=True)
+    competing = [asyncio.create_task(one.win()) for one in (stopping, staying)]
+    await waiting.until(lambda: stopping.leading or staying.leading)
+    assert staying.leading
+    for candidate in competing:
+        candidate.cancel()
+
+
 async def test_host_that_withdraws_meanwhile_does_not_lead(bench):
     leaving = bench.candidate('a')
     commit = bench.store.commit
--- a/libs/unified/src/jackdawlatch/unified/root.py
+++ b/libs/unified/src/jackdawlatch/unified/root.py
@@ -213,7 +213,7 @@
         deadline_s = self._clock.monotonic_s() + (
             self._settings.bounds.drain_s * DRAIN_FRACTION
         )
-        await self._election.withdraw()
+        await self._election.step_aside()
         await asyncio.sleep(BALANCER_REMOVAL_S)
         self._front.stop()
         idle_since_s = self._clock.monotonic_s()
@@ -224,6 +224,7 @@
             if self._intake.in_flight:
                 idle_since_s = self._clock.monotonic_s()
         await self._front.close_all_connections()
+        await self._election.withdraw()
 
     def _on_reload(self) -> None:
         self._log.note('reload', outcome='settings apply at the next start')
