Log why a lasting task is stopped and what its step waits for

The logs of the incident could not tell the hypotheses apart: a stop for a wave had no line of its own, and `task-waits` gave `step-restricted` for the spread, the gang, the rack and the tickets alike. A stop of a lasting task for a wave writes `vacated`; a wait for a worker without a task of the step has the reason `spread`; the cordoned workers are counted. No decision is changed: the check of the spread is only moved to a method that placing and the log share. Tests: the two waits and the line of the wave; they failed before.

--- a/libs/scheduler/src/jackdawlatch/scheduler/placing.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/placing.py
@@ -21,15 +21,17 @@
 class WaitReason(enum.Enum):
     """Why a ready task was not placed.
 
-    ``RESTRICTED``: workers with room are excluded by the spread, the gang, the
-    rack or the tickets of its step.  ``WITHHELD``: its job is late, and the
-    workers with room are kept free to move to other services.
+    ``SPREAD``: each worker with room runs as many tasks of its step as may share
+    one.  ``RESTRICTED``: workers with room are excluded by the gang, the rack or
+    the tickets of its step.  ``WITHHELD``: its job is late, and the workers with
+    room are kept free to move to other services.
     """
 
     NO_WORKER = 'no-worker'
     UNUSABLE = 'workers-unusable'
     SUSPENDED = 'workers-suspended'
     NO_ROOM = 'no-room'
+    SPREAD = 'spread'
     RESTRICTED = 'step-restricted'
     WITHHELD = 'workers-withheld'
 
@@ -129,6 +131,7 @@
                     (WaitReason.SUSPENDED, counts.available),
                     (WaitReason.NO_ROOM, counts.fitting),
                     (WaitReason.WITHHELD, counts.open),
+                    (WaitReason.SPREAD, self._below_spread_count()),
                 )
                 if not number
             ),
@@ -136,6 +139,23 @@
         )
         return Wait(self.state, reason, counts)
 
+    def _below_spread_count(self) -> int:
+        """Return how many workers with room may share one more task."""
+        return sum(
+            map(
+                self._is_below_spread,
+                self._reservations.candidates(
+                    self._service, self._step, self._late
+                ),
+            )
+        )
+
+    def _is_below_spread(self, worker: workers.Worker) -> bool:
+        max_count = self._step.max_per_worker
+        return (
+            not max_count or self._counts_by_worker[worker.entry.id] < max_count
+        )
+
     def _request_tickets(self) -> None:
         """Request tickets for the workers that still have capacity, if any."""
         if (
@@ -196,7 +216,6 @@
         trials = self._reservations.trials
         if task.suspected and trials.is_full(task):
             return None
-        max_count = self._step.max_per_worker
         candidates = [
             worker
             for worker in self._reservations.candidates(
@@ -204,10 +223,7 @@
             )
             if fits(worker)
             and trials.admits(worker, task)
-            and (
-                not max_count
-                or self._counts_by_worker[worker.entry.id] < max_count
-            )
+            and self._is_below_spread(worker)
             and (self._tickets is None or self._tickets.of(worker))
         ]
         return min(
--- a/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
@@ -11,12 +11,14 @@
 class WorkerCounts:
     """How many workers of a service are left after each condition.
 
-    ``usable`` may be given tasks, ``available`` are not suspended either,
+    ``cordoned`` are about to go down or to another service.  ``usable`` may be
+    given tasks, ``available`` are not suspended either,
     ``fitting`` have the capacity and the label for one more task of a step, and
     ``open`` are not withheld from it.
     """
 
     known: int
+    cordoned: int
     usable: int
     available: int
     fitting: int
@@ -108,6 +110,7 @@
         known = self._known_by_service.get(service, ())
         return WorkerCounts(
             known=len(known),
+            cordoned=sum(bool(worker.cordons) for worker in known),
             usable=sum(worker.usable for worker in known),
             available=len(self._group(service, late=False).available),
             fitting=len(self.candidates(service, step, late=False)),
--- a/libs/scheduler/src/jackdawlatch/scheduler/waiting.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waiting.py
@@ -62,6 +62,7 @@
             waited_s=round(waited_s, 1),
             reason=wait.reason.value,
             known=wait.counts.known,
+            cordoned=wait.counts.cordoned,
             usable=wait.counts.usable,
             available=wait.counts.available,
             fitting=wait.counts.fitting,
--- a/libs/scheduler/src/jackdawlatch/scheduler/waves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waves.py
@@ -224,6 +224,8 @@
                 else not wait_for_short_tasks
             )
             if stoppable and run.phase is runs.RunPhase.RUNNING:
+                if lasting:
+                    self._dependencies.cluster.note('vacated', run, 'wave')
                 self._dependencies.dispatcher.stop(worker, run.run_id)
         return not worker.runs_by_task
 
--- a/libs/scheduler/tests/test_scheduler_waits.py
+++ b/libs/scheduler/tests/test_scheduler_waits.py
@@ -146,6 +146,20 @@
     assert bench.reasons() == {'workers-unusable'}
 
 
+def test_wait_for_a_worker_without_the_step_is_logged(bench):
+    bench.submit(count=2, lasting=True, max_per_worker=1)
+    bench.add_worker(cores=4)
+    bench.wait(4)
+    assert bench.reasons() == {'spread'}
+
+
+def test_wait_of_a_gang_is_logged_as_restricted(bench):
+    bench.submit(count=5, gang=True)
+    bench.add_worker(cores=4)
+    bench.wait(4)
+    assert bench.reasons() == {'step-restricted'}
+
+
 def test_late_job_beside_withheld_worker_is_logged(bench):
     bench.submit()
     bench.add_worker()
--- a/libs/scheduler/tests/test_scheduler_waves.py
+++ b/libs/scheduler/tests/test_scheduler_waves.py
@@ -35,6 +35,18 @@
     assert min_serving == 1
 
 
+async def test_stop_for_a_wave_is_logged(bench):
+    worker = bench.add_worker('w1')
+    bench.submit(benches.job(lasting=True))
+    async with bench.lead() as leader:
+        await waiting.until(lambda: worker.running)
+        with mock.patch.object(leader.cluster, 'note') as note:
+            leader.waves.add(waves.Wave(1, ('m-w1',), WAVE_S, 1))
+            await waiting.until(lambda: not worker.running)
+    notes = [(one.args[0], one.args[2]) for one in note.call_args_list]
+    assert notes.count(('vacated', 'wave')) == 1
+
+
 async def test_run_without_registration_is_stopped(bench):
     worker = bench.add_worker('w1')
     bench.submit(benches.job(lasting=True))
