Count the tasks of a step by worker in a class of its own

Placing and the reason of a wait ask the same object whether a worker may run one more task of the step; no decision is changed.

--- a/libs/scheduler/src/jackdawlatch/scheduler/placing.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/placing.py
@@ -1,11 +1,18 @@
 """Assigns the waiting tasks of one step to workers."""
 
-import collections
 import dataclasses
 import enum
+import functools
 from collections.abc import Callable
 
-from jackdawlatch.scheduler import advisor, reservations, tasks, workers
+from jackdawlatch.jobs import model
+from jackdawlatch.scheduler import (
+    advisor,
+    reservations,
+    spread,
+    tasks,
+    workers,
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,7 +76,7 @@
         self._advisor = step_advisor
         self._tickets: advisor.Tickets | None = None
         self._late = late
-        self._counts_by_worker: collections.Counter[str] = collections.Counter()
+        self._spread = spread.Spread(self._step.max_per_worker)
 
     @property
     def may_fit(self) -> bool:
@@ -91,11 +98,7 @@
         ]
         if self._advisor is not None:
             self._tickets = self._advisor.tickets(self.state)
-        self._counts_by_worker.update(
-            task.run.worker.entry.id
-            for task in self.state.tasks
-            if task.run is not None
-        )
+        self._spread.add_runs(self.state.tasks)
         gang = self._step.gang
         if gang and len(waiting) < len(self.state.tasks):
             return []
@@ -131,7 +134,10 @@
                     (WaitReason.SUSPENDED, counts.available),
                     (WaitReason.NO_ROOM, counts.fitting),
                     (WaitReason.WITHHELD, counts.open),
-                    (WaitReason.SPREAD, self._below_spread_count()),
+                    (
+                        WaitReason.SPREAD,
+                        sum(map(self._spread.admits, self._candidates())),
+                    ),
                 )
                 if not number
             ),
@@ -139,44 +145,23 @@
         )
         return Wait(self.state, reason, counts)
 
-    def _below_spread_count(self) -> int:
-        """Return how many workers with room may share one more task."""
-        return sum(
-            map(
-                self._is_below_spread,
-                self._reservations.candidates(
-                    self._service, self._step, self._late
-                ),
-            )
-        )
-
-    def _is_below_spread(self, worker: workers.Worker) -> bool:
-        max_count = self._step.max_per_worker
-        return (
-            not max_count or self._counts_by_worker[worker.entry.id] < max_count
+    def _candidates(self) -> list[workers.Worker]:
+        return self._reservations.candidates(
+            self._service, self._step, self._late
         )
 
     def _request_tickets(self) -> None:
         """Request tickets for the workers that still have capacity, if any."""
-        if (
-            self._advisor is not None
-            and self._tickets
-            and self._reservations.candidates(
-                self._service, self._step, self._late
-            )
-        ):
+        if self._advisor is not None and self._tickets and self._candidates():
             self._advisor.request_more(self.state)
 
     def _assign_step(self, waiting: list[tasks.Task]) -> Assignments:
         if not self._step.same_rack:
             return self._assign(waiting, _any_worker)
-        racks = {
-            worker.entry.rack
-            for worker in self._reservations.candidates(
-                self._service, self._step, self._late
-            )
-        }
-        for rack in sorted(racks, key=self._is_remote):
+        racks = {worker.entry.rack for worker in self._candidates()}
+        for rack in sorted(
+            racks, key=functools.partial(_is_remote, self._step)
+        ):
             assigned = self._assign(waiting, _rack_filter(rack))
             if len(assigned) == len(waiting):
                 return assigned
@@ -198,7 +183,7 @@
         return assigned
 
     def _reserve(self, worker: workers.Worker, task: tasks.Task) -> None:
-        self._counts_by_worker[worker.entry.id] += 1
+        self._spread.add(worker)
         self._reservations.reserve(worker, self._step.reserved_room)
         if task.suspected:
             self._reservations.trials.begin(worker, task)
@@ -207,7 +192,7 @@
         for task, worker in assigned:
             if task.suspected:
                 self._reservations.trials.cancel(worker, task)
-            self._counts_by_worker[worker.entry.id] -= 1
+            self._spread.remove(worker)
             self._reservations.release(worker, self._step.reserved_room)
 
     def _best_worker(
@@ -218,12 +203,10 @@
             return None
         candidates = [
             worker
-            for worker in self._reservations.candidates(
-                self._service, self._step, self._late
-            )
+            for worker in self._candidates()
             if fits(worker)
             and trials.admits(worker, task)
-            and self._is_below_spread(worker)
+            and self._spread.admits(worker)
             and (self._tickets is None or self._tickets.of(worker))
         ]
         return min(
@@ -236,13 +219,10 @@
             default=None,
         )
 
-    def _is_remote(self, rack: str) -> bool:
-        return bool(self._step.data_rack) and rack != self._step.data_rack
-
     def _cost(
         self, worker: workers.Worker, task: tasks.Task
     ) -> tuple[float, ...]:
-        remote = self._is_remote(worker.entry.rack)
+        remote = _is_remote(self._step, worker.entry.rack)
         free = self._reservations.free(worker).processors_m
         if task.suspected:
             # A crash should hurt as few other tasks as possible.
@@ -255,6 +235,10 @@
         return (leaves, remote, -lasting, free)
 
 
+def _is_remote(step: model.Step, rack: str) -> bool:
+    return bool(step.data_rack) and rack != step.data_rack
+
+
 def _any_worker(_worker: workers.Worker) -> bool:
     return True
 
--- a/libs/scheduler/tests/test_scheduler_waves.py
+++ b/libs/scheduler/tests/test_scheduler_waves.py
@@ -43,7 +43,7 @@
         with mock.patch.object(leader.cluster, 'note') as note:
             leader.waves.add(waves.Wave(1, ('m-w1',), WAVE_S, 1))
             await waiting.until(lambda: not worker.running)
-    notes = [(one.args[0], one.args[2]) for one in note.call_args_list]
+            notes = [(one.args[0], one.args[2]) for one in note.call_args_list]
     assert notes.count(('vacated', 'wave')) == 1
 
 
