Show that the demand ignores the spread of a step

Seven tasks that may not share a worker fit on two machines by cores and memory, so that the demand asks for three. Two tests of the pools, without the bench, fail on this code: four tasks wait while eight machines of another service idle and none moves; and of nine idle machines of the service five go to standby instead of two.

--- a/libs/scheduler/tests/test_scheduler_pools.py
+++ b/libs/scheduler/tests/test_scheduler_pools.py
@@ -124,10 +124,18 @@
         )
         job_loader.JobLoader(self.cluster).add(job, None, 0)
 
-    def submit_lasting(self, job_id: str, queue: str, count: int) -> None:
+    def submit_lasting(
+        self, job_id: str, queue: str, count: int, max_per_worker: int = 0
+    ) -> None:
         """Accept a job of lasting tasks."""
         job = records.replace(
-            benches.job(job_id, count=count, lasting=True), queue=queue
+            benches.job(
+                job_id,
+                count=count,
+                lasting=True,
+                max_per_worker=max_per_worker,
+            ),
+            queue=queue,
         )
         job_loader.JobLoader(self.cluster).add(job, None, 0)
 
@@ -260,6 +268,27 @@
     assert await bench.wait_until_planned('late') < ALLOWED_WAIT_S
 
 
+async def test_spread_step_waits_for_workers_never_requested(bench):
+    """Its tasks may not share a worker, and have room on fewer ones."""
+    bench.add_workers('photo', 3)
+    bench.add_workers('desk', 8)
+    bench.submit_lasting('spread', 'photos', count=7, max_per_worker=1)
+    for number in range(3):
+        bench.start('spread', f'photo{number}', 1)
+    await bench.rounds(ALLOWED_WAIT_S)
+    moved_to = [service for _, service in bench.machines.moves]
+    assert moved_to.count('photo') == 4
+
+
+async def test_workers_of_a_spread_step_go_to_standby(bench):
+    bench.add_workers('photo', 9)
+    bench.add_workers('desk', 2)
+    bench.submit_lasting('spread', 'photos', count=7, max_per_worker=1)
+    bench.submit('ended', count=1)
+    await bench.rounds(forecasts.WINDOW_S + ALLOWED_WAIT_S)
+    assert len(bench.machines.moves) == 2
+
+
 async def test_worker_whose_move_had_no_answer_gets_no_tasks(bench):
     """The request may be carried out later."""
     bench.add_workers('photo', 2)
