Show that a worker which stayed up is given up by a wave

The platform accepts a request for maintenance that is done already, and takes nothing down. The leader marks the worker as unregistered and removes it, until its entry in the store is written again. The test times out on this code; the one beside it hid the fault, since it registers the worker anew.

--- a/libs/scheduler/tests/test_scheduler_waves.py
+++ b/libs/scheduler/tests/test_scheduler_waves.py
@@ -148,6 +148,19 @@
             await waiting.until(lambda: worker.running)
 
 
+async def test_worker_that_stayed_up_is_given_up(bench):
+    """A request that is done already is accepted, and takes nothing down."""
+    worker = bench.add_worker('w1')
+    with mock.patch.object(
+        bench.machines, 'maintain', return_value=result.Success(None)
+    ) as maintain:
+        async with bench.lead() as leader:
+            leader.waves.add(waves.Wave(1, ('m-w1',), WAVE_S, 1))
+            await waiting.until(lambda: maintain.call_count)
+            bench.submit(benches.job(lasting=True))
+            await waiting.until(lambda: worker.running)
+
+
 async def test_new_leader_does_not_repeat_maintenance(bench):
     bench.add_worker('w1')
     wave = waves.Wave(1, ('m-w1', 'm-w2'), WAVE_S, 1)
