Ask for the workers that the spread of a step needs

Callers saw a lasting task without a run while most capacity was free. Demand counted cores and memory only: a step of nine tasks that may not share a worker was worth two machines, its service gave the others away, and nobody requested one for a task that waited. Class of fault: two parts judge the same need by different rules, placement by the spread and demand without it.

Supply now keeps as many present machines as the widest spread of the service's lasting steps and gangs, and requests what their waiting tasks lack after a trial of placing them. A step that could never be met, by the size of the fleet or of its machines, requests nothing. Required labels are still ignored.

--- a/libs/scheduler/src/jackdawlatch/scheduler/demand.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/demand.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Mapping
 
 from jackdawlatch.jobs import model
-from jackdawlatch.scheduler import lateness, round_times, tasks
+from jackdawlatch.scheduler import lateness, round_times, shortages, tasks
 
 # Tasks of different sizes leave part of a machine unused.
 PACKING_FACTOR = 1.3
@@ -77,6 +77,18 @@
     }
 
 
+def spread_by_service(jobs: Iterable[tasks.JobState]) -> dict[str, int]:
+    """Return how many workers the widest spread of the open jobs needs."""
+    needed: dict[str, int] = collections.defaultdict(int)
+    for job in jobs:
+        if not job.ended:
+            needed[job.service] = max(
+                needed[job.service],
+                *(shortages.spread_count(state.step) for state in job.steps),
+            )
+    return needed
+
+
 def share(need: model.Room, machine: model.Room) -> float:
     """Return the share of a machine's capacity that is needed."""
     return max(
--- a/libs/scheduler/src/jackdawlatch/scheduler/pools.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/pools.py
@@ -19,14 +19,13 @@
     lateness,
     machine_moves,
     persistence,
-    round_times,
+    supply,
 )
 
 PERIOD_S = 0.2
 # The last requests of the previous leader are answered by then: it sends none
 # once it no longer trusts its lease.
 HANDOVER_S = 1.0
-MIN_MACHINES = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -66,14 +65,17 @@
         )
         self._withholding = withholding.Withholding()
         self._fleet = fleet.Fleet(self._cluster)
+        self._supply = supply.Supply(
+            self._cluster, dependencies.job_lateness, self._fleet, self._mover
+        )
         self._peak = forecasts.PeakDemand()
 
     def undersupplied(self) -> frozenset[str]:
         """Return the services that have fewer machines than they could use."""
         return frozenset(
             service
-            for service, number in self._surplus(
-                self._divided(self._demand())
+            for service, number in self._supply.surplus(
+                self._supply.divided(self._supply.open_demand())
             ).items()
             if number < 0
         )
@@ -90,9 +92,10 @@
         """Start all moves that are due, and wait for their answers."""
         self._mover.release_unmoved()
         self._fleet.record_idle()
-        open_demand = self._demand()
-        demand_by_service = self._divided(open_demand)
-        surplus = self._surplus(demand_by_service)
+        self._supply.update()
+        open_demand = self._supply.open_demand()
+        demand_by_service = self._supply.divided(open_demand)
+        surplus = self._supply.surplus(demand_by_service)
         self._withhold(surplus, open_demand)
         if min(surplus.values(), default=0) < 0:
             await self._mover.refresh_standby()
@@ -114,7 +117,7 @@
         self, surplus: Mapping[str, int], open_demand: demand.Demand
     ) -> None:
         now_s = self._cluster.now_s
-        in_time = self._surplus(open_demand.in_time)
+        in_time = self._supply.surplus(open_demand.in_time)
         missing = sum(
             max(0, -in_time[service]) for service in open_demand.ready_in_time
         )
@@ -166,35 +169,3 @@
         Until then, idle machines are no sign of low demand.
         """
         return any(not job.lasting for job in self._cluster.jobs_by_id.values())
-
-    def _surplus(
-        self, demand_by_service: Mapping[str, int]
-    ) -> collections.Counter[str]:
-        """Return how many machines each service has beyond its demand."""
-        surplus = collections.Counter(
-            worker.entry.service for worker in self._fleet.usable()
-        )
-        surplus.update(service for _, service in self._mover.in_transit())
-        surplus.subtract(demand_by_service)
-        return surplus
-
-    def _demand(self) -> demand.Demand:
-        """Return how many machines the jobs of each service would fill."""
-        clock = self._cluster.dependencies.clock
-        now = round_times.RoundTime(clock.monotonic_s(), clock.wall_s())
-        job_lateness = self._dependencies.job_lateness
-        return demand.by_lateness(
-            self._cluster.jobs_by_id.values(),
-            now,
-            job_lateness,
-            self._fleet.largest(),
-        )
-
-    def _divided(self, open_demand: demand.Demand) -> dict[str, int]:
-        """Return how many of all machines each service could use."""
-        machines = len(self._fleet.usable()) + self._mover.available_count()
-        divided = demand.divide(open_demand, machines)
-        return {
-            service: max(MIN_MACHINES, divided.get(service, 0))
-            for service in self._cluster.catalog.serving_services()
-        }
--- /dev/null
+++ b/libs/scheduler/src/jackdawlatch/scheduler/supply.py
@@ -0,0 +1,125 @@
+"""How many machines each service has, and how many it could use."""
+
+import collections
+from collections.abc import Mapping
+
+from jackdawlatch.scheduler import (
+    cluster_state,
+    demand,
+    fleet,
+    lateness,
+    machine_moves,
+    round_times,
+    shortages,
+    workers,
+)
+
+MIN_MACHINES = 2
+
+
+class Supply:
+    """Compares the machines of each service with the demand of its jobs."""
+
+    def __init__(
+        self,
+        cluster: cluster_state.ClusterState,
+        job_lateness: lateness.Lateness,
+        usable_fleet: fleet.Fleet,
+        mover: machine_moves.MachineMover,
+    ) -> None:
+        self._cluster = cluster
+        self._job_lateness = job_lateness
+        self._fleet = usable_fleet
+        self._mover = mover
+        self._shortages = shortages.Shortages()
+        self._missing_by_service: Mapping[str, int] = {}
+
+    def update(self) -> None:
+        """Find the steps that wait for machines; called once a round."""
+        wall_s = self._cluster.dependencies.clock.wall_s()
+        self._missing_by_service = self._shortages.update(
+            [
+                (job.service, state)
+                for job in self._cluster.jobs_by_id.values()
+                if not job.ended
+                for state in job.ready_steps(wall_s)
+            ],
+            shortages.Machines(
+                self._usable_by_service(),
+                self._fleet.largest(),
+                self._machine_count(),
+            ),
+            self._cluster.now_s,
+        )
+
+    def open_demand(self) -> demand.Demand:
+        """Return how many machines the jobs of each service would fill."""
+        clock = self._cluster.dependencies.clock
+        return demand.by_lateness(
+            self._cluster.jobs_by_id.values(),
+            round_times.RoundTime(clock.monotonic_s(), clock.wall_s()),
+            self._job_lateness,
+            self._fleet.largest(),
+        )
+
+    def divided(self, open_demand: demand.Demand) -> dict[str, int]:
+        """Return how many of all machines each service could use."""
+        divided = demand.divide(open_demand, self._machine_count())
+        kept = self._kept_for_spread()
+        lacked = self._lacked()
+        return {
+            service: max(
+                MIN_MACHINES,
+                divided.get(service, 0),
+                kept.get(service, 0),
+                lacked.get(service, 0),
+            )
+            for service in self._cluster.catalog.serving_services()
+        }
+
+    def surplus(
+        self, demand_by_service: Mapping[str, int]
+    ) -> collections.Counter[str]:
+        """Return how many machines each service has beyond its demand."""
+        surplus = self._present()
+        surplus.subtract(demand_by_service)
+        return surplus
+
+    def _kept_for_spread(self) -> dict[str, int]:
+        """Return how many machines each service keeps for spread steps.
+
+        They are not requested before a task waits: one that is down for
+        maintenance comes back.
+        """
+        present = self._present()
+        return {
+            service: min(needed, present[service])
+            for service, needed in demand.spread_by_service(
+                self._cluster.jobs_by_id.values()
+            ).items()
+        }
+
+    def _lacked(self) -> dict[str, int]:
+        """Return the machines of services with too few for waiting steps."""
+        usable = self._usable_by_service()
+        return {
+            service: len(usable.get(service, ())) + missing
+            for service, missing in self._missing_by_service.items()
+        }
+
+    def _present(self) -> collections.Counter[str]:
+        """Return the machines of each service, those in transit included."""
+        present = collections.Counter(
+            worker.entry.service for worker in self._fleet.usable()
+        )
+        present.update(service for _, service in self._mover.in_transit())
+        return present
+
+    def _machine_count(self) -> int:
+        return len(self._fleet.usable()) + self._mover.available_count()
+
+    def _usable_by_service(self) -> dict[str, list[workers.Worker]]:
+        usable: dict[str, list[workers.Worker]] = collections.defaultdict(list)
+        for worker in self._fleet.usable():
+            usable[worker.entry.service].append(worker)
+        return usable
--- a/libs/scheduler/tests/test_scheduler_pools.py
+++ b/libs/scheduler/tests/test_scheduler_pools.py
@@ -19,6 +19,7 @@
     reports,
     round_times,
     runs,
+    supply,
     worker_registry,
     workers,
 )
@@ -212,7 +213,7 @@
     moved_to = {service for _, service in bench.machines.moves}
     assert moved_to == {'spare'}
     # Both services keep their minimum of machines.
-    assert len(bench.machines.moves) == 12 - 2 * pools.MIN_MACHINES
+    assert len(bench.machines.moves) == 12 - 2 * supply.MIN_MACHINES
 
 
 async def test_machines_of_the_last_peak_are_kept(bench):
