Do not repeat the maintenance that an earlier leader requested

Callers lost lasting tasks for a moment without need: a new leader vacated each machine of a wave again that its predecessor had begun, also of waves that were done, and so stopped tasks within max_unavailable.

Cause: which machines had begun was known to the leader alone. The platform answers a repeated request with success, so only the vacating was visible.

Ruled out: to skip the waves whose status is done. A leader that takes over in the middle of a wave would still repeat its first part. To skip a machine whose request has no answer: the wave could be reported as done without it.

Change: one key for each wave holds the machines that were requested, whether they have begun and how long they may be down. A request is recorded before it is sent, and an answer after the round, under the precondition of the leadership. The status of the wave is written together with the record, so that a later status shows a leader of a release without records. A round takes two writes if it sends requests, otherwise none.

--- a/libs/jobs/src/jackdawlatch/jobs/stored.py
+++ b/libs/jobs/src/jackdawlatch/jobs/stored.py
@@ -10,6 +10,7 @@
 JOBS_PREFIX = 'work/jobs/'
 CANCELS_PREFIX = 'work/cancels/'
 PROGRESS_PREFIX = 'progress/'
+WAVES_PREFIX = 'waves/'
 FLEET_PREFIX = 'fleet/'
 LEADER_KEY = 'fleet/leader'
 PENDING_KEY = 'fleet/pending'
@@ -102,6 +103,25 @@
     rests: tuple[LeaseRest, ...] = ()
 
 
+class Maintenance(msgspec.Struct, frozen=True, array_like=True):
+    """The maintenance of one machine of a wave.
+
+    ``begun`` is false while it is not known whether the request for it takes
+    effect.  ``left_s`` is how long the machine may be down, and counts from
+    when it is read; it is not positive if the machine is up again.
+    """
+
+    machine: str
+    begun: bool
+    left_s: float
+
+
+class WaveProgress(records.Record, frozen=True, kw_only=True):
+    """The machines of a wave whose maintenance was requested."""
+
+    maintenance: tuple[Maintenance, ...] = ()
+
+
 class Pending(records.Record, frozen=True, kw_only=True):
     """Number of accepted jobs of each queue that have not begun."""
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -158,6 +158,7 @@
                 dependencies.store,
                 term,
                 self._leading,
+                self._progress_writer.deposed,
                 self._pools.undersupplied,
                 dependencies.settings.waves,
             )
--- a/libs/scheduler/src/jackdawlatch/scheduler/wave_states.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/wave_states.py
@@ -5,6 +5,7 @@
 
 from returns import result
 
+from jackdawlatch.jobs import stored
 from jackdawlatch.scheduler import reports
 
 if typing.TYPE_CHECKING:
@@ -58,6 +59,13 @@
             for machine in chosen
         }
 
+    def restore(self, maintenance: stored.Maintenance, now_s: float) -> None:
+        """Restore a request of an earlier leader."""
+        if maintenance.begun:
+            self.begun.add(maintenance.machine)
+        up_s = now_s + maintenance.left_s
+        self.up_s_by_machine[maintenance.machine] = up_s
+
     def urgent(self, now_s: float, round_s: float) -> bool:
         """Whether the wave would miss its deadline by waiting for less load."""
         rounds = -(-len(self.remaining) // max(1, self.wave.max_count))
--- a/libs/scheduler/src/jackdawlatch/scheduler/waves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waves.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 from collections.abc import Callable, Mapping, Sequence
 
 from returns import result
@@ -15,14 +16,13 @@
     machine_workers,
     persistence,
     runs,
+    wave_records,
     wave_states,
     workers,
 )
 from jackdawlatch.store import transactions
 
 PERIOD_S = 0.2
-# Machines that the previous leader took down are up again by then.
-HANDOVER_S = 3.0
 # Short tasks end by themselves within about this time.
 VACATE_S = 2.5
 # The remaining tasks are stopped after this time, since some never end.
@@ -58,7 +58,8 @@
 class Dependencies:
     """Collaborators of the waves.
 
-    ``undersupplied`` returns the services that could use more machines.
+    ``undersupplied`` returns the services that could use more machines, and
+    ``deposed`` is set when a write shows that the term has ended.
     """
 
     cluster: cluster_state.ClusterState
@@ -67,6 +68,7 @@
     store: transactions.TransactionalStore
     term: persistence.Term
     leading: Callable[[], bool]
+    deposed: asyncio.Event
     undersupplied: Callable[[], frozenset[str]]
     settings: Settings
 
@@ -76,31 +78,42 @@
 
     def __init__(self, dependencies: Dependencies) -> None:
         self._dependencies = dependencies
-        self._states_by_number: dict[int, wave_states.WaveState] = {}
+        self._records_by_number: dict[int, wave_records.WaveRecord] = {}
         self._down_until_s_by_worker: dict[workers.Worker, float] = {}
 
     def add(self, wave: Wave) -> None:
         """Add a wave, unless it is known already."""
-        if wave.number not in self._states_by_number:
-            self._states_by_number[wave.number] = wave_states.WaveState(
-                wave, self._dependencies.cluster.now_s
+        if wave.number not in self._records_by_number:
+            self._records_by_number[wave.number] = wave_records.WaveRecord(
+                wave_records.Dependencies(
+                    self._dependencies.cluster,
+                    self._dependencies.store,
+                    self._dependencies.term,
+                    self._dependencies.deposed,
+                    self._dependencies.settings.maintenance_s,
+                    functools.partial(
+                        _status, self._dependencies.settings, wave.number
+                    ),
+                ),
+                wave_states.WaveState(wave, self._dependencies.cluster.now_s),
             )
 
     def cordon(self, worker: workers.Worker) -> None:
         """Place no tasks on a worker whose machine is about to go down."""
         worker.cordons.discard(workers.Cordon.MAINTENANCE)
-        for state in self._states_by_number.values():
-            if worker.entry.machine in state.cordoned:
+        for record in self._records_by_number.values():
+            if worker.entry.machine in record.state.cordoned:
                 worker.cordons.add(workers.Cordon.MAINTENANCE)
 
     async def run(self) -> None:
         """Carry out waves until cancelled."""
-        await asyncio.sleep(HANDOVER_S)
+        await asyncio.sleep(wave_records.HANDOVER_S)
         while True:
             self._reopen()
-            for state in tuple(self._states_by_number.values()):
-                if self._dependencies.leading() and not state.reported_done:
-                    await self._advance(state)
+            for record in tuple(self._records_by_number.values()):
+                done = record.state.reported_done
+                if self._dependencies.leading() and not done:
+                    await self._advance(record)
             await asyncio.sleep(PERIOD_S)
 
     def _reopen(self) -> None:
@@ -111,12 +124,24 @@
                 self._down_until_s_by_worker.pop(worker)
                 self.cordon(worker)
 
-    async def _advance(self, state: wave_states.WaveState) -> None:
-        if not state.remaining:
-            await self._report(state, done=True)
+    async def _advance(self, record: wave_records.WaveRecord) -> None:
+        if not await record.is_loaded():
+            return
+        state = record.state
+        machines = self._vacate(state)[
+            : state.slots(self._dependencies.cluster.now_s)
+        ]
+        if not await record.write(machines):
             return
-        if state.reported_done is None:
-            await self._report(state, done=False)
+        for place, machine in enumerate(machines, start=1):
+            await self._order(state, machine)
+            if record.is_due():
+                await record.write(machines[place:])
+        if machines:
+            await record.write()
+
+    def _vacate(self, state: wave_states.WaveState) -> list[str]:
+        """Stop tasks on the machines to maintain; return the vacated ones."""
         by_machine = machine_workers.by_machine(
             self._dependencies.cluster.workers_by_id.values()
         )
@@ -127,8 +152,14 @@
             for worker in by_machine.get(machine, ()):
                 self.cordon(worker)
         state.record_chosen(chosen, now_s)
-        for machine in chosen:
-            await self._maintain(state, machine, by_machine.get(machine, ()))
+        return [
+            name
+            for name in chosen
+            if self._are_vacated(
+                by_machine.get(name, ()),
+                now_s - state.chosen_s_by_machine[name],
+            )
+        ]
 
     def _choose(
         self,
@@ -155,21 +186,14 @@
         ]
         return wave_order.choose(due, state.slots(now_s), state.wave.max_count)
 
-    async def _maintain(
-        self,
-        state: wave_states.WaveState,
-        machine: str,
-        held_by: Sequence[workers.Worker],
-    ) -> None:
-        now_s = self._dependencies.cluster.now_s
-        waited_s = now_s - state.chosen_s_by_machine[machine]
+    def _are_vacated(
+        self, held_by: Sequence[workers.Worker], waited_s: float
+    ) -> bool:
         wait_for_short_tasks = waited_s < STOP_TASKS_AFTER_S
         vacated = [
             self._is_vacated(worker, wait_for_short_tasks) for worker in held_by
         ]
-        # Machines are vacated ahead of a free slot.
-        if all(vacated) and state.slots(now_s):
-            await self._order(state, machine)
+        return all(vacated)
 
     async def _order(self, state: wave_states.WaveState, machine: str) -> None:
         # A worker may have registered during the requests before this one.
@@ -227,15 +251,6 @@
                 self._dependencies.dispatcher.stop(worker, run.run_id)
         return not worker.runs_by_task
 
-    async def _report(self, state: wave_states.WaveState, done: bool) -> None:
-        written = await self._dependencies.store.commit(
-            transactions.Transaction(
-                puts=(
-                    self._dependencies.settings.status(
-                        WaveStatus(number=state.wave.number, done=done)
-                    ),
-                )
-            )
-        )
-        if not isinstance(written, result.Failure):
-            state.reported_done = done
+
+def _status(settings: Settings, number: int, done: bool) -> transactions.Put:
+    return settings.status(WaveStatus(number=number, done=done))
--- a/libs/scheduler/tests/scheduler_bench.py
+++ b/libs/scheduler/tests/scheduler_bench.py
@@ -123,6 +123,7 @@
         self.advice = FakeAdvice()
         self.entries_by_id: dict[str, reports.WorkerEntry] = {}
         self.bounds = cluster_state.Bounds(lease_s=2, stop_s=0.05)
+        self.maintenance_s: float = 0.1
         self.leading = True
         self.held = True
         self._log = decision_log()
@@ -220,7 +221,7 @@
                     self.bounds,
                     retention_s=60,
                     pools=pools.Limits(migration_s=0.1, moves_per_s=100),
-                    waves=waves.Settings(0.1, _status),
+                    waves=waves.Settings(self.maintenance_s, _status),
                 ),
             ),
             persistence.Term('leader', entry.revision),
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -363,4 +363,20 @@
         'scheduler',
         'test_next_leader_moves_tasks',
     ),
+    Mutation(
+        'a maintenance request is recorded before it is sent',
+        'scheduler/waves.py',
+        'if not await record.write(machines):',
+        'if not await record.write(machines) and False:',
+        'scheduler',
+        'test_request_is_not_sent_before',
+    ),
+    Mutation(
+        'maintenance that has begun is not repeated by the next leader',
+        'scheduler/wave_states.py',
+        'if maintenance.begun:',
+        'if False:',
+        'scheduler',
+        'test_new_leader_does_not_repeat',
+    ),
 )
