Let a new leader begin with a wave at once

Leaders that changed every 2 s began no maintenance at all: each one waited for 3 s first, so that the machines of its predecessor were up again. Callers could see a late wave, and operators one that never ended.

Cause: a fixed wait for what the leader before may have done, counted anew by each leader. The record of the wave holds what it did do.

Ruled out: a shorter wait. It would be counted anew all the same, and would not cover a request without answer that is carried out late: while the record counts such a machine, the wait of 3 s covered it only in part.

--- a/libs/scheduler/src/jackdawlatch/scheduler/waves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waves.py
@@ -107,7 +107,6 @@
 
     async def run(self) -> None:
         """Carry out waves until cancelled."""
-        await asyncio.sleep(wave_records.HANDOVER_S)
         while True:
             self._reopen()
             for record in tuple(self._records_by_number.values()):
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -379,4 +379,28 @@
         'scheduler',
         'test_new_leader_does_not_repeat',
     ),
+    Mutation(
+        'a request counts as down for the next leader',
+        'scheduler/waves.py',
+        'if not await record.write(machines):',
+        'if not await record.write():',
+        'scheduler',
+        'test_unanswered_request_counts',
+    ),
+    Mutation(
+        'the rest of a maintenance is recorded again',
+        'scheduler/wave_records.py',
+        'and not outdated',
+        '',
+        'scheduler',
+        'test_quick_handovers_hold_no_machine',
+    ),
+    Mutation(
+        'a leader without records is waited for',
+        'scheduler/wave_records.py',
+        'recorded = reported.revision <= self._revision',
+        'recorded = True',
+        'scheduler',
+        'test_leader_without_records',
+    ),
 )
