Keep a worker whose maintenance was done before

A request for maintenance that is done already is accepted and takes nothing down. The leader marked the worker as unregistered and removed it, so that a sound worker got no task and no poll until its entry in the store was written again. Class of fault: an accepted request is taken for the fact that it asks for. Whether a worker is registered is now left to the store alone; the worker takes no tasks until its machine must be up again, and the next boot replaces it, if there is one.

--- a/libs/scheduler/src/jackdawlatch/scheduler/waves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waves.py
@@ -101,9 +101,12 @@
     def cordon(self, worker: workers.Worker) -> None:
         """Place no tasks on a worker whose machine is about to go down."""
         worker.cordons.discard(workers.Cordon.MAINTENANCE)
-        for record in self._records_by_number.values():
-            if worker.entry.machine in record.state.cordoned:
-                worker.cordons.add(workers.Cordon.MAINTENANCE)
+        due = any(
+            worker.entry.machine in record.state.cordoned
+            for record in self._records_by_number.values()
+        )
+        if due or worker in self._down_until_s_by_worker:
+            worker.cordons.add(workers.Cordon.MAINTENANCE)
 
     async def run(self) -> None:
         """Carry out waves until cancelled."""
@@ -222,13 +225,13 @@
             + self._dependencies.settings.maintenance_s,
         )
         if not isinstance(begun, result.Failure):
+            # Nothing goes down if the maintenance was done before.
             for old in held_by:
-                old.registered = False
                 self._down_until_s_by_worker[old] = state.up_s_by_machine[
                     machine
                 ]
-            for new in self._workers_on(machine):
-                self.cordon(new)
+            for worker in self._workers_on(machine):
+                self.cordon(worker)
 
     def _workers_on(self, machine: str) -> list[workers.Worker]:
         return machine_workers.on_machine(
