Keep machines that were vacated for a wave closed

A machine that is vacated ahead of a free place has no lasting task any more, so that the wave dropped it from its list, opened it, and the tasks went back to it; in the next round they were stopped again. The same held for a machine that was being emptied when others took the free places.

A machine whose vacating has begun stays among the machines of the wave, and goes down before idle ones. New machines are still limited by the free places and the share ahead. Ruled out: fewer machines ahead, since one is enough to show it. Tests, all failing before: the two of the policy, and in the one of the scheduler the task started 7 times instead of once.

--- a/libs/policy/src/jackdawlatch/policy/wave_order.py
+++ b/libs/policy/src/jackdawlatch/policy/wave_order.py
@@ -38,17 +38,24 @@
     ordered = sorted(due, key=_vacate_cost)
     ahead = max(1, int(max_count * AHEAD_FRACTION))
     slow = [machine.id for machine in ordered if machine.lasting_count]
+    # A machine that is opened again gets its tasks back.
+    begun = [
+        machine.id
+        for machine in ordered
+        if machine.cordoned and not machine.refused
+    ]
     first = [machine.id for machine in ordered][:places]
-    return first + [name for name in slow[:ahead] if name not in first]
+    return list(dict.fromkeys([*first, *slow[:ahead], *begun]))
 
 
 def _vacate_cost(machine: DueMachine) -> tuple[int, int]:
     """Return a sort key: machines without runs first, then cordoned ones.
 
-    Refused machines come last, since they would hold up a wave with few places.
+    Of the machines without runs, those that were vacated come first.  Refused
+    machines come last, since they would hold up a wave with few places.
     """
     if machine.refused:
-        return (3, machine.run_count)
+        return (4, machine.run_count)
     if not machine.run_count:
-        return (0, 0)
-    return (1 if machine.cordoned else 2, machine.run_count)
+        return (0 if machine.cordoned else 1, 0)
+    return (2 if machine.cordoned else 3, machine.run_count)
--- a/libs/policy/tests/test_policy_wave_order.py
+++ b/libs/policy/tests/test_policy_wave_order.py
@@ -28,6 +28,20 @@
     assert wave_order.choose(slow, 0, MAX_COUNT)[0] == 'slow4'
 
 
+def test_machine_vacated_ahead_is_not_opened_again():
+    vacated = dataclasses.replace(_machine('vacated', 0), cordoned=True)
+    slow = [_machine(f'slow{number}', 2, lasting=2) for number in range(5)]
+    idle = [_machine(f'idle{number}', 0) for number in range(9)]
+    assert 'vacated' in wave_order.choose([*slow, *idle, vacated], 0, MAX_COUNT)
+    assert wave_order.choose([*idle, vacated], 1, MAX_COUNT) == ['vacated']
+
+
+def test_machine_whose_place_is_taken_is_not_opened():
+    leaving = dataclasses.replace(_machine('leaving', 3), cordoned=True)
+    idle = [_machine(f'idle{number}', 0) for number in range(9)]
+    assert wave_order.choose([*idle, leaving], 1, MAX_COUNT)[1:] == ['leaving']
+
+
 def test_wave_with_lasting_tasks_takes_few_rounds():
     """Replays 24 idle machines beside 6 from which one task leaves a round."""
     due = {f'i{number}': _machine(f'i{number}', 0) for number in range(24)}
--- a/libs/scheduler/tests/test_scheduler_waves.py
+++ b/libs/scheduler/tests/test_scheduler_waves.py
@@ -148,6 +148,18 @@
             await waiting.until(lambda: worker.running)
 
 
+async def test_task_is_stopped_repeatedly_ahead_of_a_place(bench):
+    bench.maintenance_s = 2
+    bench.machines = benches.FakeMachines(lambda _: 0)
+    worker = bench.add_worker('w1')
+    bench.submit(benches.job(lasting=True))
+    async with bench.lead() as leader:
+        await waiting.until(lambda: worker.running)
+        leader.waves.add(waves.Wave(1, ('m-w0', 'm-w1'), WAVE_S, 1))
+        await waiting.until(lambda: 'm-w1' in bench.machines.maintained)
+    assert len(worker.started_runs) == 1
+
+
 async def test_worker_that_stayed_up_is_given_up(bench):
     """A request that is done already is accepted, and takes nothing down."""
     worker = bench.add_worker('w1')
