Record each maintenance request anew

Operators could see more than max_count machines of a wave down: a leader repeated a request that its predecessor had sent without an answer, and was replaced at once; the next leader counted the machine for the rest of the first request only, which had nearly ended.

Cause: the record was written only if its machines changed, and the repeated request named the same machine.

Ruled out: to write whenever a rest changes. The rests shrink all the time, so that every round would write.

Change: a write that precedes requests is never left out.

test_repeated_request_counts_as_down failed before and passes now.

--- a/libs/scheduler/src/jackdawlatch/scheduler/wave_records.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/wave_records.py
@@ -92,7 +92,8 @@
         )
         begun_by_machine = _begun_by_machine(progress)
         done = not self.state.remaining
-        if self._is_written(begun_by_machine, done):
+        # The rest that is recorded for an earlier request is shorter.
+        if not requested and self._is_written(begun_by_machine, done):
             return True
         self._begun_by_machine = None
         written = await self._dependencies.store.commit(
--- a/libs/scheduler/tests/test_scheduler_wave_records.py
+++ b/libs/scheduler/tests/test_scheduler_wave_records.py
@@ -16,6 +16,8 @@
 from jackdawlatch.testing import functions
 
 MAINTENANCE_S = 2.5
+# How long a machine may be down after a request without answer.
+DOWN_S = MAINTENANCE_S + wave_states.UNANSWERED_SLACK_S
 # A few rounds of the waves.
 SETTLED_S = 1.0
 WAVE = waves.Wave(1, faults.MACHINES, duration_s=60, max_count=1)
@@ -48,7 +50,7 @@
         _begin_wave(simulation)
         simulation.run(SETTLED_S)
         departures._hand_over(simulation)
-        simulation.run(MAINTENANCE_S + wave_states.UNANSWERED_SLACK_S - 0.1)
+        simulation.run(DOWN_S - 0.1)
         assert len(simulation.bench.machines.requested) == 1
 
     await asyncio.to_thread(departures._play, scenario)
@@ -62,7 +64,7 @@
         _begin_wave(simulation)
         simulation.run(SETTLED_S)
         departures._hand_over(simulation)
-        simulation.run(MAINTENANCE_S + wave_states.UNANSWERED_SLACK_S)
+        simulation.run(DOWN_S)
         assert not _is_reported_done(simulation)
         simulation.bench.machines.opened.set()
         simulation.run(WAVE_S)
@@ -73,6 +75,23 @@
     await asyncio.to_thread(departures._play, scenario)
 
 
+async def test_repeated_request_counts_as_down():
+    """The rest that is recorded for the first request has nearly ended."""
+
+    def scenario(simulation: simulations.Simulation) -> None:
+        simulation.bench.machines.opened.clear()
+        _begin_wave(simulation)
+        simulation.run(SETTLED_S)
+        departures._hand_over(simulation)
+        simulation.run(DOWN_S + SETTLED_S)
+        assert len(simulation.bench.machines.requested) == 2
+        departures._hand_over(simulation)
+        simulation.run(DOWN_S - 0.1)
+        assert len(simulation.bench.machines.requested) == 2
+
+    await asyncio.to_thread(departures._play, scenario)
+
+
 async def test_failed_request_counts_for_the_next_leader():
     def scenario(simulation: simulations.Simulation) -> None:
         machines = simulation.bench.machines
