Refuse input that is nested too deeply as malformed

msgspec raises RecursionError for JSON or msgpack beyond the interpreter's limit, even below a field that is ignored. No decoder caught it: a caller got status 500 for such a job, POST /documents too, and a reader of the store ended when one entry or stored record was like that.

Decoders now share model.decoding, which makes it a decode error like any other, so the typed failures that exist apply: 400 for callers, a malformed body of the platform, an invalid file. The path of an error in a configuration no longer needs a deep copy of the file, which has a lower limit than decoding.

Ruled out: msgspec.convert of plain values does not recurse into unknown fields, and the unpacker of peer streams has its own limit; frames with 1000 levels are refused with and without this change. So are settings files, whose records forbid unknown fields. Tests guard both.

--- a/libs/backends/src/jackdawlatch/backends/exchange.py
+++ b/libs/backends/src/jackdawlatch/backends/exchange.py
@@ -16,7 +16,7 @@
 from returns import result
 from tornado import curl_httpclient, httpclient, httputil
 
-from jackdawlatch.model import failures
+from jackdawlatch.model import decoding, failures
 
 MAX_CONCURRENT = 64
 CONNECT_TIMEOUT_S = 1.0
@@ -73,10 +73,8 @@
     def json(self, body_type: type[Body]) -> result.Result[Body, Unanswered]:
         """Decode the JSON body; return ``Unanswered`` if it is malformed."""
         try:
-            return result.Success(
-                msgspec.json.decode(self.body, type=body_type)
-            )
-        except msgspec.MsgspecError as error:
+            return result.Success(decoding.from_json(self.body, body_type))
+        except msgspec.DecodeError as error:
             return result.Failure(Unanswered(message=str(error)))
 
 
--- a/libs/command/src/jackdawlatch/command/fleet_client.py
+++ b/libs/command/src/jackdawlatch/command/fleet_client.py
@@ -8,7 +8,7 @@
 from tornado import curl_httpclient, httpclient
 
 from jackdawlatch.command import settings
-from jackdawlatch.model import failures, records
+from jackdawlatch.model import decoding, failures, records
 from jackdawlatch.node import daemon, documents, roster
 from jackdawlatch.store import keyvalue, remote
 
@@ -65,9 +65,7 @@
                 request_timeout=self.settings.timeout_s,
                 connect_timeout=self.settings.timeout_s,
             )
-            return result.Success(
-                msgspec.json.decode(response.body, type=body_type)
-            )
+            return result.Success(decoding.from_json(response.body, body_type))
         except (OSError, httpclient.HTTPError, msgspec.DecodeError) as error:
             return result.Failure(
                 Unreachable(message=f'{address}{path}: {error}')
--- a/libs/command/src/jackdawlatch/command/items.py
+++ b/libs/command/src/jackdawlatch/command/items.py
@@ -9,7 +9,7 @@
 
 from jackdawlatch.command import editing, fleet_client, operation
 from jackdawlatch.config import edits, files
-from jackdawlatch.model import failures, presets
+from jackdawlatch.model import decoding, failures, presets
 
 Item = presets.Preset | presets.Pool | presets.Service
 ItemType = type[Item]
@@ -188,6 +188,6 @@
 
 def _parse_value(text: str) -> Any:
     try:
-        return msgspec.json.decode(text)
+        return decoding.from_json(text, object)
     except msgspec.DecodeError:
         return text
--- a/libs/config/src/jackdawlatch/config/files.py
+++ b/libs/config/src/jackdawlatch/config/files.py
@@ -7,7 +7,7 @@
 from returns import result
 
 from jackdawlatch.config import paths
-from jackdawlatch.model import failures, records
+from jackdawlatch.model import decoding, failures, records
 
 RecordType = TypeVar('RecordType', bound=records.Record)
 
@@ -25,7 +25,7 @@
 ) -> result.Result[RecordType, FileInvalid]:
     """Return the validated record in a JSON file."""
     try:
-        json_value = msgspec.json.decode(file.read_bytes())
+        json_value = decoding.from_json(file.read_bytes(), object)
     except OSError as error:
         return _failure(
             file, '', f'expected a readable file ({error.strerror})'
--- a/libs/config/src/jackdawlatch/config/paths.py
+++ b/libs/config/src/jackdawlatch/config/paths.py
@@ -56,19 +56,28 @@
     json_value: Any, record_type: type[records.Record], parts: list[str]
 ) -> list[str]:
     resolved: list[str] = []
-    pruned = copy.deepcopy(json_value)
+    # Only the containers on the path are copied, however deep the others are.
+    pruned = _copied(json_value)
+    parent = pruned
     for part in parts:
-        parent = _value_at(pruned, resolved)
+        if resolved:
+            parent = _copy_child(parent, resolved[-1])
         if part == UNKNOWN_KEY and isinstance(parent, dict):
             part = _invalid_key(pruned, record_type, parent)
         resolved.append(part)
     return resolved
 
 
-def _value_at(json_value: Any, parts: list[str]) -> Any:
-    for part in parts:
-        json_value = json_value[_index(json_value, part)]
-    return json_value
+def _copy_child(parent: Any, part: str) -> Any:
+    index = _index(parent, part)
+    parent[index] = _copied(parent[index])
+    return parent[index]
+
+
+def _copied(container: Any) -> Any:
+    if isinstance(container, tuple):
+        return list(container)
+    return copy.copy(container)
 
 
 def _index(parent: Any, part: str) -> int | str:
--- a/libs/config/tests/test_config_editor.py
+++ b/libs/config/tests/test_config_editor.py
@@ -171,4 +171,15 @@
             assert failure.file == str(file)
 
 
+def test_deeply_nested_file_is_invalid() -> None:
+    with tempfile.TemporaryDirectory() as directory:
+        file = pathlib.Path(directory) / 'configuration.json'
+        # The second one is decoded, but has more levels than deep copies allow.
+        for depth in (100_000, 700):
+            opening, closing = '[' * depth, ']' * depth
+            file.write_text(f'{{"x": {opening}{closing}}}')
+            failure = files.read(file, presets.Configuration).failure()
+            assert failure.file == str(file)
+
+
 load_tests = functions.loader(__name__)
--- a/libs/entry/src/jackdawlatch/entry/jobs.py
+++ b/libs/entry/src/jackdawlatch/entry/jobs.py
@@ -11,7 +11,7 @@
     request_headers,
     requests,
 )
-from jackdawlatch.model import failures, hosts, work
+from jackdawlatch.model import decoding, failures, hosts, work
 from jackdawlatch.placement import drafts, job_registry
 
 JOBS_PATH = '/jobs'
@@ -82,8 +82,8 @@
 
 def _draft(body: bytes) -> result.Result[drafts.Draft, failures.Problem]:
     try:
-        return result.Success(msgspec.json.decode(body, type=drafts.Draft))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return result.Success(decoding.from_json(body, drafts.Draft))
+    except msgspec.DecodeError as error:
         match = _FIELD.match(str(error))
         return result.Failure(
             invalid_requests.MalformedBody(
--- a/libs/entry/tests/test_entry_jobs.py
+++ b/libs/entry/tests/test_entry_jobs.py
@@ -45,6 +45,13 @@
     assert not fleet.store.content.scan('jobs/').entries
 
 
+async def test_deeply_nested_job_is_refused(fleet: entry_fleets.Fleet) -> None:
+    entry = await fleet.start()
+    answer = await fleet.send(entry, '/jobs', 'POST', b'[' * 100_000)
+    assert entry_fleets.code(answer) == 'body-malformed'
+    assert entry_fleets.outcome(answer) == 'not-run'
+
+
 async def test_job_is_refused_while_the_store_is_unavailable(
     fleet: entry_fleets.Fleet,
 ) -> None:
--- a/libs/model/src/jackdawlatch/model/records.py
+++ b/libs/model/src/jackdawlatch/model/records.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from jackdawlatch.model import decoding
+
 COMPRESSION_THRESHOLD_BYTES = 2048
 COMPRESSION_LEVEL = 1
 ZLIB_MAGIC = b'\x78'
@@ -63,7 +65,7 @@
     Raises ``msgspec.DecodeError`` if the content is not such a record.
     """
     plain = _decompress(content) if _is_compressed(content) else content
-    return msgspec.msgpack.decode(plain, type=record_type)
+    return decoding.from_msgpack(plain, record_type)
 
 
 def _decompress(content: bytes) -> bytes:
--- a/libs/node/tests/test_node_daemon.py
+++ b/libs/node/tests/test_node_daemon.py
@@ -2,6 +2,7 @@
 import contextlib
 from collections.abc import AsyncIterator, Callable
 
+from tornado import httpclient
 from tornado import testing as tornado_testing
 
 from jackdawlatch.model import presets, records
@@ -129,6 +130,17 @@
     assert node.dependencies.documents.configuration.version == 2
 
 
+async def test_deeply_nested_document_is_refused(fleet: Fleet) -> None:
+    node = await fleet.start()
+    response = await httpclient.AsyncHTTPClient().fetch(
+        f'http://{node.dependencies.settings.operations_address}/documents',
+        method='POST',
+        body=b'\x81\xa1x%b' % (b'\x91' * 100_000),
+        raise_error=False,
+    )
+    assert response.code == 400
+
+
 async def test_leader_steps_down_when_its_lease_expires(fleet: Fleet) -> None:
     first, second = [await fleet.start() for _ in range(2)]
     candidacies = [node.lead('main') for node in (first, second)]
--- a/libs/peers/tests/test_peers_endpoint.py
+++ b/libs/peers/tests/test_peers_endpoint.py
@@ -86,4 +86,20 @@
     assert isinstance(reply.failure(), frames.Refused)
 
 
+async def test_deeply_nested_frame_only_ends_its_stream(pair: Pair) -> None:
+    host, _, port = pair.address.partition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    with mock.patch.object(
+        asyncio.get_running_loop(), 'call_exception_handler'
+    ) as unhandled:
+        # The stream decoder refuses more levels than this.
+        writer.write(b'%b\x90' % (b'\x91' * 1000))
+        async with asyncio.timeout(5):
+            assert not await reader.read()
+        unhandled.assert_not_called()
+    writer.close()
+    reply = await pair.client.call(pair.address, Echo(text='x'), Echo, 1)
+    assert reply.unwrap().text == 'x'
+
+
 load_tests = functions.loader(__name__, {'pair': pair})
--- a/libs/settings/src/jackdawlatch/settings/loading.py
+++ b/libs/settings/src/jackdawlatch/settings/loading.py
@@ -7,7 +7,7 @@
 import msgspec
 from returns import result
 
-from jackdawlatch.model import failures, records
+from jackdawlatch.model import decoding, failures, records
 
 Settings = TypeVar('Settings', bound=records.Record)
 
@@ -51,8 +51,8 @@
 ) -> result.Result[Settings, SettingsInvalid]:
     """Return validated settings from JSON; failures name ``source``."""
     try:
-        return result.Success(msgspec.json.decode(content, type=settings_type))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return result.Success(decoding.from_json(content, settings_type))
+    except msgspec.DecodeError as error:
         return result.Failure(_from_msgspec(str(error), source))
 
 
--- a/libs/settings/tests/test_settings_loading.py
+++ b/libs/settings/tests/test_settings_loading.py
@@ -9,6 +9,7 @@
 from jackdawlatch.settings import daemons, loading
 from jackdawlatch.testing import functions
 
+DEEP = b'[' * 100_000
 VALID = types.MappingProxyType(
     {
         'id': 'e1',
@@ -58,6 +59,13 @@
     )
 
 
+def test_deeply_nested_file_is_refused(settings_file: pathlib.Path) -> None:
+    for start in (b'{"zone": ', b'{"unknown": ', b''):
+        settings_file.write_bytes(start + DEEP)
+        failure = loading.load(str(settings_file), daemons.Daemon).failure()
+        assert failure.code == 'settings-invalid'
+
+
 def test_duplicate_address_is_refused() -> None:
     settings = daemons.Daemon(
         **{**VALID, 'operations_address': VALID['peer_address']}
--- a/libs/unified/tests/test_unified_core.py
+++ b/libs/unified/tests/test_unified_core.py
@@ -57,6 +57,12 @@
         assert field in output
 
 
+def test_deeply_nested_settings_are_usage_error():
+    status, _, output = _check_text('[' * 100_000)
+    assert status is launching.ExitStatus.USAGE
+    assert 'settings-invalid' in output
+
+
 def test_template_names_every_setting():
     root = pathlib.Path(__file__).resolve().parents[3]
     template = (root / 'deploy/settings.template.json').read_text()
@@ -68,8 +74,12 @@
 
 
 def _check(content: dict[str, object]) -> tuple[launching.ExitStatus, str, str]:
+    return _check_text(json.dumps(content))
+
+
+def _check_text(text: str) -> tuple[launching.ExitStatus, str, str]:
     with tempfile.NamedTemporaryFile('w', suffix='.json') as file:
-        json.dump(content, file)
+        file.write(text)
         file.flush()
         return _run({core.SETTINGS_VARIABLE: file.name}, core.CHECK_FLAG)
 
--- a/libs/unified/tests/test_unified_daemon.py
+++ b/libs/unified/tests/test_unified_daemon.py
@@ -42,6 +42,15 @@
         assert (await bench.call('POST', body=malformed)).status == 400
 
 
+async def test_deeply_nested_job_is_refused(bench):
+    bench.store.write('op/config', unified_bench.standins.manifest())
+    await bench.until_ready()
+    nested = b'{"steps":[{"count":1}],"x":%b' % (b'[' * 100_000)
+    refused = await bench.send('POST', content=nested)
+    assert refused.status == 400
+    assert b'body-malformed' in refused.body
+
+
 async def test_job_is_not_accepted_while_store_refuses(bench):
     bench.store.write('op/config', unified_bench.standins.manifest())
     await bench.until_ready()
--- a/libs/unified/tests/unified_bench.py
+++ b/libs/unified/tests/unified_bench.py
@@ -54,11 +54,18 @@
         body: Mapping[str, object] | None = None,
     ) -> exchange.Reply:
         """Send a request as a caller does."""
+        content = None if body is None else json.dumps(dict(body)).encode()
+        return await self.send(method, path, content)
+
+    async def send(
+        self, method: str, path: str = PATH, content: bytes | None = None
+    ) -> exchange.Reply:
+        """Send a request with any body."""
         replied = await self._client.send(
             exchange.Outgoing(
                 self._base + path,
                 method=method,
-                body=None if body is None else json.dumps(dict(body)).encode(),
+                body=content,
                 headers=(('Host', 'host.example'),),
             )
         )
