Let an entry whose handling fails cost only that entry

One entry that an observer could not handle ended its follower: a leader gave up its leadership as soon as the entry arrived by the watch, and every later leader too. If the first scan held it, `started` was never set, so that the leader waited for ever while its lease was renewed, and nothing was scheduled. A daemon's own followers ended the process.

Cause: the follower passed exceptions of the observer on, and its callers treat a follower that ends as a lost loop. Decoding is checked before, but an exception at any later point had the same effect.

The follower and the observers' resets now handle each entry by `Observer.observe`, which logs an exception with its traceback, once for each key and reason and at most 200 times, and goes on. A reset or a call that raises as a whole is logged too, and `started` is set all the same.

The two tests of a leader and four of the follower failed before (TimeoutError, `giving up the leadership`) and pass now.

--- a/libs/scheduler/src/jackdawlatch/scheduler/observers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/observers.py
@@ -1,6 +1,7 @@
 """Observers that apply changes of the store to the cluster state."""
 
 import abc
+import functools
 from collections.abc import Callable, Iterable
 from typing import TypeVar
 
@@ -31,8 +32,9 @@
 
     def reset(self, entries: Iterable[keyvalue.Entry]) -> None:
         """Apply jobs before cancellations; jobs without an entry are kept."""
+        apply = functools.partial(self._apply, wall_s=self._clock.wall_s())
         for entry in sorted(entries, key=_is_cancellation):
-            self._apply(entry, self._clock.wall_s())
+            self.observe(entry, apply)
 
     def change(self, entry: keyvalue.Entry) -> None:
         """Apply an accepted job or a cancellation; deletions are ignored.
@@ -93,7 +95,7 @@
         worker_ids = set()
         for entry in entries:
             worker_ids.add(self._directory.worker_id(entry.key))
-            self.change(entry)
+            self.observe(entry)
         self._registry.retain(worker_ids)
 
     def change(self, entry: keyvalue.Entry) -> None:
--- a/libs/scheduler/tests/scheduler_bench.py
+++ b/libs/scheduler/tests/scheduler_bench.py
@@ -148,7 +148,7 @@
     def add_entry(self, entry: reports.WorkerEntry) -> None:
         """Register a worker, or register it again."""
         self.entries_by_id[entry.id] = entry
-        self._put(f'workers/{entry.id}', entry.id.encode())
+        self.put(f'workers/{entry.id}', entry.id.encode())
 
     def remove_worker(self, name: str) -> None:
         """Remove the registration of a worker that goes on answering."""
@@ -156,13 +156,21 @@
             transactions.Transaction(deletes=(f'workers/{name}',))
         )
 
+    def put(self, key: str, content: bytes) -> None:
+        """Write a key."""
+        self.store.content.commit(
+            transactions.Transaction(
+                puts=(transactions.Put(key=key, content=content),)
+            )
+        )
+
     def submit(self, job: model.Job) -> None:
         """Write an accepted job."""
-        self._put(f'{stored.JOBS_PREFIX}{job.id}', records.pack(job))
+        self.put(f'{stored.JOBS_PREFIX}{job.id}', records.pack(job))
 
     def cancel(self, job_id: str) -> None:
         """Write a cancellation request."""
-        self._put(
+        self.put(
             f'{stored.CANCELS_PREFIX}{job_id}',
             records.encode(stored.Cancel(asked_s=0)),
         )
@@ -201,7 +209,7 @@
 
         By default its process has just started.
         """
-        self._put(stored.LEADER_KEY, b'')
+        self.put(stored.LEADER_KEY, b'')
         entry = self.store.content.get(stored.LEADER_KEY)
         assert entry is not None
         return leader.Leader(
@@ -232,13 +240,6 @@
         self.add_worker(name, born_ms=2)
         return len(before.running) if before else 0
 
-    def _put(self, key: str, content: bytes) -> None:
-        self.store.content.commit(
-            transactions.Transaction(
-                puts=(transactions.Put(key=key, content=content),)
-            )
-        )
-
 
 def job(job_id: str = 'a', **step: object) -> model.Job:
     """Return a job with one step; by default of one task."""
--- a/libs/store/src/jackdawlatch/store/following.py
+++ b/libs/store/src/jackdawlatch/store/following.py
@@ -3,27 +3,47 @@
 import abc
 import asyncio
 import dataclasses
-from collections.abc import Iterable
+import functools
+from collections.abc import Callable, Iterable
 
 from absl import logging
 from returns import result
 
-from jackdawlatch.store import keyvalue
+from jackdawlatch.store import keyvalue, skipped_entries
 
 RETRY_S = 0.1
 
 
 class Observer(abc.ABC):
-    """Receives the content of the keys below a prefix, and its changes."""
+    """Receives the content of the keys below a prefix, and its changes.
+
+    An entry whose handling raises an exception is logged and skipped.
+    """
+
+    @functools.cached_property
+    def skipped(self) -> skipped_entries.SkippedEntries:
+        """The log of the entries that were skipped."""
+        return skipped_entries.SkippedEntries()
 
     @abc.abstractmethod
     def reset(self, entries: Iterable[keyvalue.Entry]) -> None:
-        """Replace all content by these entries."""
+        """Replace all content by these entries; pass each to ``observe``."""
 
     @abc.abstractmethod
     def change(self, entry: keyvalue.Entry) -> None:
         """Handle a key that was written or removed."""
 
+    def observe(
+        self,
+        entry: keyvalue.Entry,
+        handle_entry: Callable[[keyvalue.Entry], None] | None = None,
+    ) -> None:
+        """Pass an entry to ``change``, or to another function."""
+        try:
+            (handle_entry or self.change)(entry)
+        except Exception as error:
+            self.skipped.log_error(entry.key, error)
+
 
 @dataclasses.dataclass(frozen=True)
 class WatchTiming:
@@ -62,10 +82,7 @@
     async def run(self) -> None:
         """Follow until cancelled; failed calls are retried."""
         while True:
-            if self._revision is None:
-                reached = await self._read_all()
-            else:
-                reached = await self._watch(self._revision)
+            reached = await self._step()
             if reached is not self.reachable:
                 self.reachable = reached
                 logging.info(
@@ -75,12 +92,23 @@
                 )
             await asyncio.sleep(self._pace.pause_s if reached else RETRY_S)
 
+    async def _step(self) -> bool:
+        try:
+            if self._revision is None:
+                return await self._read_all()
+            return await self._watch(self._revision)
+        except Exception as error:
+            self._observer.skipped.log_error(self._prefix, error)
+            return False
+
     async def _read_all(self) -> bool:
         scanned = await self._store.scan(self._prefix)
         if isinstance(scanned, result.Failure):
             return False
-        self._deliver(scanned.unwrap())
-        self.started.set()
+        try:
+            self._deliver(scanned.unwrap())
+        finally:
+            self.started.set()
         return True
 
     async def _watch(self, revision: int) -> bool:
@@ -98,4 +126,4 @@
             self._observer.reset(changes.entries)
             return
         for entry in changes.entries:
-            self._observer.change(entry)
+            self._observer.observe(entry)
--- a/libs/unified/src/jackdawlatch/unified/observers.py
+++ b/libs/unified/src/jackdawlatch/unified/observers.py
@@ -34,7 +34,7 @@
     def reset(self, entries: Iterable[keyvalue.Entry]) -> None:
         """Apply all entries."""
         for entry in entries:
-            self.change(entry)
+            self.observe(entry)
 
     def change(self, entry: keyvalue.Entry) -> None:
         """Apply one entry; ignores removals and outdated configurations."""
@@ -89,7 +89,7 @@
         entries_by_key = {entry.key: entry for entry in entries}
         self._election.record_vacancy(stored.LEADER_KEY not in entries_by_key)
         for entry in entries_by_key.values():
-            self.change(entry)
+            self.observe(entry)
 
     def change(self, entry: keyvalue.Entry) -> None:
         """Apply one entry."""
