Place nothing on a worker whose entry is not valid any more

When the entry of a known worker was overwritten by one that can't be decoded, the leader logged it and kept the last valid registration, so new tasks were still sent to a worker that no entry names. Callers see tasks that start where nobody has registered, and which then fail or wait for a lease.

Cause: only a deletion unregistered a worker, and a scan counted any entry as a registration.

The worker is unregistered now, as if its entry had been removed: its runs go on and stay polled, nothing new is placed there, and a valid entry of the same boot registers it again. Ruled out: treating it as lost, which would stop tasks that run well.

test_worker_whose_entry_turns_odd_gets_no_new_runs failed before (TimeoutError) and passes now.

--- a/libs/scheduler/src/jackdawlatch/scheduler/observers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/observers.py
@@ -99,7 +99,7 @@
         self._registry.retain(worker_ids)
 
     def change(self, entry: keyvalue.Entry) -> None:
-        """Apply the entry of one worker."""
+        """Apply the entry of one worker; an invalid one names no worker."""
         if entry.deleted:
             self._registry.unregister(self._directory.worker_id(entry.key))
             return
@@ -110,6 +110,7 @@
                 entry.key,
                 decoded.failure().line(),
             )
+            self._registry.unregister(self._directory.worker_id(entry.key))
             return
         self._on_registered(self._registry.register(decoded.unwrap()))
 
--- a/libs/scheduler/tests/scheduler_bench.py
+++ b/libs/scheduler/tests/scheduler_bench.py
@@ -44,7 +44,10 @@
         self, entry: keyvalue.Entry
     ) -> result.Result[reports.WorkerEntry, failures.Invalid]:
         """Return the worker entry."""
-        return result.Success(self._entries_by_id[entry.value.decode()])
+        worker_entry = self._entries_by_id.get(entry.value.decode())
+        if worker_entry is None:
+            return result.Failure(failures.Invalid(message='no such worker'))
+        return result.Success(worker_entry)
 
     def worker_id(self, key: str) -> str:
         """Return the id of a worker, which is the end of its key."""
--- a/libs/scheduler/tests/test_scheduler_odd_entries.py
+++ b/libs/scheduler/tests/test_scheduler_odd_entries.py
@@ -33,4 +33,21 @@
         )
 
 
+async def test_worker_whose_entry_turns_odd_gets_no_new_runs(bench):
+    worker = bench.add_worker('w1')
+    bench.submit(benches.job())
+    async with bench.lead() as leader:
+        await waiting.until(lambda: worker.running)
+        known = leader.cluster.workers_by_id['w1']
+        bench.put('workers/w1', b'unknown')
+        await waiting.until(lambda: not known.registered)
+        bench.submit(benches.job('b'))
+        second = bench.add_worker('w2')
+        await waiting.until(lambda: second.running)
+        assert worker.running
+        bench.add_entry(worker.entry)
+        await waiting.until(lambda: known.usable)
+    assert len(worker.started_runs) == 1
+
+
 load_tests = functions.loader(__name__, {'bench': benches.bench})
