--- a/libs/unified/tests/test_unified_daemon.py
+++ b/libs/unified/tests/test_unified_daemon.py
@@ -51,6 +51,28 @@
     assert b'body-malformed' in refused.body
 
 
+async def test_job_runs_beside_odd_entries_in_first_scan(odd_bench):
+    odd_bench.store.write('op/config', unified_bench.standins.manifest())
+    await odd_bench.until_ready()
+    await odd_bench.call('POST', body=unified_bench.BODY)
+    await waiting.until(lambda: len(odd_bench.worker.running) == 2)
+
+
+async def test_job_runs_beside_odd_entries_in_watch(bench):
+    bench.store.write('op/config', unified_bench.standins.manifest())
+    await bench.until_ready()
+    await bench.call('POST', body=unified_bench.BODY)
+    await waiting.until(lambda: len(bench.worker.running) == 2)
+    leader_entry = bench.store.content.get('fleet/leader')
+    for key, entry in unified_bench.ODD_ENTRIES.items():
+        bench.store.write(key, entry)
+    other = '/photos/00000000000000ab'
+    await bench.call('POST', other, unified_bench.BODY)
+    await waiting.until(lambda: len(bench.worker.running) == 4)
+    assert bench.store.content.get('fleet/leader') == leader_entry
+    assert not bench.running.done()
+
+
 async def test_job_is_not_accepted_while_store_refuses(bench):
     bench.store.write('op/config', unified_bench.standins.manifest())
     await bench.until_ready()
@@ -115,4 +137,7 @@
     assert (await bench.call('GET', '/photos/')).status == 404
 
 
-load_tests = functions.loader(__name__, {'bench': unified_bench.bench})
+load_tests = functions.loader(
+    __name__,
+    {'bench': unified_bench.bench, 'odd_bench': unified_bench.odd_bench},
+)
--- a/libs/unified/tests/unified_bench.py
+++ b/libs/unified/tests/unified_bench.py
@@ -96,8 +96,33 @@
         await waiting.until(reached)
 
 
+ODD_ENTRIES = types.MappingProxyType(
+    {
+        'servers/i-deep': b'{"x":%b' % (b'[' * 100_000),
+        'servers/i-large': standins.runner_entry('127.0.0.1:1', born=10**30),
+        'servers/i-port': standins.runner_entry('127.0.0.1:99999', born=9),
+        'servers/i-no-port': standins.runner_entry('[::1', born=9),
+        'servers/i-nul': standins.runner_entry('127.0.0.1\x00:1', born=9),
+    }
+)
+
+
 @contextlib.asynccontextmanager
 async def bench():
+    """Yield a new deployment."""
+    async with _deployment({'servers/i-2': b'\xff'}) as created:
+        yield created
+
+
+@contextlib.asynccontextmanager
+async def odd_bench():
+    """Yield a new deployment with entries of other writers."""
+    async with _deployment(ODD_ENTRIES) as created:
+        yield created
+
+
+@contextlib.asynccontextmanager
+async def _deployment(entries: Mapping[str, object]):
     store = standins.Store()
     entry = reports.WorkerEntry('i-1', 1, '', 'photo', 'z', 'm-1', model.Room())
     worker = task_workers.FakeWorker(entry)
@@ -109,7 +134,8 @@
             standins.serving(standins.StoreHandler, store=store)
         )
         store.write('servers/i-1', standins.runner_entry(address))
-        store.write('servers/i-2', b'\xff')
+        for key, entry_body in entries.items():
+            store.write(key, entry_body)
         free_ports = ports.Ports(random.Random())
         stack.callback(free_ports.close)
         settings = _settings(
