Log an entry that is not valid once, not at each reading

An invalid entry of a worker or of the operator was logged at each scan and for each write of it by the watch. Another writer that repeats its entry, as workers do with every heartbeat, added a line to the log of each leader each time, without a bound; a message could also contain the whole odd value.

The observers use the log of skipped entries now, as for entries whose handling fails: one line for each key and reason, shortened, and at most 200 lines for each observer. Ruled out: forgetting a line when the entry becomes valid, since an entry that alternates would be logged without a bound again.

test_invalid_worker_entry_is_logged_once failed before (AssertionError, more than one line) and passes now. Malformed records of jobs are still logged at each reading.

--- a/libs/scheduler/src/jackdawlatch/scheduler/observers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/observers.py
@@ -105,11 +105,7 @@
             return
         decoded = self._directory.decode(entry)
         if isinstance(decoded, result.Failure):
-            logging.info(
-                'worker entry %s is invalid: %s',
-                entry.key,
-                decoded.failure().line(),
-            )
+            self.skipped.log(entry.key, decoded.failure().line())
             self._registry.unregister(self._directory.worker_id(entry.key))
             return
         self._on_registered(self._registry.register(decoded.unwrap()))
--- a/libs/scheduler/tests/test_scheduler_odd_entries.py
+++ b/libs/scheduler/tests/test_scheduler_odd_entries.py
@@ -1,5 +1,8 @@
 """Leaders while other writers leave entries among those of workers and jobs."""
 
+import functools
+import unittest
+
 import scheduler_bench as benches
 
 from jackdawlatch.testing import functions, waiting
@@ -50,4 +53,23 @@
     assert len(worker.started_runs) == 1
 
 
+async def test_invalid_worker_entry_is_logged_once(bench):
+    worker = bench.add_worker('w1')
+    logged = unittest.TestCase().assertLogs('absl', 'INFO')
+    with logged:
+        async with bench.lead() as leader:
+            for number in range(3):
+                bench.put('workers/odd', b'unknown')
+                name = f'w-{number}'
+                bench.add_worker(name)
+                await waiting.until(functools.partial(_is_known, leader, name))
+    lines = [line for line in logged.watcher.output if 'workers/odd' in line]
+    assert len(lines) == 1
+    assert worker.token
+
+
+def _is_known(leader, name):
+    return name in leader.cluster.workers_by_id
+
+
 load_tests = functions.loader(__name__, {'bench': benches.bench})
--- a/libs/unified/src/jackdawlatch/unified/observers.py
+++ b/libs/unified/src/jackdawlatch/unified/observers.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable, Iterable
 
-from absl import logging
 from returns import result
 
 from jackdawlatch.jobs import intake, queues, stored
@@ -42,11 +41,7 @@
             return
         decoded = operator.decode(entry)
         if isinstance(decoded, result.Failure):
-            logging.error(
-                'operator entry %s is malformed: %s',
-                entry.key,
-                decoded.failure().line(),
-            )
+            self.skipped.log(entry.key, decoded.failure().line())
             return
         request = decoded.unwrap()
         if isinstance(request, queues.Catalog):
