--- a/libs/unified/tests/test_unified_daemon.py
+++ b/libs/unified/tests/test_unified_daemon.py
@@ -51,6 +51,17 @@
     assert b'body-malformed' in refused.body
 
 
+async def test_job_with_too_large_integer_is_refused(bench):
+    bench.store.write('op/config', unified_bench.standins.manifest())
+    await bench.until_ready()
+    for field in ('count', 'cpu', 'target-ms', 'max-unavailable'):
+        for number in (10**30, -(10**30)):
+            body = {'steps': [{'count': 1, field: number}]}
+            assert (await bench.call('POST', body=body)).status == 400
+    body = {'steps': [{'count': 1}], 'repeat-count': -(10**30)}
+    assert (await bench.call('POST', body=body)).status == 400
+
+
 async def test_job_runs_beside_odd_entries_in_first_scan(odd_bench):
     odd_bench.store.write('op/config', unified_bench.standins.manifest())
     await odd_bench.until_ready()
