--- a/libs/unified/src/jackdawlatch/unified/observers.py
+++ b/libs/unified/src/jackdawlatch/unified/observers.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable, Iterable
 
-from absl import logging
 from returns import result
 
 from jackdawlatch.jobs import intake, queues, stored
@@ -34,7 +33,7 @@
     def reset(self, entries: Iterable[keyvalue.Entry]) -> None:
         """Apply all entries."""
         for entry in entries:
-            self.change(entry)
+            self.observe(entry)
 
     def change(self, entry: keyvalue.Entry) -> None:
         """Apply one entry; ignores removals and outdated configurations."""
@@ -42,11 +41,7 @@
             return
         decoded = operator.decode(entry)
         if isinstance(decoded, result.Failure):
-            logging.error(
-                'operator entry %s is malformed: %s',
-                entry.key,
-                decoded.failure().line(),
-            )
+            self.skipped.log(entry.key, decoded.failure().line())
             return
         request = decoded.unwrap()
         if isinstance(request, queues.Catalog):
@@ -89,7 +84,7 @@
         entries_by_key = {entry.key: entry for entry in entries}
         self._election.record_vacancy(stored.LEADER_KEY not in entries_by_key)
         for entry in entries_by_key.values():
-            self.change(entry)
+            self.observe(entry)
 
     def change(self, entry: keyvalue.Entry) -> None:
         """Apply one entry."""
--- a/libs/unified/tests/test_unified_daemon.py
+++ b/libs/unified/tests/test_unified_daemon.py
@@ -42,6 +42,48 @@
         assert (await bench.call('POST', body=malformed)).status == 400
 
 
+async def test_deeply_nested_job_is_refused(bench):
+    bench.store.write('op/config', unified_bench.standins.manifest())
+    await bench.until_ready()
+    nested = b'{"steps":[{"count":1}],"x":%b' % (b'[' * 100_000)
+    refused = await bench.send('POST', content=nested)
+    assert refused.status == 400
+    assert b'body-malformed' in refused.body
+
+
+async def test_job_with_too_large_integer_is_refused(bench):
+    bench.store.write('op/config', unified_bench.standins.manifest())
+    await bench.until_ready()
+    for field in ('count', 'cpu', 'target-ms', 'max-unavailable'):
+        for number in (10**30, -(10**30)):
+            body = {'steps': [{'count': 1, field: number}]}
+            assert (await bench.call('POST', body=body)).status == 400
+    body = {'steps': [{'count': 1}], 'repeat-count': -(10**30)}
+    assert (await bench.call('POST', body=body)).status == 400
+
+
+async def test_job_runs_beside_odd_entries_in_first_scan(odd_bench):
+    odd_bench.store.write('op/config', unified_bench.standins.manifest())
+    await odd_bench.until_ready()
+    await odd_bench.call('POST', body=unified_bench.BODY)
+    await waiting.until(lambda: len(odd_bench.worker.running) == 2)
+
+
+async def test_job_runs_beside_odd_entries_in_watch(bench):
+    bench.store.write('op/config', unified_bench.standins.manifest())
+    await bench.until_ready()
+    await bench.call('POST', body=unified_bench.BODY)
+    await waiting.until(lambda: len(bench.worker.running) == 2)
+    leader_entry = bench.store.content.get('fleet/leader')
+    for key, entry in unified_bench.ODD_ENTRIES.items():
+        bench.store.write(key, entry)
+    other = '/photos/00000000000000ab'
+    await bench.call('POST', other, unified_bench.BODY)
+    await waiting.until(lambda: len(bench.worker.running) == 4)
+    assert bench.store.content.get('fleet/leader') == leader_entry
+    assert not bench.running.done()
+
+
 async def test_job_is_not_accepted_while_store_refuses(bench):
     bench.store.write('op/config', unified_bench.standins.manifest())
     await bench.until_ready()
@@ -106,4 +148,7 @@
     assert (await bench.call('GET', '/photos/')).status == 404
 
 
-load_tests = functions.loader(__name__, {'bench': unified_bench.bench})
+load_tests = functions.loader(
+    __name__,
+    {'bench': unified_bench.bench, 'odd_bench': unified_bench.odd_bench},
+)
