End attempts whose repeated starts are refused

Callers could see a job stay assigned for ever beside free workers.

The start of a job that may run twice is sent again while its outcome is unknown. Each repetition counted as a start that may have arrived, also when the worker refused it, and so put off the end of the lease. After a worker was killed while it got a start, its next boot refuses every repetition, four times a second, and the attempt never ended; so it did at a worker that can't be reached. A refused start now restores the times before it was sent, unless a later call changed them; the attempt ends with the lease of the last call that may have arrived, and the job is queued again.

Jobs that must not run twice are never sent again and do not change.

--- a/libs/placement/src/jackdawlatch/placement/attempts.py
+++ b/libs/placement/src/jackdawlatch/placement/attempts.py
@@ -91,6 +91,20 @@
     attempt.start_sent_s = now_s
 
 
+def record_start_refused(
+    attempt: Attempt, sent_s: float, lease_sent_s: float, start_sent_s: float
+) -> None:
+    """Record that the start sent at ``sent_s`` was refused.
+
+    It can't arrive any more, so the times are those before it was sent,
+    except where a later call has changed them.
+    """
+    if attempt.lease_sent_s == sent_s:
+        attempt.lease_sent_s = lease_sent_s
+    if attempt.start_sent_s == sent_s:
+        attempt.start_sent_s = start_sent_s
+
+
 def record_confirmation(attempt: Attempt, now_s: float) -> None:
     """Record that the worker has the task."""
     attempt.confirmed = True
--- a/libs/placer/src/jackdawlatch/placer/starters.py
+++ b/libs/placer/src/jackdawlatch/placer/starters.py
@@ -91,7 +91,9 @@
         attempt.starts_sent += 1
         started_once = job.idempotent or attempt.starts_sent == 1
         self._context.invariants.check(started_once, 'job-started-once', job.id)
-        attempts.record_start_sent(attempt, self._context.clock.monotonic_s())
+        before = (attempt.lease_sent_s, attempt.start_sent_s)
+        sent_s = self._context.clock.monotonic_s()
+        attempts.record_start_sent(attempt, sent_s)
         response = await self._context.workers.start(
             self._context.host_status.address(job.host), self._task(attempt)
         )
@@ -101,7 +103,10 @@
             attempt.lease_sent_s = now_s
             attempts.record_confirmation(attempt, now_s)
         else:
-            self._record_failure(attempt, response.failure())
+            failure = response.failure()
+            if isinstance(failure, workers.NotStarted):
+                attempts.record_start_refused(attempt, sent_s, *before)
+            self._record_failure(attempt, failure)
         if (
             self._context.clock.monotonic_s() - record_requested_s
             > MAX_START_DELAY_S
--- a/libs/placer/tests/test_placer_failures.py
+++ b/libs/placer/tests/test_placer_failures.py
@@ -60,6 +60,39 @@
     assert bench.state(job_id) is work.JobState.LOST
 
 
+@placer_bench.on_bench
+def test_resends_to_a_rebooted_worker_end(bench: placer_bench.Bench) -> None:
+    bench.tick(2)
+    job_id, host = _submit_unanswered(bench)
+    bench.platform.models_by_address[host].forget()
+    bench.tick(60)
+    assert bench.runs.by_job()[job_id] == 2
+    assert bench.state(job_id) is work.JobState.DONE
+
+
+@placer_bench.on_bench
+def test_resends_to_a_lost_worker_end(bench: placer_bench.Bench) -> None:
+    bench.tick(2)
+    job_id, host = _submit_unanswered(bench)
+    bench.platform.unreachable.add(host)
+    bench.tick(10)
+    assert bench.runs.by_job()[job_id] == 1
+    bench.tick(50)
+    assert bench.runs.by_job()[job_id] == 2
+    assert bench.state(job_id) is work.JobState.DONE
+
+
+def _submit_unanswered(bench: placer_bench.Bench) -> tuple[str, str]:
+    """Submit a job whose start is not answered; return it and its host."""
+    job_id = bench.submit(command='run=3')
+    while not bench.runs.by_job()[job_id]:
+        bench.platform.lose_replies = 1
+        bench.tick(placer_bench.STEP_S)
+    bench.platform.lose_replies = 0
+    assert bench.state(job_id) is work.JobState.ASSIGNED
+    return job_id, bench.jobs_by_id()[job_id].host
+
+
 @placer_bench.on_bench
 def test_job_is_requeued_after_a_short_pause(bench: placer_bench.Bench) -> None:
     bench.tick(2)
