Ask for machines when standby was not listed yet

Found by review. A shortage as large as the known fleet was dropped, so that an impossible step requests nothing. Machines on standby are known only after a listing, and they are listed only when a service lacks some: a new leader of a small pool asked for none, for ever. The limit is gone; the demand by capacity has none either. test_spread_step_waits_beside_unlisted_standby failed before.

--- a/libs/scheduler/src/jackdawlatch/scheduler/pools.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/pools.py
@@ -80,6 +80,11 @@
             if number < 0
         )
 
+    @property
+    def lacking(self) -> frozenset[str]:
+        """The services with steps that wait for machines."""
+        return self._supply.lacking
+
     async def run(self) -> None:
         """Move machines until cancelled."""
         await asyncio.sleep(HANDOVER_S)
--- a/libs/scheduler/src/jackdawlatch/scheduler/shortages.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/shortages.py
@@ -20,14 +20,12 @@
 class Machines:
     """The machines that the steps of a service could be placed on.
 
-    ``usable_by_service`` holds the workers that may be given tasks,
-    ``largest`` is the capacity of the largest machine, and ``fleet_size`` the
-    number of all machines, those on standby included.
+    ``usable_by_service`` holds the workers that may be given tasks, and
+    ``largest`` is the capacity of the largest machine.
     """
 
     usable_by_service: Mapping[str, list[workers.Worker]]
     largest: model.Room
-    fleet_size: int
 
 
 class Shortages:
@@ -91,11 +89,9 @@
     if state.step.gang:
         # Gangs without a spread are limited by capacity, which demand covers.
         usable = machines.usable_by_service.get(service, ())
-        missing = max(0, spread_count(state.step) - len(usable))
-    else:
-        unplaced = state.waiting_count() - _reserve(service, state, free)
-        missing = math.ceil(unplaced / per_machine)
-    return missing if missing < machines.fleet_size else 0
+        return max(0, spread_count(state.step) - len(usable))
+    unplaced = state.waiting_count() - _reserve(service, state, free)
+    return math.ceil(unplaced / per_machine)
 
 
 def _reserve(
--- a/libs/scheduler/src/jackdawlatch/scheduler/supply.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/supply.py
@@ -47,11 +47,15 @@
             shortages.Machines(
                 self._usable_by_service(),
                 self._fleet.largest(),
-                self._machine_count(),
             ),
             self._cluster.now_s,
         )
 
+    @property
+    def lacking(self) -> frozenset[str]:
+        """The services with steps that wait for machines."""
+        return frozenset(self._missing_by_service)
+
     def open_demand(self) -> demand.Demand:
         """Return how many machines the jobs of each service would fill."""
         clock = self._cluster.dependencies.clock
--- a/libs/scheduler/tests/test_scheduler_pools.py
+++ b/libs/scheduler/tests/test_scheduler_pools.py
@@ -1,6 +1,8 @@
 """Machines move to the services that need them, and are kept for the peak."""
 
+import collections
 import contextlib
+from unittest import mock
 
 import scheduler_bench as benches
 from returns import result
@@ -281,6 +283,23 @@
     assert moved_to.count('photo') == 4
 
 
+async def test_spread_step_waits_beside_unlisted_standby(bench):
+    """Machines on standby are listed only when a service lacks some."""
+    bench.add_workers('photo', 2)
+    bench.add_workers('desk', 2)
+    spare = [
+        reports.Machine(id=f'm-spare{number}', service='spare', available=True)
+        for number in range(9)
+    ]
+    bench.submit_lasting('spread', 'photos', count=6, max_per_worker=1)
+    with mock.patch.object(
+        bench.machines, 'list_all', return_value=result.Success(tuple(spare))
+    ):
+        await bench.rounds(ALLOWED_WAIT_S)
+    moved_to = [service for _, service in bench.machines.moves]
+    assert collections.Counter(moved_to) == {'photo': 4}
+
+
 async def test_workers_of_a_spread_step_go_to_standby(bench):
     bench.add_workers('photo', 9)
     bench.add_workers('desk', 2)
