Open machines that a wave cannot vacate or that are refused

An urgent wave kept a machine closed as long as its tasks could not be stopped. A machine whose requests are refused, as one in transit, was closed for as long as well, and asked five times a second.

After 3 s a machine is left to its tasks for 5 s, if lasting tasks of its service wait for a worker; after a refusal for 0.6 s. Planning wakes when a machine opens. The largest machine counts also while it is closed, as otherwise no shortage was found with all machines closed. Ruled out: stopping all lasting tasks of a machine or none, since those of one step may exceed its max_unavailable.

--- a/libs/scheduler/src/jackdawlatch/scheduler/fleet.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/fleet.py
@@ -14,19 +14,15 @@
 
     def usable(self) -> list[workers.Worker]:
         """Return the workers that may be given tasks."""
-        serving = self._cluster.catalog.serving_services()
-        return [
-            worker
-            for worker in self._cluster.workers_by_id.values()
-            if worker.usable
-            and worker.entry.machine
-            and worker.entry.service in serving
-        ]
+        return [worker for worker in self._known() if worker.usable]
 
     def largest(self) -> model.Room:
-        """Return the capacity of the machine with the most processors."""
+        """Return the capacity of the machine with the most processors.
+
+        It counts also while its worker may not be given tasks.
+        """
         return max(
-            (worker.entry.room for worker in self.usable()),
+            (worker.entry.room for worker in self._known()),
             key=lambda room: room.processors_m,
             default=model.Room(),
         )
@@ -64,6 +60,14 @@
             if worker.usable and not worker.runs_by_task
         ]
 
+    def _known(self) -> list[workers.Worker]:
+        serving = self._cluster.catalog.serving_services()
+        return [
+            worker
+            for worker in self._cluster.workers_by_id.values()
+            if worker.entry.machine and worker.entry.service in serving
+        ]
+
 
 def _used_share(worker: workers.Worker) -> float:
     """Return the share of a worker's capacity that its runs hold."""
--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -160,6 +160,7 @@
                 self._leading,
                 self._progress_writer.deposed,
                 self._pools.undersupplied,
+                lambda: self._pools.lacking,
                 dependencies.settings.waves,
             )
         )
--- a/libs/scheduler/src/jackdawlatch/scheduler/wave_states.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/wave_states.py
@@ -25,6 +25,7 @@
         self.ends_s = now_s + wave.duration_s
         self.begun: set[str] = set()
         self.refused: set[str] = set()
+        self._rests_until_s_by_machine: dict[str, float] = {}
         self.up_s_by_machine: dict[str, float] = {}
         self.chosen_s_by_machine: dict[str, float] = {}
         self.cordoned: frozenset[str] = frozenset()
@@ -39,6 +40,23 @@
             if machine not in self.begun
         ]
 
+    def due(self, now_s: float) -> list[str]:
+        """Return the remaining machines that may be vacated now."""
+        return [
+            machine
+            for machine in self.remaining
+            if self._rests_until_s_by_machine.get(machine, 0) <= now_s
+        ]
+
+    def rest(self, machine: str, until_s: float) -> None:
+        """Leave a machine to the tasks until a time."""
+        self._rests_until_s_by_machine[machine] = until_s
+
+    def chosen_since(self, machine: str, since_s: float) -> bool:
+        """Whether a machine is being vacated since then, or earlier."""
+        chosen_s = self.chosen_s_by_machine.get(machine)
+        return chosen_s is not None and chosen_s <= since_s
+
     def slots(self, now_s: float) -> int:
         """Return how many more machines may go down now."""
         down = sum(up_s > now_s for up_s in self.up_s_by_machine.values())
--- a/libs/scheduler/src/jackdawlatch/scheduler/waves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waves.py
@@ -27,6 +27,11 @@
 VACATE_S = 2.5
 # The remaining tasks are stopped after this time, since some never end.
 STOP_TASKS_AFTER_S = 3.0
+# A machine that cannot be vacated is left to the tasks for this time, since
+# what waits for a worker may be what keeps its other tasks from being stopped.
+HELD_UP_REST_S = 5.0
+# A machine that is in transit cannot go down.
+REFUSED_REST_S = 0.6
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,7 +64,8 @@
     """Collaborators of the waves.
 
     ``undersupplied`` returns the services that could use more machines, and
-    ``deposed`` is set when a write shows that the term has ended.
+    ``lacking`` those whose lasting tasks wait for one.  ``deposed`` is set when
+    a write shows that the term has ended.
     """
 
     cluster: cluster_state.ClusterState
@@ -70,6 +76,7 @@
     leading: Callable[[], bool]
     deposed: asyncio.Event
     undersupplied: Callable[[], frozenset[str]]
+    lacking: Callable[[], frozenset[str]]
     settings: Settings
 
 
@@ -100,6 +107,7 @@
 
     def cordon(self, worker: workers.Worker) -> None:
         """Place no tasks on a worker whose machine is about to go down."""
+        was_cordoned = workers.Cordon.MAINTENANCE in worker.cordons
         worker.cordons.discard(workers.Cordon.MAINTENANCE)
         due = any(
             worker.entry.machine in record.state.cordoned
@@ -107,6 +115,8 @@
         )
         if due or worker in self._down_until_s_by_worker:
             worker.cordons.add(workers.Cordon.MAINTENANCE)
+        elif was_cordoned:
+            self._dependencies.cluster.on_change()
 
     async def run(self) -> None:
         """Carry out waves until cancelled."""
@@ -148,6 +158,7 @@
             self._dependencies.cluster.workers_by_id.values()
         )
         now_s = self._dependencies.cluster.now_s
+        _rest_held_up(state, by_machine, self._dependencies.lacking(), now_s)
         chosen = self._choose(state, by_machine, now_s)
         state.cordoned = frozenset((*chosen, *state.unanswered(now_s)))
         for machine in state.remaining:
@@ -181,7 +192,7 @@
             machine_workers.due_machine(
                 name, by_machine.get(name, ()), name in state.refused
             )
-            for name in state.remaining
+            for name in state.due(now_s)
             if machine_workers.may_vacate(
                 by_machine.get(name, ()), undersupplied
             )
@@ -210,6 +221,9 @@
         outcome = 'begun'
         if isinstance(begun, result.Failure):
             outcome = begun.failure().line()
+            state.rest(
+                machine, self._dependencies.cluster.now_s + REFUSED_REST_S
+            )
         log.note(
             'maintenance',
             machine=machine,
@@ -258,3 +272,19 @@
 
 def _status(settings: Settings, number: int, done: bool) -> transactions.Put:
     return settings.status(WaveStatus(number=number, done=done))
+
+
+def _rest_held_up(
+    state: wave_states.WaveState,
+    by_machine: Mapping[str, Sequence[workers.Worker]],
+    lacking: frozenset[str],
+    now_s: float,
+) -> None:
+    """Open the machines that waiting tasks keep from being vacated."""
+    for name in state.due(now_s):
+        occupied = any(
+            worker.runs_by_task and worker.entry.service in lacking
+            for worker in by_machine.get(name, ())
+        )
+        if occupied and state.chosen_since(name, now_s - STOP_TASKS_AFTER_S):
+            state.rest(name, now_s + HELD_UP_REST_S)
--- a/libs/scheduler/tests/test_scheduler_waves.py
+++ b/libs/scheduler/tests/test_scheduler_waves.py
@@ -10,6 +10,8 @@
 from jackdawlatch.testing import functions, waiting
 
 WAVE_S = 9
+# Such a wave does not wait for services with less load.
+URGENT_WAVE_S = 4
 # More than two rounds of waves; idle workers get tasks at once.
 PLACED_S = 0.5
 UNANSWERED = result.Failure(reports.MachineFailure(message='no answer'))
@@ -160,6 +162,33 @@
     assert len(worker.started_runs) == 1
 
 
+async def test_wave_and_lasting_task_wait_for_each_other(bench):
+    """A step that is short of a worker allows no stop on the machine."""
+    worker = bench.add_worker('w1')
+    bench.submit(benches.job('a', lasting=True))
+    bench.submit(
+        benches.job(
+            'b', count=2, lasting=True, max_per_worker=1, max_unavailable=1
+        )
+    )
+    async with bench.lead() as leader:
+        await waiting.until(lambda: len(worker.running) == 2)
+        leader.waves.add(waves.Wave(1, ('m-w1',), URGENT_WAVE_S, 1))
+        await waiting.until(lambda: len(worker.running) == 1)
+        await waiting.until(lambda: len(worker.running) == 2)
+
+
+async def test_refused_machine_is_closed_to_tasks(bench):
+    """It is sound as long as no maintenance begins."""
+    worker = bench.add_worker('w1')
+    bench.machines.refused.add('m-w1')
+    async with bench.lead() as leader:
+        leader.waves.add(waves.Wave(1, ('m-w1',), WAVE_S, 1))
+        await waiting.until(lambda: bench.machines.requested)
+        bench.submit(benches.job(lasting=True))
+        await waiting.until(lambda: worker.running)
+
+
 async def test_worker_that_stayed_up_is_given_up(bench):
     """A request that is done already is accepted, and takes nothing down."""
     worker = bench.add_worker('w1')
