Count machines that waiting steps may share once

Found by review: the machines that each waiting step lacks were added up, though steps of a service may share them; 12 moved where 4 were lacked. The trial of placing now goes on to the machines that an earlier step of the same trial has asked for. A gang's need is counted in tasks, as that of other steps.

--- a/libs/scheduler/src/jackdawlatch/scheduler/pools.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/pools.py
@@ -71,7 +71,13 @@
         self._peak = forecasts.PeakDemand()
 
     def undersupplied(self) -> frozenset[str]:
-        """Return the services that have fewer machines than they could use."""
+        """Return the services that have fewer machines than they could use.
+
+        A new leader counts all of them until it knows which tasks wait.
+        """
+        self._supply.update()
+        if not self._supply.settled:
+            return frozenset(self._cluster.catalog.serving_services())
         return frozenset(
             service
             for service, number in self._supply.surplus(
--- a/libs/scheduler/src/jackdawlatch/scheduler/shortages.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/shortages.py
@@ -4,7 +4,6 @@
 a gang that starts as a whole, can need more workers than it would fill.
 """
 
-import collections
 import dataclasses
 import math
 from collections.abc import Iterable, Mapping
@@ -44,20 +43,17 @@
 
         ``ready`` holds steps that may start, each with its service.
         """
-        free = reservations.Reservations(machines.usable_by_service, now_s)
-        missing_by_service: dict[str, int] = collections.defaultdict(int)
+        trial = _Trial(machines, now_s)
         since_s_by_step: dict[tasks.StepState, float] = {}
         for service, state in ready:
-            if not is_bound(state.step) or not state.waiting_count():
-                continue
-            missing = _missing(service, state, machines, free)
-            if missing:
+            unplaced = trial.place(service, state)
+            if unplaced:
                 since_s = self._since_s_by_step.get(state, now_s)
                 since_s_by_step[state] = since_s
                 if now_s - since_s >= MIN_WAIT_S:
-                    missing_by_service[service] += missing
+                    trial.add_machines(service, state.step, unplaced)
         self._since_s_by_step = since_s_by_step
-        return missing_by_service
+        return trial.added_count_by_service()
 
 
 def is_bound(step: model.Step) -> bool:
@@ -76,57 +72,89 @@
     return math.ceil(step.count / step.max_per_worker)
 
 
-def _missing(
-    service: str,
-    state: tasks.StepState,
-    machines: Machines,
-    free: reservations.Reservations,
-) -> int:
-    """Return how many more machines a step needs, and reserve the others."""
-    per_machine = _count_per_machine(state.step, machines.largest)
-    if not per_machine:
-        return 0
-    if state.step.gang:
-        # Gangs without a spread are limited by capacity, which demand covers.
-        usable = machines.usable_by_service.get(service, ())
-        return max(0, spread_count(state.step) - len(usable))
-    unplaced = state.waiting_count() - _reserve(service, state, free)
-    return math.ceil(unplaced / per_machine)
-
-
-def _reserve(
-    service: str, state: tasks.StepState, free: reservations.Reservations
-) -> int:
-    """Reserve capacity for waiting tasks; return for how many there was."""
-    step_spread = spread.Spread(state.step.max_per_worker)
-    step_spread.add_runs(state.tasks)
-    for reserved in range(state.waiting_count()):
-        worker = next(
-            filter(
-                step_spread.admits,
-                free.candidates(service, state.step, late=False),
-            ),
-            None,
-        )
-        if worker is None:
-            return reserved
-        step_spread.add(worker)
-        free.reserve(worker, state.step.reserved_room)
-    return state.waiting_count()
-
+class _Trial:
+    """Places waiting tasks on the machines there are, then on added ones."""
 
-def _count_per_machine(step: model.Step, machine: model.Room) -> int:
-    """Return how many tasks of a step an empty machine may run."""
+    def __init__(self, machines: Machines, now_s: float) -> None:
+        self._machines = machines
+        self._free = reservations.Reservations(
+            machines.usable_by_service, now_s
+        )
+        self._added_by_service: dict[str, list[model.Room]] = {}
+
+    def place(self, service: str, state: tasks.StepState) -> int:
+        """Reserve capacity for a step; return how many tasks found none."""
+        waiting = state.waiting_count()
+        if not waiting or not is_bound(state.step):
+            return 0
+        if not self._machines.largest.fits(state.step.reserved_room):
+            return 0
+        if state.step.gang:
+            # Gangs without a spread are limited by capacity, as demand is.
+            usable = self._machines.usable_by_service.get(service, ())
+            missing = max(0, spread_count(state.step) - len(usable))
+            return missing * state.step.max_per_worker
+        return waiting - self._reserve(service, state, waiting)
+
+    def add_machines(self, service: str, step: model.Step, count: int) -> None:
+        """Add machines until ``count`` tasks of a step could be placed."""
+        added = self._added_by_service.setdefault(service, [])
+        for number, room in enumerate(added):
+            placed = min(count, _fitting_count(step, room))
+            added[number] = _minus(room, step, placed)
+            count -= placed
+        per_machine = _fitting_count(step, self._machines.largest)
+        while count > 0:
+            placed = min(count, per_machine)
+            added.append(_minus(self._machines.largest, step, placed))
+            count -= placed
+
+    def added_count_by_service(self) -> dict[str, int]:
+        """Return how many machines were added to each service."""
+        return {
+            service: len(added)
+            for service, added in self._added_by_service.items()
+        }
+
+    def _reserve(
+        self, service: str, state: tasks.StepState, waiting: int
+    ) -> int:
+        step_spread = spread.Spread(state.step.max_per_worker)
+        step_spread.add_runs(state.tasks)
+        for reserved in range(waiting):
+            worker = next(
+                filter(
+                    step_spread.admits,
+                    self._free.candidates(service, state.step, late=False),
+                ),
+                None,
+            )
+            if worker is None:
+                return reserved
+            step_spread.add(worker)
+            self._free.reserve(worker, state.step.reserved_room)
+        return waiting
+
+
+def _fitting_count(step: model.Step, room: model.Room) -> int:
+    """Return how many tasks of a step a machine may run in free capacity."""
     need = step.reserved_room
     ratios = [
         available // required
         for available, required in (
-            (machine.processors_m, need.processors_m),
-            (machine.memory_mb, need.memory_mb),
-            (machine.accelerators, need.accelerators),
+            (room.processors_m, need.processors_m),
+            (room.memory_mb, need.memory_mb),
+            (room.accelerators, need.accelerators),
         )
         if required
     ]
     if step.max_per_worker:
         ratios.append(step.max_per_worker)
     return min(ratios, default=step.count)
+
+
+def _minus(room: model.Room, step: model.Step, count: int) -> model.Room:
+    """Return the capacity that ``count`` tasks of a step leave."""
+    for _ in range(count):
+        room = room.minus(step.reserved_room)
+    return room
--- a/libs/scheduler/src/jackdawlatch/scheduler/supply.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/supply.py
@@ -33,9 +33,12 @@
         self._mover = mover
         self._shortages = shortages.Shortages()
         self._missing_by_service: Mapping[str, int] = {}
+        self._first_update_s: float | None = None
 
     def update(self) -> None:
         """Find the steps that wait for machines; called once a round."""
+        if self._first_update_s is None:
+            self._first_update_s = self._cluster.now_s
         wall_s = self._cluster.dependencies.clock.wall_s()
         self._missing_by_service = self._shortages.update(
             [
@@ -51,6 +54,14 @@
             self._cluster.now_s,
         )
 
+    @property
+    def settled(self) -> bool:
+        """Whether a step that waits for machines would be known by now."""
+        if self._first_update_s is None:
+            return False
+        updated_s = self._cluster.now_s - self._first_update_s
+        return updated_s > shortages.MIN_WAIT_S
+
     @property
     def lacking(self) -> frozenset[str]:
         """The services with steps that wait for machines."""
