Show that standby machines are never listed for a wide step

Callers could see a lasting task that never runs while machines are on standby. A shortage that is not below the number of known machines counts as one that can never be met, and the standby machines are listed only once a service lacks some. A new leader knows none of them, so that a step of nine tasks, of which three run on five known machines, requests nothing: 0 moves instead of 6. Ruled out: the wait of 0.4 s, since the test runs for 3 s. No product code is changed.

--- a/libs/scheduler/tests/test_scheduler_pools.py
+++ b/libs/scheduler/tests/test_scheduler_pools.py
@@ -55,6 +55,13 @@
         self.moves: list[tuple[str, str]] = []
         self.refusing = False
         self.silent = False
+        self.listed: tuple[reports.Machine, ...] = ()
+
+    async def list_all(
+        self,
+    ) -> result.Result[tuple[reports.Machine, ...], reports.MachineFailure]:
+        """Return the machines in ``listed``."""
+        return result.Success(self.listed)
 
     async def move(
         self, machine: str, service: str, token: int
@@ -85,7 +92,15 @@
             ),
             CATALOG,
         )
-        self.pools = pools.Pools(
+        self.pools = self.new_pools()
+        judged = lateness.Lateness()
+        self._planner = planner.Planner(
+            job_order.ObjectiveOrder(judged), judged, None
+        )
+
+    def new_pools(self) -> pools.Pools:
+        """Return the pools of a leader that begins."""
+        return pools.Pools(
             pools.Dependencies(
                 self.cluster,
                 lateness.Lateness(),
@@ -95,10 +110,6 @@
                 pools.Limits(MIGRATION_S, MOVES_PER_S),
             )
         )
-        judged = lateness.Lateness()
-        self._planner = planner.Planner(
-            job_order.ObjectiveOrder(judged), judged, None
-        )
 
     def add_workers(self, service: str, count: int) -> None:
         """Register idle workers with capacity for four tasks each."""
--- /dev/null
+++ b/libs/scheduler/tests/test_scheduler_spread_supply.py
@@ -0,0 +1,67 @@
+"""Machines that waiting steps with a spread get, or take from others."""
+
+import test_scheduler_pools as pool_tests
+
+from jackdawlatch.jobs import model
+from jackdawlatch.model import records
+from jackdawlatch.scheduler import reports, worker_registry
+from jackdawlatch.testing import functions
+
+STANDBY = tuple(
+    reports.Machine(f'm-spare{number}', 'spare', available=True)
+    for number in range(20)
+)
+
+
+async def test_standby_is_never_listed_for_a_wide_step(bench):
+    """A new leader knows few machines; the standby ones are not among them."""
+    bench.machines.listed = STANDBY
+    bench.add_workers('photo', 3)
+    bench.add_workers('desk', 2)
+    bench.submit_lasting('spread', 'photos', count=9, max_per_worker=1)
+    for number in range(3):
+        bench.start('spread', f'photo{number}', 1)
+    await bench.rounds(pool_tests.ALLOWED_WAIT_S)
+    assert len(_moved_to(bench, 'photo')) == 6
+
+
+def _moved_to(bench: pool_tests.Bench, service: str) -> list[str]:
+    return [
+        machine for machine, target in bench.machines.moves if target == service
+    ]
+
+
+def _resize(bench: pool_tests.Bench, name: str, processors_m: int) -> None:
+    entry = bench.cluster.workers_by_id[name].entry
+    bench.cluster.workers_by_id[name].update(
+        reports.WorkerEntry(
+            id=name,
+            born_ms=entry.born_ms,
+            address=name,
+            service=entry.service,
+            zone=entry.zone,
+            machine=entry.machine,
+            room=records.replace(entry.room, processors_m=processors_m),
+        )
+    )
+
+
+def _arrive(bench: pool_tests.Bench) -> None:
+    """Register the workers of the machines that have moved."""
+    for machine, service in bench.machines.moves:
+        name = f'{machine}-{service}'
+        worker = worker_registry.WorkerRegistry(bench.cluster).register(
+            reports.WorkerEntry(
+                id=name,
+                born_ms=2,
+                address=name,
+                service=service,
+                zone='z',
+                machine=machine,
+                room=model.Room(processors_m=4000, memory_mb=4000),
+            )
+        )
+        worker.reachable = True
+
+
+load_tests = functions.loader(__name__, {'bench': pool_tests.bench})
