--- a/libs/scheduler/tests/test_scheduler_spread_supply.py
+++ b/libs/scheduler/tests/test_scheduler_spread_supply.py
@@ -25,6 +25,23 @@
     assert len(_moved_to(bench, 'photo')) == 6
 
 
+async def test_machines_too_small_for_a_step_are_moved(bench):
+    """Only a machine with runs is large enough for its tasks."""
+    bench.add_workers('photo', 2)
+    bench.add_workers('desk', 9)
+    _resize(bench, 'desk0', processors_m=16000)
+    bench.submit_lasting('holding', 'letters', count=1)
+    bench.start('holding', 'desk0', 1)
+    bench.submit_lasting('large', 'photos', count=1)
+    large = bench.cluster.jobs_by_id['large']
+    state = large.steps[0]
+    state.step = records.replace(state.step, room=model.Room(processors_m=8000))
+    for _ in range(10):
+        await bench.rounds(pool_tests.MIGRATION_S)
+        _arrive(bench)
+    assert not _moved_to(bench, 'photo')
+
+
 def _moved_to(bench: pool_tests.Bench, service: str) -> list[str]:
     return [
         machine for machine, target in bench.machines.moves if target == service
