Show that steps which may share workers get separate ones

Operators could see far more machines requested than tasks need. The shortages of the steps of a service are added, though the spread only keeps tasks of one step apart: a new machine could take one of each. Three steps that lack four machines each move twelve, where the same four would do; their capacity is seven with the reserve of 1.3. Other services wait for these machines meanwhile.

--- a/libs/scheduler/tests/test_scheduler_spread_supply.py
+++ b/libs/scheduler/tests/test_scheduler_spread_supply.py
@@ -42,6 +42,18 @@
     assert not _moved_to(bench, 'photo')
 
 
+async def test_steps_that_share_workers_get_separate_ones(bench):
+    bench.add_workers('photo', 2)
+    bench.add_workers('desk', 16)
+    for job_id in ('first', 'second', 'third'):
+        bench.submit_lasting(job_id, 'photos', count=6, max_per_worker=1)
+        for number in range(2):
+            bench.start(job_id, f'photo{number}', 1)
+    await bench.rounds(1)
+    # Seven by capacity, with the reserve for tasks of different sizes.
+    assert len(_moved_to(bench, 'photo')) <= 5
+
+
 def _moved_to(bench: pool_tests.Bench, service: str) -> list[str]:
     return [
         machine for machine, target in bench.machines.moves if target == service
