Show that a new leader repeats moves in transit

Which machines are in transit is known to the leader alone. The next one sees the same task waiting, and no machine on its way, and moves as many again: eight instead of four. The list of the platform shows machines that move, with their target, but only the standby ones are read from it. Same class of fault as the repeated maintenance; leaders that change often move more each time.

--- a/libs/scheduler/tests/test_scheduler_spread_supply.py
+++ b/libs/scheduler/tests/test_scheduler_spread_supply.py
@@ -54,6 +54,24 @@
     assert len(_moved_to(bench, 'photo')) <= 5
 
 
+async def test_new_leader_repeats_moves_in_transit(bench):
+    """The platform lists the machines that are moving, and where to."""
+    bench.add_workers('photo', 3)
+    bench.add_workers('desk', 12)
+    bench.submit_lasting('spread', 'photos', count=7, max_per_worker=1)
+    for number in range(3):
+        bench.start('spread', f'photo{number}', 1)
+    await bench.rounds(1)
+    assert len(_moved_to(bench, 'photo')) == 4
+    bench.machines.listed = tuple(
+        reports.Machine(machine, service, available=False)
+        for machine, service in bench.machines.moves
+    )
+    bench.pools = bench.new_pools()
+    await bench.rounds(1)
+    assert len(_moved_to(bench, 'photo')) == 4
+
+
 def _moved_to(bench: pool_tests.Bench, service: str) -> list[str]:
     return [
         machine for machine, target in bench.machines.moves if target == service
