Show that a refused machine of a wave gets no tasks for ever

Callers could see a lasting task that never runs beside a sound, idle worker. A machine whose maintenance is refused is requested anew each round, while places are left, and its worker is closed all the while; nothing bounds that. Refusals that last: the platform says that the machine is not of the wave, or that there are too many requests, which the moves of machines share. Ruled out: the spread, as there is one task.

--- a/libs/scheduler/tests/test_scheduler_waves.py
+++ b/libs/scheduler/tests/test_scheduler_waves.py
@@ -134,6 +134,17 @@
         await waiting.until(lambda: len(bench.machines.maintained) == 2)
 
 
+async def test_refused_machine_gets_no_tasks_for_ever(bench):
+    """It stays up, and is requested anew in every round."""
+    worker = bench.add_worker('w1')
+    bench.machines.refused.add('m-w1')
+    async with bench.lead() as leader:
+        leader.waves.add(waves.Wave(1, ('m-w1',), WAVE_S, 1))
+        await waiting.until(lambda: bench.machines.requested)
+        bench.submit(benches.job(lasting=True))
+        await waiting.until(lambda: worker.running)
+
+
 async def test_worker_opens_after_repeated_maintenance(bench):
     """The platform accepts a request of a new leader that is done already."""
     worker = bench.add_worker('w1')
