Show that a changed wave waits for the next leader

Operators could see that a wave which they write again, with other machines, goes on as before: the leader ignores a number that it knows, while the process keeps the latest wave for the next leader, which reads a machine that joined as due. A machine that has left the wave is refused by the platform and stays closed to tasks, and one that has joined it is not requested.

--- a/libs/scheduler/tests/test_scheduler_waves.py
+++ b/libs/scheduler/tests/test_scheduler_waves.py
@@ -145,6 +145,19 @@
         await waiting.until(lambda: worker.running)
 
 
+async def test_changed_wave_waits_for_the_next_leader(bench):
+    """A machine that has left the wave is refused, and one has joined it."""
+    worker = bench.add_worker('w1')
+    bench.machines.refused.add('m-w1')
+    async with bench.lead() as leader:
+        leader.waves.add(waves.Wave(1, ('m-w1',), WAVE_S, 1))
+        await waiting.until(lambda: bench.machines.requested)
+        leader.waves.add(waves.Wave(1, ('m-w2',), WAVE_S, 1))
+        bench.submit(benches.job(lasting=True))
+        await waiting.until(lambda: worker.running)
+        await waiting.until(lambda: 'm-w2' in bench.machines.maintained)
+
+
 async def test_worker_opens_after_repeated_maintenance(bench):
     """The platform accepts a request of a new leader that is done already."""
     worker = bench.add_worker('w1')
