Skip malformed entries of the fleet in the watch of a daemon

One malformed entry below fleet/ ended the only watch of an entry, steward or placer: its roster, documents and leaders stood as they were, and a daemon that started beside it never became ready. Ruled out: a shared observer, since the watch has one cursor for three kinds of keys.

--- a/libs/node/src/jackdawlatch/node/leadership.py
+++ b/libs/node/src/jackdawlatch/node/leadership.py
@@ -35,17 +35,22 @@
         if entry.deleted:
             self._holders_by_key.pop(entry.key, None)
         else:
-            self._holders_by_key[entry.key] = entry.value.decode()
+            self._holders_by_key[entry.key] = _holder(entry)
 
     def reset(self, entries: Iterable[keyvalue.Entry]) -> None:
         """Replace all leaders by those in a full read of the store."""
         self._holders_by_key = {
-            entry.key: entry.value.decode()
+            entry.key: _holder(entry)
             for entry in entries
             if entry.key.startswith(LEADERS_PREFIX)
         }
 
 
+def _holder(entry: keyvalue.Entry) -> str:
+    """Return the id of the leader; no process has that of a malformed entry."""
+    return entry.value.decode(errors='replace')
+
+
 @dataclasses.dataclass(frozen=True)
 class Candidate:
     """A process that runs for leadership; ``holder`` is its id."""
--- a/libs/node/src/jackdawlatch/node/watcher.py
+++ b/libs/node/src/jackdawlatch/node/watcher.py
@@ -3,12 +3,13 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
 from returns import result
 
 from jackdawlatch.model import records
 from jackdawlatch.node import dependencies as node_dependencies
 from jackdawlatch.node import documents, leadership, roster
-from jackdawlatch.store import keyvalue
+from jackdawlatch.store import keyvalue, skipped_entries
 
 FLEET_PREFIX = 'fleet/'
 WATCH_S = 20
@@ -25,6 +26,7 @@
         self._roster = dependencies.roster
         self._leaders = dependencies.leaders
         self._rng = dependencies.rng
+        self._skipped = skipped_entries.SkippedEntries()
         self._revision: int | None = None
         self.reachable = False
 
@@ -66,6 +68,10 @@
         elif entry.key.startswith(leadership.LEADERS_PREFIX):
             self._leaders.apply(entry)
         elif documents.is_document(entry.key) and not entry.deleted:
+            self._apply_document(entry)
+
+    def _apply_document(self, entry: keyvalue.Entry) -> None:
+        try:
             self._documents.apply(
                 documents.Document(
                     key=entry.key,
@@ -73,19 +79,35 @@
                     content=entry.value,
                 )
             )
+        except msgspec.DecodeError as error:
+            self._skipped.log(entry.key, str(error))
 
     def _apply_peer(self, entry: keyvalue.Entry) -> None:
-        if entry.deleted:
+        peer = None if entry.deleted else self._peer(entry)
+        if peer is None:
             self._roster.unregister(entry.key)
         else:
-            self._roster.register(records.decode(entry.value, roster.Peer))
+            self._roster.register(peer)
+
+    def _peer(self, entry: keyvalue.Entry) -> roster.Peer | None:
+        """Return the peer in an entry, None if there is no valid one."""
+        try:
+            return records.decode(entry.value, roster.Peer)
+        except msgspec.DecodeError as error:
+            self._skipped.log(entry.key, str(error))
+            return None
 
     def _reset(self, changes: keyvalue.Changes) -> None:
         self._leaders.reset(changes.entries)
+        peers_by_key = {
+            entry.key: self._peer(entry)
+            for entry in changes.entries
+            if entry.key.startswith(roster.PEERS_PREFIX)
+        }
         self._roster.reset(
             {
-                entry.key: records.decode(entry.value, roster.Peer)
-                for entry in changes.entries
-                if entry.key.startswith(roster.PEERS_PREFIX)
+                key: peer
+                for key, peer in peers_by_key.items()
+                if peer is not None
             }
         )
