--- a/libs/scheduler/src/jackdawlatch/scheduler/places.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/places.py
@@ -1,9 +1,8 @@
 """Capacity for the tasks that leave a worker."""
 
-import collections
 from collections.abc import Iterable
 
-from jackdawlatch.scheduler import reservations, runs, tasks, workers
+from jackdawlatch.scheduler import reservations, runs, spread, tasks, workers
 
 
 class Places:
@@ -27,32 +26,27 @@
             if worker.entry.service in services:
                 candidates.setdefault(worker.entry.service, []).append(worker)
         self._reservations = reservations.Reservations(candidates, now_s)
-        self._counts_by_step: dict[
-            tasks.StepState, collections.Counter[workers.Worker]
-        ] = {}
+        self._spread_by_step: dict[tasks.StepState, spread.Spread] = {}
         for run in moving:
             if run.phase is runs.RunPhase.STOPPING:
                 self.take(run.task)
 
     def take(self, task: tasks.Task) -> bool:
         """Reserve capacity for a task; return whether there was any."""
-        step = task.step
-        count_by_worker = self._count_by_worker(task.state)
+        step_spread = self._spread(task.state)
         for worker in self._reservations.candidates(
-            task.job.service, step, late=False
+            task.job.service, task.step, late=False
         ):
-            if not 0 < step.max_per_worker <= count_by_worker[worker]:
-                count_by_worker[worker] += 1
-                self._reservations.reserve(worker, step.reserved_room)
+            if step_spread.admits(worker):
+                step_spread.add(worker)
+                self._reservations.reserve(worker, task.step.reserved_room)
                 return True
         return False
 
-    def _count_by_worker(
-        self, state: tasks.StepState
-    ) -> collections.Counter[workers.Worker]:
-        """Return how many tasks of a step each worker has or is to get."""
-        if state not in self._counts_by_step:
-            self._counts_by_step[state] = collections.Counter(
-                task.run.worker for task in state.tasks if task.run is not None
-            )
-        return self._counts_by_step[state]
+    def _spread(self, state: tasks.StepState) -> spread.Spread:
+        """Return where the tasks of a step are, or are to go."""
+        if state not in self._spread_by_step:
+            step_spread = spread.Spread(state.step.max_per_worker)
+            step_spread.add_runs(state.tasks)
+            self._spread_by_step[state] = step_spread
+        return self._spread_by_step[state]
--- a/libs/scheduler/src/jackdawlatch/scheduler/supply.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/supply.py
@@ -44,7 +44,7 @@
             [
                 (job.service, state)
                 for job in self._cluster.jobs_by_id.values()
-                if not job.ended
+                if not job.ended and any(map(shortages.is_bound, job.job.steps))
                 for state in job.ready_steps(wall_s)
             ],
             shortages.Machines(
