End the trial of placing for a negative spread

A lasting step with a negative limit a worker could be placed nowhere, so that the search for the machines that it lacks added some without end: one such job would have stopped the leader. Such a step now gets no machines, as before.

--- a/libs/scheduler/src/jackdawlatch/scheduler/shortages.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/shortages.py
@@ -100,11 +100,12 @@
         """Add machines until ``count`` tasks of a step could be placed."""
         added = self._added_by_service.setdefault(service, [])
         for number, room in enumerate(added):
-            placed = min(count, _fitting_count(step, room))
+            placed = min(count, max(0, _fitting_count(step, room)))
             added[number] = _minus(room, step, placed)
             count -= placed
         per_machine = _fitting_count(step, self._machines.largest)
-        while count > 0:
+        # Jobs that were stored earlier may have a negative limit.
+        while count > 0 and per_machine > 0:
             placed = min(count, per_machine)
             added.append(_minus(self._machines.largest, step, placed))
             count -= placed
--- a/libs/scheduler/tests/test_scheduler_pools.py
+++ b/libs/scheduler/tests/test_scheduler_pools.py
@@ -311,6 +311,13 @@
     assert collections.Counter(moved_to) == {'photo': 4}
 
 
+async def test_negative_spread_adds_machines_without_end(bench):
+    bench.add_workers('photo', 2)
+    bench.submit_lasting('odd', 'photos', count=2, max_per_worker=-1)
+    await bench.rounds(ALLOWED_WAIT_S)
+    assert not bench.machines.moves
+
+
 async def test_workers_of_a_spread_step_go_to_standby(bench):
     bench.add_workers('photo', 9)
     bench.add_workers('desk', 2)
