Refuse jobs with negative limits

A job whose tasks may share a worker fewer than zero times was accepted and never started. Ruled out: reading it as no limit, which nobody asked for. The cases in test_jobs_over_their_limits_are_typed_failures failed before.

--- a/libs/jobs/src/jackdawlatch/jobs/checks.py
+++ b/libs/jobs/src/jackdawlatch/jobs/checks.py
@@ -46,6 +46,8 @@
     room = step.room
     if min(room.processors_m, room.memory_mb, room.accelerators) < 0:
         return 'sizes that are not negative'
+    if min(step.max_per_worker, step.max_unavailable) < 0:
+        return 'limits that are not negative'
     return ''
 
 
--- a/libs/jobs/tests/test_jobs_intake.py
+++ b/libs/jobs/tests/test_jobs_intake.py
@@ -105,6 +105,8 @@
             JOB,
             steps=(model.Step(count=1, room=model.Room(processors_m=-1)),),
         ),
+        records.replace(JOB, steps=(model.Step(count=1, max_per_worker=-1),)),
+        records.replace(JOB, steps=(model.Step(count=1, max_unavailable=-1),)),
     ):
         assert isinstance(checks.check(job).failure(), checks.JobInvalid)
     assert checks.check(JOB).unwrap() == JOB
