Add a case: a late write keeps a wrong number of waiting jobs in force

The write of fleet/pending has no condition; one that is carried out late replaces a newer one, and the leader does not write again.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -24,6 +25,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = '127.0.0.1'
+# Below the usual range of outgoing connections.
+PORTS = (12_000, 30_000)
 STORE_LATENCY_S = 0.004
 HEARTBEAT_S = 1.5
 STOP_S = 0.02
@@ -34,10 +37,12 @@
 
 
 def free_port():
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a port that is free, and that no outgoing connection takes."""
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
 
 
 class Record:
@@ -142,6 +147,10 @@
         self._leases = {}
         self._lease_number = 0
         self._changed = asyncio.Event()
+        # Returns how late a write is done that is not answered, None for others.
+        self.lateness_s = None
+        self.write_count = 0
+        self.lost_count = 0
 
     def write(self, key, content):
         """Write a key as the operator or a runner does."""
@@ -151,6 +160,10 @@
         if key in self._items:
             self._delete(key, self._next())
 
+    def revoke(self, key):
+        """End the lease of a key at once."""
+        self._end_lease(self._items[key]['lease'])
+
     def read(self, key):
         """Return the content of a key, empty if it is absent."""
         item = self._items.get(key)
@@ -209,7 +222,13 @@
         if name == 'kv-watch':
             return 200, await self._watch(query)
         if name == 'kv-txn':
-            return self._commit(content)
+            self.write_count += 1
+            late_s = self.lateness_s(content) if self.lateness_s else None
+            if late_s is None:
+                return self._commit(content)
+            self.lost_count += 1
+            asyncio.get_running_loop().call_later(late_s, self._commit, content)
+            return None
         if name == 'kv-lease':
             self._lease_number += 1
             ttl_s = content['ttl-ms'] / 1000
@@ -291,8 +310,9 @@
 class Run:
     """One run of a work unit on one boot of a runner."""
 
-    def __init__(self, runner, task, number, room, start_s):
+    def __init__(self, runner, task, number, room, work_s, start_s):
         self.runner = runner
+        self.work_s = work_s
         self.task = task
         self.number = number
         self.room = room
@@ -316,14 +336,16 @@
     its work units take.  Their sizes are in ``rooms``, by job and step.
     """
 
-    def __init__(self, name, store, record, rooms, service='work'):
+    def __init__(self, name, store, record, rooms, kind='a'):
         self.id = name
+        self.kind = kind
         self.machine = f'm-{name}'
         self.cpu, self.mem_mb = 64_000, 131_072
         self.all_runs = []
+        # When each call to hold arrived, and its token.
+        self.held = []
         self.up = False
-        self.mute = None
-        self.service = service
+        self.cut_above = None
         self._store = store
         self._record = record
         self._rooms = rooms
@@ -339,7 +361,7 @@
         """Return the report of the runner about itself."""
         self._seq += 1
         return {
-            'service': self.service,
+            'service': 'work',
             'address': f'{HOST}:{self._port}',
             'zone': 'zone-1',
             'version': 'v1',
@@ -347,7 +369,7 @@
             'state': 'ready',
             'cold-left-ms': 0,
             'capacity': {'cpu': self.cpu, 'mem-mb': self.mem_mb, 'gpu': 0},
-            'labels': ['a', 'r1-1'],
+            'labels': [self.kind, 'r1-1'],
             'machine': self.machine,
             'born': self.born,
             'clock-ms': self.clock_ms(),
@@ -409,7 +431,7 @@
             return 421, {'clock-ms': self.clock_ms()}
         call = json.loads(body)
         token = call.get('fencing-token', 0)
-        if self.mute is not None and self.mute(token, path):
+        if self.is_cut_off(token):
             return None
         if token < self._token:
             return self._refuse('fence')
@@ -419,9 +441,13 @@
         if path == 'run-stop':
             return self._stop(call)
         if path == 'hold':
-            return await self._hold(call)
+            return await self._hold(call, token)
         return 200, {'clock-ms': self.clock_ms()}
 
+    def is_cut_off(self, token):
+        """Whether the sender of a call has lost the path to this runner."""
+        return self.cut_above is not None and token > self.cut_above
+
     def _refuse(self, reason):
         return 409, {'clock-ms': self.clock_ms(), 'reason': reason}
 
@@ -447,22 +473,24 @@
         full = used_cpu + cpu > self.cpu or used_mem + mem_mb > self.mem_mb
         if full or known is not None:
             return self._refuse('room')
-        run = Run(self, task, number, (cpu, mem_mb), self._record.now_s())
+        run = Run(
+            self,
+            task,
+            number,
+            (cpu, mem_mb),
+            _work_s(task, call['spec']),
+            self._record.now_s(),
+        )
         self.runs[task] = run
         self.all_runs.append(run)
         self._record.note(f'starts {task} run {number} on {self.id}')
-        asyncio.create_task(self._work(run, call['spec']))
+        asyncio.create_task(self._work(run))
         return 200, {'clock-ms': self.clock_ms()}
 
-    async def _work(self, run, spec):
+    async def _work(self, run):
         began_s = time.monotonic()
-        work_s = float('inf')
-        if spec.startswith('work-ms='):
-            shortest, longest = map(int, spec[len('work-ms=') :].split('-'))
-            place = int(run.task.rpartition('.')[2]) % 100 / 100
-            work_s = (shortest + (longest - shortest) * place) / 1000
         while self.runs.get(run.task) is run:
-            left_s = began_s + work_s - time.monotonic()
+            left_s = began_s + run.work_s - time.monotonic()
             lease_s = (self._lease_end_ms - self.clock_ms()) / 1000
             if left_s <= 0:
                 self._end(run, 'done')
@@ -497,13 +525,18 @@
             )
         return 200, {'clock-ms': self.clock_ms()}
 
-    async def _hold(self, call):
+    async def _hold(self, call, token):
         for number, run in self._ends:
             if number <= call.get('acked', 0) and run.noted_s is None:
                 run.noted_s = self._record.now_s()
         self._ends = [one for one in self._ends if one[0] > call.get('acked', 0)]
         if 'deadline-ms' in call:
             self._extend(call['deadline-ms'])
+        self.held.append((self._record.now_s(), token))
+        self._record.note(
+            f'{self.id} is held by {token} until '
+            f'{self._lease_end_ms - self.clock_ms()} ms from now'
+        )
         if not self._ends and call.get('wait-ms'):
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(
@@ -524,7 +557,18 @@
         }
 
     def _percent(self, run, now_s):
-        return 100 if now_s - run.start_s >= STARTUP_S else 0
+        if run.work_s == float('inf'):
+            return 100 if now_s - run.start_s >= STARTUP_S else 0
+        return min(99, int(100 * (now_s - run.start_s) / run.work_s))
+
+
+def _work_s(task, spec):
+    """Return how long a work unit takes, infinite if it lasts."""
+    if not spec.startswith('work-ms='):
+        return float('inf')
+    shortest, longest = map(int, spec.removeprefix('work-ms=').split('-'))
+    place = int(task.rpartition('.')[2]) % 100 / 100
+    return (shortest + (longest - shortest) * place) / 1000
 
 
 MANIFEST = {
@@ -569,18 +613,62 @@
     return 409, {'reason': 'busy'}
 
 
+class Proxy:
+    """Forwards connections; while ``silent``, nothing passes it."""
+
+    def __init__(self, target_port):
+        self.port = free_port()
+        self.silent = False
+        self._target_port = target_port
+        self._server = None
+        self._tasks = set()
+
+    async def start(self):
+        self._server = await asyncio.start_server(
+            self._serve, HOST, self.port, backlog=512
+        )
+
+    def stop(self):
+        self._server.close()
+        for task in tuple(self._tasks):
+            task.cancel()
+
+    async def _serve(self, reader, writer):
+        self._tasks.add(asyncio.current_task())
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            far = await asyncio.open_connection(HOST, self._target_port)
+            await asyncio.gather(
+                self._copy(reader, far[1]), self._copy(far[0], writer)
+            )
+        self._tasks.discard(asyncio.current_task())
+
+    async def _copy(self, reader, writer):
+        try:
+            while chunk := await reader.read(65536):
+                while self.silent:
+                    await asyncio.sleep(0.02)
+                writer.write(chunk)
+                await writer.drain()
+        finally:
+            writer.close()
+
+
 class Daemon:
-    """One of the project's daemons, as a process of its own."""
+    """One of the project's daemons, as a process of its own.
+
+    It reaches the store through a proxy of its own.
+    """
 
     def __init__(self, name, folder, store, cloud):
         self.name = name
+        self.store_path = Proxy(store.server.port)
         self._front_port, self._ready_port = free_port(), free_port()
         fields = {
             'node-name': name,
             'zone': 'zone-1',
             'listen.front': f'{HOST}:{self._front_port}',
             'listen.ready': f'{HOST}:{self._ready_port}',
-            'platform.address': store.server.address,
+            'platform.address': f'{HOST}:{self.store_path.port}',
             'cloud.address': cloud.address,
             'hint': '',
             'limits.cores': 2,
@@ -617,6 +705,7 @@
         self.process = None
 
     async def start(self):
+        """Start the process; it may have been killed before."""
         with open(self._log, 'ab') as log:
             self.process = await asyncio.create_subprocess_exec(
                 *self._role['run'].split(),
@@ -689,8 +778,8 @@
         self._folder = pathlib.Path(tempfile.mkdtemp())
         self._expiry = None
 
-    def add_runner(self, name):
-        runner = Runner(name, self.store, self.record, self.rooms)
+    def add_runner(self, name, kind='a'):
+        runner = Runner(name, self.store, self.record, self.rooms, kind)
         self.runners.append(runner)
         return runner
 
@@ -707,6 +796,7 @@
                 f'edge-{number + 1}', self._folder, self.store, self.cloud
             )
             self.daemons.append(daemon)
+            await daemon.store_path.start()
             await daemon.start()
         for daemon in self.daemons:
             await until(daemon.ready, 20)
@@ -758,6 +848,7 @@
     async def close(self):
         for daemon in self.daemons:
             await daemon.kill()
+            daemon.store_path.stop()
         for runner in self.runners:
             if runner.up:
                 await runner.close()
