Take no run for lost while a list of ends is not complete

Cause: a worker returns its ends 500 at a time. The next leader's first poll had the ends 1 to 500 and no runs, and it took the 400 runs in neither list for lost.

Ruled out: lost progress records (the ends of the other 500 were applied, and the releases in the log have the reason not-on-worker).

Change: an answer says whether its list of ends is complete; from one that is not, no run is taken for absent. The next poll acknowledges these ends and gets the rest, so the runs are settled then.

The fuzz test, whose workers now list two ends at a time, passes with and without it.

--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -1,6 +1,8 @@
 """Reconciles the reported status of workers with the cluster state."""
 
-from jackdawlatch.jobs import stored
+from collections.abc import Collection
+
+from jackdawlatch.jobs import model, stored
 from jackdawlatch.policy import crashes
 from jackdawlatch.scheduler import (
     calls,
@@ -53,10 +55,20 @@
         for report in status.running:
             reported.add(report.run_id.task)
             self._apply_report(worker, report)
+        # A run in neither list may be among the ends that were left out.
+        if status.complete:
+            self._release_absent(worker, reported, requested_s)
+        self._cluster.on_change()
+
+    def _release_absent(
+        self,
+        worker: workers.Worker,
+        reported: Collection[model.TaskId],
+        requested_s: float,
+    ) -> None:
         for run in tuple(worker.runs_by_task.values()):
             if run.task.id not in reported and _is_absent(run, requested_s):
                 self._cluster.release(run, 'not-on-worker')
-        self._cluster.on_change()
 
     def _apply_report(
         self, worker: workers.Worker, report: reports.RunReport
--- a/libs/scheduler/src/jackdawlatch/scheduler/reports.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reports.py
@@ -78,13 +78,15 @@
 class WorkerStatus:
     """The runs of a worker, and the ends that were not acknowledged yet.
 
-    ``clock_s`` is the worker's monotonic clock.
+    ``clock_s`` is the worker's monotonic clock.  ``complete`` is false if
+    there may be further ends, which are reported once these are acknowledged.
     """
 
     clock_s: float
     born_ms: int
     running: tuple[RunReport, ...]
     ended: tuple[EndReport, ...]
+    complete: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/scheduler/tests/scheduler_oracle.py
+++ b/libs/scheduler/tests/scheduler_oracle.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import dataclasses
 from collections.abc import Callable, Iterable
 
 from returns import result
@@ -19,6 +20,8 @@
 # A task may be given up once as many workers have crashed under it.
 MIN_CRASHES = 2
 ANSWER_TIMEOUT_S = 1.0
+# Ends that a worker reports at a time.
+MAX_ENDS = 2
 
 
 class Oracle:
@@ -143,9 +146,7 @@
         """Return the status, with the time of this worker's clock."""
         self.lapse()
         current = super().status()
-        return reports.WorkerStatus(
-            self.clock_s, current.born_ms, current.running, current.ended
-        )
+        return dataclasses.replace(current, clock_s=self.clock_s)
 
 
 class Workers(task_workers.FakeWorkers):
@@ -162,7 +163,9 @@
 
     def create(self, entry: reports.WorkerEntry) -> Worker:
         """Return a worker with leases."""
-        return Worker(entry, self, self._now)
+        worker = Worker(entry, self, self._now)
+        worker.max_ends = MAX_ENDS
+        return worker
 
     def alive(self) -> list[Worker]:
         """Return the current boot of each worker, without lapsed runs."""
--- a/libs/scheduler/tests/test_scheduler_leader.py
+++ b/libs/scheduler/tests/test_scheduler_leader.py
@@ -117,6 +117,21 @@
     assert len(worker.started_runs) == 2
 
 
+async def test_end_left_out_of_a_list_restarts_its_task(bench):
+    """Guards against a full list of ends being taken for all of them."""
+    worker = bench.add_worker('w1')
+    worker.max_ends = 2
+    room = model.Room(processors_m=100)
+    bench.submit(benches.job(count=5, room=room))
+    async with bench.lead():
+        await waiting.until(lambda: len(worker.running) == 5)
+    for task in tuple(worker.running):
+        worker.end(task, DONE)
+    async with bench.lead():
+        await waiting.until(lambda: bench.phase('a') is stored.JobPhase.DONE)
+    assert len(worker.started_runs) == 5
+
+
 async def test_next_leader_keeps_a_running_task(bench):
     worker = bench.add_worker('w1')
     bench.submit(benches.job(lasting=True))
--- a/libs/standins/src/jackdawlatch/standins/task_workers.py
+++ b/libs/standins/src/jackdawlatch/standins/task_workers.py
@@ -22,9 +22,12 @@
     ``down`` leaves every call unanswered.  ``lose_answers`` is the number of
     coming calls that take effect but are not answered.  While ``lost_starts``
     holds an event, starts wait for it and are then lost.  Answers to polls
-    wait for ``answers_polls``.  Every run is reported at ``percent``.
+    wait for ``answers_polls``.  Every run is reported at ``percent``, and at
+    most ``max_ends`` ends at a time.
     """
 
+    max_ends = 500
+
     def __init__(self, entry: reports.WorkerEntry) -> None:
         self.entry = entry
         self.token = 0
@@ -84,7 +87,8 @@
                 reports.RunReport(calls.RunId(task, attempt), '', self.percent)
                 for task, attempt in self.running.items()
             ),
-            ended=tuple(self.ends),
+            ended=tuple(self.ends[: self.max_ends]),
+            complete=len(self.ends) < self.max_ends,
         )
 
 
