Don't start a task that was found done while it was placed

What a caller would see: work that is done runs once more. A worker is cut off and its task ends as done; the lease ends, the task is placed on another worker, and while that is written the first one answers.

Cause: between the placement and the start only the end of the whole job and the state of the worker were checked, and a run that is being written is not stopped, since its start is expected not to be sent.

Ruled out: late failures and cancellations end the job, which is an obstacle already; the members of a gang are done together, and each one is checked.

Change: a task that is done is an obstacle to its start.

Measured: test_task_found_done_while_stored_is_started failed before (3 starts in place of 2) and passes now; the scheduler's other tests pass.

--- a/libs/scheduler/src/jackdawlatch/scheduler/runs.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/runs.py
@@ -81,6 +81,8 @@
         worker = self.worker
         if self.task.job.ended:
             return 'job-ended'
+        if self.task.done:
+            return 'task-done'
         if worker.lease.record is not None:
             return 'lease-recorded'
         if worker.entry.draining:
--- a/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
@@ -56,14 +56,15 @@
         """The step that this task belongs to."""
         return self.state.step
 
+    @property
+    def done(self) -> bool:
+        """Whether the task, or its gang, has ended as done."""
+        return self.phase is TaskPhase.DONE
+
     @property
     def has_run(self) -> bool:
         """Whether an attempt is known to have started and ended."""
-        return (
-            self.phase is TaskPhase.DONE
-            or bool(self.failed_attempts)
-            or bool(self.checkpoint)
-        )
+        return self.done or bool(self.failed_attempts) or bool(self.checkpoint)
 
     @property
     def serving(self) -> bool:
@@ -112,7 +113,7 @@
             self.id.index,
             self.attempt,
             tuple(sorted(self.failed_attempts)),
-            self.phase is TaskPhase.DONE,
+            self.done,
             run.worker.entry.id if run else '',
             run.worker.entry.born_ms if run else 0,
             self.checkpoint,
@@ -241,7 +242,7 @@
         state = self.step_state(task.id.occurrence, task.id.step)
         members = state.tasks if task.step.gang else [task]
         for member in members:
-            if member.phase is not TaskPhase.DONE:
+            if not member.done:
                 member.phase = TaskPhase.DONE
                 state.done_count += 1
 
@@ -262,9 +263,7 @@
                 task.restore(stored_progress)
                 self.begun = self.begun or task.has_run
         for state in self.steps:
-            state.done_count = sum(
-                task.phase is TaskPhase.DONE for task in state.tasks
-            )
+            state.done_count = sum(task.done for task in state.tasks)
 
     def progress(self) -> stored.Progress:
         """Return the stored form.
--- a/libs/scheduler/tests/test_scheduler_leader.py
+++ b/libs/scheduler/tests/test_scheduler_leader.py
@@ -132,6 +132,31 @@
     assert len(worker.started_runs) == 5
 
 
+async def test_task_found_done_while_stored_is_started(bench):
+    """Guards against a start whose task has ended since it was placed."""
+    fleet = [bench.add_worker(name) for name in ('w1', 'w2', 'w3')]
+    bench.submit(benches.job(count=2, max_per_worker=1))
+    async with bench.lead() as leader:
+        await waiting.until(lambda: sum(bool(one.running) for one in fleet) > 1)
+        first, other = (one for one in fleet if one.running)
+        task_id = next(iter(first.running))
+        task = leader.cluster.task(task_id)
+        first.down = True
+        first.end(task_id, DONE)
+
+        async def find_end() -> None:
+            """Let the first worker answer while the next run is stored."""
+            if task.run and task.run.phase is runs.RunPhase.WRITING:
+                first.down = False
+                await waiting.until(lambda: task.done)
+
+        bench.store.before_put = find_end
+        await waiting.until(lambda: first.down is False and not first.ends)
+        other.end(next(iter(other.running)), DONE)
+        await waiting.until(lambda: bench.phase('a') is stored.JobPhase.DONE)
+    assert sum(len(one.started_runs) for one in fleet) == 2
+
+
 async def test_next_leader_keeps_a_running_task(bench):
     worker = bench.add_worker('w1')
     bench.submit(benches.job(lasting=True))
