Let the members of a gang resume from one checkpoint

Cause: a checkpoint was kept for each task, so the lost member resumed from the value that a poll had brought (2.5 s of work) and the others from their ends (4 s). Members with different values don't work together.

Ruled out: different attempts or late starts; the record shows the members of each run started together with one number.

Change: the tasks of a step keep their checkpoints in scheduler.checkpoints, where a gang has one: the newest that any member has reported. A late end of an earlier attempt doesn't replace it. Records with different values are resumed from one.

--- a/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
@@ -123,7 +123,6 @@
         run.worker.drop(run)
         task = run.task
         if task.run is run:
-            task.checkpoint = run.checkpoint or task.checkpoint
             task.release()
             self.dependencies.progress_writer.enqueue(task.job)
         self.note('released', run, reason)
--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -126,7 +126,7 @@
             worker.drop(run)
             if task.run is run:
                 task.release()
-        task.checkpoint = end.checkpoint or task.checkpoint
+        task.state.checkpoints.record(end.run_id, end.checkpoint)
         self._apply_kind(worker, task, end)
         self._cluster.dependencies.log.note(
             'run-ended',
--- a/libs/scheduler/src/jackdawlatch/scheduler/runs.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/runs.py
@@ -62,6 +62,7 @@
         self.phase = phase
         # When the run last started or progressed, as far as is known.
         self.last_progress_s: float = 0
+        # What it resumes from.
         self.checkpoint = ''
         self.percent = 0
         self.gauge = 0
@@ -107,7 +108,7 @@
 
     def update(self, report: reports.RunReport, now_s: float) -> None:
         """Apply a report of the worker."""
-        self.checkpoint = report.checkpoint or self.checkpoint
+        self.task.state.checkpoints.record(report.run_id, report.checkpoint)
         if report.percent != self.percent:
             self.last_progress_s = now_s
         self.percent = report.percent
--- a/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
@@ -3,7 +3,7 @@
 import enum
 
 from jackdawlatch.jobs import model, queues, stored
-from jackdawlatch.scheduler import runs
+from jackdawlatch.scheduler import calls, checkpoints, runs
 
 
 class TaskPhase(enum.Enum):
@@ -25,7 +25,6 @@
     __slots__ = (
         'attempt',
         'avoided_worker',
-        'checkpoint',
         'failed_attempts',
         'id',
         'job',
@@ -46,7 +45,6 @@
         self.attempt = 0
         self.avoided_worker = ''
         self.failed_attempts: set[int] = set()
-        self.checkpoint = ''
         self.run: runs.Run | None = None
         self.started_s: float | None = None
         self._crashed_attempts: set[int] = set()
@@ -56,16 +54,16 @@
         """The step that this task belongs to."""
         return self.state.step
 
+    @property
+    def checkpoint(self) -> str:
+        """What the next run resumes from, empty if nothing was saved."""
+        return self.state.checkpoints.of(self.id)
+
     @property
     def done(self) -> bool:
         """Whether the task, or its gang, has ended as done."""
         return self.phase is TaskPhase.DONE
 
-    @property
-    def has_run(self) -> bool:
-        """Whether an attempt is known to have started and ended."""
-        return self.done or bool(self.failed_attempts) or bool(self.checkpoint)
-
     @property
     def serving(self) -> bool:
         """Whether a lasting task is up and serving."""
@@ -99,7 +97,10 @@
         """Restore the progress that an earlier leader stored."""
         self.attempt = stored_progress.attempt
         self.failed_attempts = set(stored_progress.failed_attempts)
-        self.checkpoint = stored_progress.checkpoint
+        # The attempt that saved it is not stored; any later report replaces it.
+        self.state.checkpoints.record(
+            calls.RunId(self.id, 0), stored_progress.checkpoint
+        )
         self._crashed_attempts = set(stored_progress.crashed_attempts)
         if stored_progress.done:
             self.phase = TaskPhase.DONE
@@ -129,11 +130,19 @@
     if none is known.
     """
 
-    __slots__ = ('done_count', 'longest_run_s', 'occurrence', 'step', 'tasks')
+    __slots__ = (
+        'checkpoints',
+        'done_count',
+        'longest_run_s',
+        'occurrence',
+        'step',
+        'tasks',
+    )
 
     def __init__(self, occurrence: int, step: model.Step) -> None:
         self.occurrence = occurrence
         self.step = step
+        self.checkpoints = checkpoints.Checkpoints(step.gang)
         self.tasks: list[Task] = []
         self.done_count = 0
         self.longest_run_s: float = 0
@@ -261,7 +270,7 @@
             )
             if task is not None:
                 task.restore(stored_progress)
-                self.begun = self.begun or task.has_run
+                self.begun = self.begun or _has_started(task)
         for state in self.steps:
             state.done_count = sum(task.done for task in state.tasks)
 
@@ -295,3 +304,7 @@
             for index in range(step.count)
         ]
         return state
+
+
+def _has_started(task: Task) -> bool:
+    return task.done or bool(task.failed_attempts) or bool(task.checkpoint)
