Start a gang whole or not at all

Cause: a gang is placed as a whole, but each start was checked and sent by itself, so that a worker that was closed meanwhile, or that refused the start, kept one member back.

Ruled out: a member that has run and is lost; the platform ends the others.

Change: the starts of a gang are checked and sent together. If one of them did not take effect, the other members of that attempt are stopped.

Measured: test_gang_is_started_beside_a_closed_worker and test_refused_member_leaves_the_others_waiting fail without the change (a timeout of 10 s each) and pass with it; 202 tests of the scheduler pass.

--- a/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
@@ -122,6 +122,8 @@
         """Requeue the task of a run that is known not to run."""
         run.worker.drop(run)
         task = run.task
+        if task.step.gang and run.phase in runs.UNCONFIRMED:
+            self._stop_gang(run)
         if task.run is run:
             task.release()
             self.dependencies.progress_writer.enqueue(task.job)
@@ -152,6 +154,17 @@
             reason=reason,
         )
 
+    def _stop_gang(self, missing: runs.Run) -> None:
+        """Stop the members that would wait for one that did not start."""
+        state = missing.task.state
+        if missing.attempt <= state.stopped_attempt:
+            return
+        state.stopped_attempt = missing.attempt
+        for member in state.tasks:
+            run = member.run
+            if run is not None and run.attempt == missing.attempt:
+                self.stop(run)
+
 
 def _ignore(*_arguments: object) -> None:
     """Do nothing: the callback until the leader sets one."""
--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -4,7 +4,7 @@
 import dataclasses
 import functools
 import types
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable, Sequence
 from typing import Any
 
 from absl import logging
@@ -60,6 +60,14 @@
     spawn: Callable[[Coroutine[Any, Any, None]], Any]
 
 
+@dataclasses.dataclass(frozen=True)
+class Order:
+    """A run whose placement is being persisted, and the ticket of its start."""
+
+    run: runs.Run
+    ticket: str
+
+
 class Dispatcher:
     """Starts and stops runs and polls workers.
 
@@ -73,24 +81,21 @@
         self._clock = dependencies.cluster.dependencies.clock
 
     def place(self, placements: Iterable[placing.Placement]) -> None:
-        """Persist the placements, then send the start of each one."""
+        """Persist the placements, then send their starts.
+
+        The members of a gang are all sent, or none of them.
+        """
+        orders_by_group: dict[object, list[Order]] = {}
         for placement in placements:
             task = placement.task
-            run = self._dependencies.cluster.assign(
-                task,
-                placement.worker,
-                placement.attempt,
-                runs.RunPhase.WRITING,
+            group = task.state if task.step.gang else task
+            orders_by_group.setdefault(group, []).append(
+                _assign(self._dependencies.cluster, placement)
             )
-            if task.step.lasting or placement.attempt > 1:
-                self._dependencies.cluster.note(
-                    'placed', run, 'lasting' if task.step.lasting else 'retry'
-                )
-            if task.job.phase is stored.JobPhase.QUEUED:
-                task.job.phase = stored.JobPhase.RUNNING
+        for orders in orders_by_group.values():
             self._dependencies.progress_writer.enqueue(
-                task.job,
-                functools.partial(self._send_start, run, placement.ticket),
+                orders[0].run.task.job,
+                functools.partial(self._send_starts, orders),
             )
 
     def stop(self, worker: workers.Worker, run_id: calls.RunId) -> None:
@@ -155,24 +160,25 @@
             self._settling.add(run)
             self._dependencies.spawn(self._settle(run))
 
-    def _send_start(self, run: runs.Run, ticket: str) -> None:
-        if run.task.run is not run or run.phase is not runs.RunPhase.WRITING:
-            return
-        obstacle = run.obstacle
+    def _send_starts(self, orders: Sequence[Order]) -> None:
+        obstacle = _find_obstacle(orders)
         if not self._dependencies.leading():
             obstacle = 'not-leading'
-        if obstacle:
-            self._dependencies.cluster.release(run, obstacle)
-            return
         now_s = self._clock.monotonic_s()
-        run.worker.extend_lease(START_EXPIRY_S, now_s)
-        run.mark_sent(now_s)
-        run.phase = runs.RunPhase.ORDERED
-        self._dependencies.spawn(self._start(run, ticket, now_s))
+        for order in orders:
+            run = order.run
+            if not run.unsent:
+                continue
+            if obstacle:
+                self._dependencies.cluster.release(run, obstacle)
+                continue
+            run.worker.extend_lease(START_EXPIRY_S, now_s)
+            run.mark_sent(now_s)
+            run.phase = runs.RunPhase.ORDERED
+            self._dependencies.spawn(self._start(order, now_s))
 
-    async def _start(
-        self, run: runs.Run, ticket: str, ordered_s: float
-    ) -> None:
+    async def _start(self, order: Order, ordered_s: float) -> None:
+        run = order.run
         worker = run.worker
         started = await self._dependencies.client.start(
             worker.target,
@@ -184,7 +190,7 @@
                 # The lease may have been recorded since it was ordered.
                 expires_s=worker.clock_s(ordered_s) + START_EXPIRY_S,
                 checkpoint=run.checkpoint,
-                ticket=ticket,
+                ticket=order.ticket,
             ),
         )
         if run.phase is not runs.RunPhase.ORDERED:
@@ -276,6 +282,29 @@
         self._stopping.discard(key)
 
 
+def _assign(
+    cluster: cluster_state.ClusterState, placement: placing.Placement
+) -> Order:
+    task = placement.task
+    run = cluster.assign(
+        task, placement.worker, placement.attempt, runs.RunPhase.WRITING
+    )
+    if task.step.lasting or placement.attempt > 1:
+        cluster.note('placed', run, 'lasting' if task.step.lasting else 'retry')
+    if task.job.phase is stored.JobPhase.QUEUED:
+        task.job.phase = stored.JobPhase.RUNNING
+    return Order(run, placement.ticket)
+
+
+def _find_obstacle(orders: Iterable[Order]) -> str:
+    """Return what has come up against the start of any of the runs."""
+    obstacles = (
+        order.run.obstacle if order.run.unsent else 'withdrawn'
+        for order in orders
+    )
+    return next(filter(None, obstacles), '')
+
+
 def _is_final(failure: calls.CallFailure) -> bool:
     """Whether a stop that failed would fail again."""
     return (
--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -17,8 +17,6 @@
 
 # Attempts at a task whose queue is no longer configured.
 DEFAULT_MAX_ATTEMPTS = 1
-ORDERED = frozenset((runs.RunPhase.ORDERED, runs.RunPhase.UNSETTLED))
-STARTED = frozenset((runs.RunPhase.RUNNING, runs.RunPhase.STOPPING))
 
 
 class Reconciler:
@@ -81,7 +79,7 @@
             return
         run.task.job.begun = True
         run.update(report, self._cluster.now_s)
-        if run.phase in ORDERED:
+        if run.phase in runs.UNCONFIRMED:
             run.phase = runs.RunPhase.RUNNING
             run.last_progress_s = self._cluster.now_s
         health.record_serving(run, self._cluster.now_s)
@@ -189,7 +187,7 @@
 
 def _is_absent(run: runs.Run, requested_s: float) -> bool:
     """Whether a poll answer without the run proves that it does not exist."""
-    if run.phase in STARTED:
+    if run.phase in runs.STARTED:
         return requested_s > run.last_progress_s
     return (
         run.phase is runs.RunPhase.UNSETTLED
--- a/libs/scheduler/src/jackdawlatch/scheduler/runs.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/runs.py
@@ -30,6 +30,8 @@
 
 
 STARTED = frozenset((RunPhase.RUNNING, RunPhase.STOPPING))
+# The start was sent, and is not known to have taken effect.
+UNCONFIRMED = frozenset((RunPhase.ORDERED, RunPhase.UNSETTLED))
 
 
 class Run:
@@ -76,6 +78,11 @@
         """The identity of this run in requests to its worker."""
         return calls.RunId(self.task.id, self.attempt)
 
+    @property
+    def unsent(self) -> bool:
+        """Whether its start is still to be sent."""
+        return self.task.run is self and self.phase is RunPhase.WRITING
+
     @property
     def obstacle(self) -> str:
         """What has come up against its start, empty if nothing has."""
--- a/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
@@ -127,7 +127,8 @@
     """The tasks of one step in one occurrence of a job.
 
     ``longest_run_s`` is the time that the longest of its done tasks took, 0
-    if none is known.
+    if none is known.  ``stopped_attempt`` is the last one at a gang that was
+    stopped, since a member did not start.
     """
 
     __slots__ = (
@@ -136,6 +137,7 @@
         'longest_run_s',
         'occurrence',
         'step',
+        'stopped_attempt',
         'tasks',
     )
 
@@ -146,6 +148,7 @@
         self.tasks: list[Task] = []
         self.done_count = 0
         self.longest_run_s: float = 0
+        self.stopped_attempt = 0
 
     def failed_attempt_count(self, task: Task) -> int:
         """Return how many attempts at a task, or at its whole gang, failed."""
--- a/libs/scheduler/tests/test_scheduler_gangs.py
+++ b/libs/scheduler/tests/test_scheduler_gangs.py
@@ -1,11 +1,14 @@
 """What the members of a gang share."""
 
+import dataclasses
+from unittest import mock
+
 import scheduler_bench as benches
 import scheduler_fleets as fleets
 
 from jackdawlatch.jobs import stored
 from jackdawlatch.scheduler import calls, placing, reports, runs, tasks, workers
-from jackdawlatch.testing import functions
+from jackdawlatch.testing import functions, waiting
 
 MEMBERS = 3
 BROKEN = reports.EndKind.BROKEN
@@ -61,6 +64,47 @@
     assert [one.checkpoint for one in task.state.tasks] == ['saved', '']
 
 
+async def test_refused_member_leaves_the_others_waiting(bench):
+    """Guards against members that wait for one that was not started."""
+    refusing, other = bench.add_worker('w1'), bench.add_worker('w2')
+    bench.submit(benches.job(count=2, gang=True, max_per_worker=1))
+    refusal = mock.patch.object(
+        refusing, 'start', return_value=calls.Refusal.NO_ROOM
+    )
+    with refusal:
+        async with bench.lead():
+            await waiting.until(lambda: other.started_runs)
+            await waiting.until(lambda: not other.running)
+
+
+async def test_gang_is_started_beside_a_closed_worker(bench):
+    """Guards against a gang of which one member can't be started any more."""
+    draining, other = bench.add_worker('w1'), bench.add_worker('w2')
+    bench.submit(benches.job(count=2, gang=True, max_per_worker=1))
+    async with bench.lead() as leader:
+        by_id = leader.cluster.workers_by_id
+        members: list[tasks.Task] = []
+
+        async def drain() -> None:
+            """Let a worker announce its departure while runs are stored."""
+            if by_id['w1'].runs_by_task and not members:
+                job = leader.cluster.jobs_by_id['a']
+                members.extend(job.steps[0].tasks)
+                bench.add_entry(
+                    dataclasses.replace(draining.entry, draining=True)
+                )
+                await waiting.until(lambda: by_id['w1'].entry.draining)
+
+        bench.store.before_put = drain
+        await waiting.until(lambda: members)
+        await waiting.until(
+            lambda: all(
+                member.phase is tasks.TaskPhase.WAITING for member in members
+            )
+        )
+    assert not other.started_runs
+
+
 def _start_gang(fleet: fleets.Fleet) -> tasks.StepState:
     gang = fleet.add_job(count=MEMBERS, gang=True, max_per_worker=1).state
     _boot_workers(fleet)
@@ -123,4 +167,6 @@
     fleet.reconciler.reconcile(worker, status, fleet.clock.monotonic_s())
 
 
-load_tests = functions.loader(__name__, {'fleet': fleets.fleet})
+load_tests = functions.loader(
+    __name__, {'bench': benches.bench, 'fleet': fleets.fleet}
+)
