Count only proven crashes when a job is given up

Cause: a task is given up after three crashes in a row under it. A worker that had lost its registration and whose lease was over was taken for crashed; one that is cut off looks the same. The end that it reported later did not take the count back.

Evidence: two daemons as real processes, a worker's server closed and its registration expired three times, each 0.3 s after it got the task: "crash-under" 1, 2 and 3 in a row at lease-over, then job-ended failed, with runs that ended lapsed and stopped, as in the users' record.

Ruled out: failures counted twice; no run had ended as failed.

Change: a counted loss is proven if a later boot is known, the start had been confirmed and the lease was not over by then. A job is given up after three in a row of which two are proven. The end of a run takes the count of that run back.

--- a/libs/jobs/src/jackdawlatch/jobs/stored.py
+++ b/libs/jobs/src/jackdawlatch/jobs/stored.py
@@ -40,7 +40,8 @@
     ``worker`` and ``born_ms`` identify the worker process on which ``attempt``
     may still run, and ``machine`` its machine; they are empty when it does not
     run.  ``crashed_attempts`` lists the attempts in a row whose worker crashed
-    soon after the start.
+    soon after the start, as far as is known, and ``proven_crashes`` those of
+    them that certainly ran on it.
     """
 
     occurrence: int
@@ -56,6 +57,7 @@
     # Earlier releases stored the rest of a lease here.
     unused: float | None = None
     crashed_attempts: tuple[int, ...] = ()
+    proven_crashes: tuple[int, ...] = ()
 
 
 class Progress(records.Record, frozen=True, kw_only=True):
--- a/libs/policy/src/jackdawlatch/policy/crashes.py
+++ b/libs/policy/src/jackdawlatch/policy/crashes.py
@@ -12,8 +12,9 @@
 
 # A task that has run for this long does not crash its workers.
 SURVIVAL_S = 1.0
-# Crashes in a row after which a task is given up.
+# Crashes in a row after which a task is given up, if so many are proven.
 MAX_CRASHES = 3
+MIN_PROVEN = 2
 # Workers lost within ``TOGETHER_S`` have a cause outside of their tasks.
 MASS_LOSS = 4
 TOGETHER_S = 0.05
@@ -57,9 +58,13 @@
     return confirmed_s >= SURVIVAL_S
 
 
-def is_given_up(crashes: int) -> bool:
-    """Whether a task with so many crashes in a row is started no more."""
-    return crashes >= MAX_CRASHES
+def is_given_up(crashes: int, proven: int) -> bool:
+    """Whether a task with so many crashes in a row is started no more.
+
+    ``proven`` of them are certain: the task ran on a worker that crashed.  The
+    others may be workers that were cut off, or starts that were not carried out.
+    """
+    return crashes >= MAX_CRASHES and proven >= MIN_PROVEN
 
 
 def is_isolated(crashes: int) -> bool:
--- a/libs/scheduler/src/jackdawlatch/scheduler/crash_blame.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/crash_blame.py
@@ -21,10 +21,14 @@
             tuple[str, int], float
         ] = collections.OrderedDict()
 
-    def blame(self, worker: workers.Worker) -> list[tasks.JobState]:
-        """Record the crash of a worker under the tasks that it had started.
+    def blame(
+        self, worker: workers.Worker, rebooted: bool
+    ) -> list[tasks.JobState]:
+        """Record the loss of a worker under the tasks that it had started.
 
-        Return the jobs with a task that is given up for it.
+        ``rebooted`` tells whether a later boot of the worker is known; without
+        it the worker may be cut off.  Return the jobs with a task that is given
+        up for it.
         """
         if worker.cordons or worker.entry.draining:
             return []
@@ -43,11 +47,15 @@
         return [
             run.task.job
             for run in started
-            if self._blame(run, lost_s, last_sent_before_s)
+            if self._blame(run, lost_s, last_sent_before_s, rebooted)
         ]
 
     def _blame(
-        self, run: runs.Run, lost_s: float, last_sent_before_s: float
+        self,
+        run: runs.Run,
+        lost_s: float,
+        last_sent_before_s: float,
+        rebooted: bool,
     ) -> bool:
         """Return whether the task of a run is given up."""
         task = run.task
@@ -64,13 +72,24 @@
             ),
         )
         if crashes.survives(lost.confirmed_s):
-            task.clear_crashes()
+            task.crash_record.clear()
         if not crashes.is_blamed(lost):
             return False
-        task.record_crash(run.attempt)
+        task.crash_record.record(run.attempt, rebooted and self._is_proven(run))
         count = task.state.crash_count(task)
-        self._cluster.note('crash-under', run, f'{count} in a row')
-        return crashes.is_given_up(count)
+        proven = task.state.proven_crash_count(task)
+        self._cluster.note(
+            'crash-under', run, f'{count} in a row, {proven} proven'
+        )
+        return crashes.is_given_up(count, proven)
+
+    def _is_proven(self, run: runs.Run) -> bool:
+        """Whether a run was on its worker when that booted again.
+
+        After the end of its lease the run may have ended before the worker.
+        """
+        started = run.phase is runs.RunPhase.RUNNING
+        return started and self._cluster.now_s <= run.worker.lease.end_s
 
     def _record_losses(self, worker: workers.Worker) -> None:
         """Remember when a worker was lost, and others that are still away."""
--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -83,8 +83,9 @@
             run.phase = runs.RunPhase.RUNNING
             run.last_progress_s = self._cluster.now_s
         health.record_serving(run, self._cluster.now_s)
-        if run.task.crashed_attempts and crashes.survives(run.confirmed_s):
-            run.task.clear_crashes()
+        record = run.task.crash_record
+        if record.attempts and crashes.survives(run.confirmed_s):
+            record.clear()
             self._cluster.dependencies.progress_writer.enqueue(run.task.job)
         if run.task.job.ended and run.phase is runs.RunPhase.RUNNING:
             self._cluster.stop(run)
@@ -125,6 +126,7 @@
             if task.run is run:
                 task.release()
         task.state.checkpoints.record(end.run_id, end.checkpoint)
+        task.crash_record.withdraw(end.run_id.attempt)
         self._apply_kind(worker, task, end)
         self._cluster.dependencies.log.note(
             'run-ended',
@@ -147,7 +149,7 @@
         elif end.kind is reports.EndKind.FAILED:
             health.record_failure(worker, self._cluster.now_s)
             task.avoided_worker = worker.entry.id
-            task.clear_crashes()
+            task.crash_record.clear()
             self._apply_failure(task, end.run_id.attempt)
 
     def _apply_success(self, task: tasks.Task) -> None:
--- a/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
@@ -3,7 +3,7 @@
 import enum
 
 from jackdawlatch.jobs import model, queues, stored
-from jackdawlatch.scheduler import calls, checkpoints, runs
+from jackdawlatch.scheduler import calls, checkpoints, crash_record, runs
 
 
 class TaskPhase(enum.Enum):
@@ -25,6 +25,7 @@
     __slots__ = (
         'attempt',
         'avoided_worker',
+        'crash_record',
         'failed_attempts',
         'id',
         'job',
@@ -32,7 +33,6 @@
         'run',
         'started_s',
         'state',
-        '_crashed_attempts',
     )
 
     def __init__(
@@ -47,7 +47,7 @@
         self.failed_attempts: set[int] = set()
         self.run: runs.Run | None = None
         self.started_s: float | None = None
-        self._crashed_attempts: set[int] = set()
+        self.crash_record = crash_record.CrashRecord()
 
     @property
     def step(self) -> model.Step:
@@ -74,19 +74,6 @@
         """Whether the task, or its gang, may crash its workers."""
         return self.state.crash_count(self) > 0
 
-    @property
-    def crashed_attempts(self) -> frozenset[int]:
-        """The attempts in a row whose worker crashed soon after the start."""
-        return frozenset(self._crashed_attempts)
-
-    def record_crash(self, attempt: int) -> None:
-        """Record that the worker of an attempt crashed."""
-        self._crashed_attempts.add(attempt)
-
-    def clear_crashes(self) -> None:
-        """Forget the crashes, since an attempt went on without one."""
-        self._crashed_attempts.clear()
-
     def release(self) -> None:
         """Put the task back to waiting, unless it is done."""
         self.run = None
@@ -101,7 +88,10 @@
         self.state.checkpoints.record(
             calls.RunId(self.id, 0), stored_progress.checkpoint
         )
-        self._crashed_attempts = set(stored_progress.crashed_attempts)
+        for attempt in stored_progress.crashed_attempts:
+            self.crash_record.record(
+                attempt, attempt in stored_progress.proven_crashes
+            )
         if stored_progress.done:
             self.phase = TaskPhase.DONE
 
@@ -119,7 +109,8 @@
             run.worker.entry.born_ms if run else 0,
             self.checkpoint,
             run.worker.entry.machine if run else '',
-            crashed_attempts=tuple(sorted(self._crashed_attempts)),
+            crashed_attempts=tuple(sorted(self.crash_record.attempts)),
+            proven_crashes=tuple(sorted(self.crash_record.proven_attempts)),
         )
 
 
@@ -160,8 +151,13 @@
 
     def crash_count(self, task: Task) -> int:
         """Return after how many starts of a task, or its gang, workers crashed."""
-        members = self.tasks if self.step.gang else (task,)
-        return len(set().union(*(one.crashed_attempts for one in members)))
+        records = self._crash_records(task)
+        return len(set().union(*(one.attempts for one in records)))
+
+    def proven_crash_count(self, task: Task) -> int:
+        """Return how many of these crashes are proven."""
+        records = self._crash_records(task)
+        return len(set().union(*(one.proven_attempts for one in records)))
 
     @property
     def done(self) -> bool:
@@ -176,6 +172,10 @@
         """Return how many lasting tasks are not serving."""
         return sum(not task.serving for task in self.tasks)
 
+    def _crash_records(self, task: Task) -> list[crash_record.CrashRecord]:
+        members = self.tasks if self.step.gang else (task,)
+        return [member.crash_record for member in members]
+
 
 class JobState:
     """An accepted job and its progress.
--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -74,7 +74,7 @@
     def _release_all(self, worker: workers.Worker, reason: str) -> None:
         doomed: list[tasks.JobState] = []
         if not worker.registered:
-            doomed = self._crash_blame.blame(worker)
+            doomed = self._crash_blame.blame(worker, rebooted=False)
         for run in tuple(worker.runs_by_task.values()):
             self._cluster.release(run, reason)
         self._give_up(doomed)
@@ -109,7 +109,7 @@
         old.reachable = False
         if old.runs_by_task:
             _note_replaced(self._cluster, old, new)
-        doomed = self._crash_blame.blame(old)
+        doomed = self._crash_blame.blame(old, rebooted=True)
         for run in tuple(old.runs_by_task.values()):
             if same_id and run.phase is not runs.RunPhase.RUNNING:
                 # A delayed start may still reach the new boot.
--- a/libs/scheduler/tests/scheduler_fleets.py
+++ b/libs/scheduler/tests/scheduler_fleets.py
@@ -76,6 +76,7 @@
     ) -> runs.Run:
         """Start the next attempt at a task."""
         attempt = task.attempt + 1
+        worker.extend_lease(workers.LEASE_S, self.clock.monotonic_s())
         return self.cluster.assign(task, worker, attempt, phase)
 
     def reserve(self, *pool: workers.Worker) -> reservations.Reservations:
--- a/libs/scheduler/tests/test_scheduler_takeover.py
+++ b/libs/scheduler/tests/test_scheduler_takeover.py
@@ -12,8 +12,9 @@
 import scheduler_takeovers as takeovers
 import test_scheduler_fuzz as simulations
 
-from jackdawlatch.jobs import model
-from jackdawlatch.scheduler import persistence
+from jackdawlatch.jobs import model, stored
+from jackdawlatch.policy import crashes
+from jackdawlatch.scheduler import persistence, reports
 from jackdawlatch.standins import task_workers
 from jackdawlatch.testing import functions
 
@@ -158,6 +159,41 @@
     await asyncio.to_thread(takeovers.play, scenario)
 
 
+async def test_cut_off_workers_count_as_crashed():
+    """Guards against a job that fails since its workers were cut off."""
+
+    def scenario(simulation: simulations.Simulation) -> None:
+        for _ in range(crashes.MAX_CRASHES):
+            _restart_task(simulation)
+            lost = takeovers.lose_worker(simulation)
+            simulation.run(takeovers.due_s(simulation))
+            lost.down = False
+            simulation.bench.add_entry(lost.entry)
+            simulation.run(takeovers.SETTLED_S)
+        assert simulation.bench.phase('lasting') is stored.JobPhase.RUNNING
+        takeovers.check_runs_elsewhere(simulation, lost)
+
+    await asyncio.to_thread(takeovers.play, scenario)
+
+
+def _restart_task(simulation: simulations.Simulation) -> None:
+    """End the run of the lasting task; its next one has just started."""
+    for holder in _holders(simulation):
+        holder.end(takeovers.TASK, reports.EndKind.STOPPED)
+    while not _holders(simulation):
+        simulation.run(simulations.POLL_S)
+
+
+def _holders(
+    simulation: simulations.Simulation,
+) -> list[task_workers.FakeWorker]:
+    return [
+        worker
+        for worker in simulation.workers.by_id.values()
+        if takeovers.TASK in worker.running
+    ]
+
+
 def _change_leaders(
     simulation: simulations.Simulation, period_s: float
 ) -> None:
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -302,7 +302,7 @@
     Mutation(
         'a task that crashes its workers is given up',
         'scheduler/crash_blame.py',
-        'return crashes.is_given_up(count)',
+        'return crashes.is_given_up(count, proven)',
         'return False',
         'scheduler',
         'test_task_is_given_up_after',
@@ -310,8 +310,8 @@
     Mutation(
         'crashes under a task are known to the next leader',
         'scheduler/tasks.py',
-        'set(stored_progress.crashed_attempts)',
-        'set()',
+        'for attempt in stored_progress.crashed_attempts:',
+        'for attempt in ():',
         'scheduler',
         'test_crashes_are_known',
     ),
