Don't give up a lasting task whose workers crash

Cause: CrashBlame ended the job of every task alike after three crashes in a row. By the users' pages a lasting task is restarted however it ends; the limit of failures has that exception, the limit of crashes had not.

Change: a lasting task is only kept apart from others after crashes.

--- a/libs/scheduler/src/jackdawlatch/scheduler/crash_blame.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/crash_blame.py
@@ -81,7 +81,8 @@
         self._cluster.note(
             'crash-under', run, f'{count} in a row, {proven} proven'
         )
-        return crashes.is_given_up(count, proven)
+        # A lasting task is restarted however it ends.
+        return not task.step.lasting and crashes.is_given_up(count, proven)
 
     def _is_proven(self, run: runs.Run) -> bool:
         """Whether a run was on its worker when that booted again.
--- a/libs/scheduler/tests/test_scheduler_crashes.py
+++ b/libs/scheduler/tests/test_scheduler_crashes.py
@@ -169,6 +169,14 @@
     assert not task.suspected
 
 
+def test_lasting_task_is_given_up(fleet):
+    """Guards against a lasting job that fails; its tasks always restart."""
+    task = fleet.add_job(lasting=True)
+    fleet.crash_under(task, 2 * crashes.MAX_CRASHES)
+    assert not task.job.ended
+    assert task.suspected
+
+
 def test_task_that_went_on_is_suspected_no_more(fleet):
     task = fleet.add_job(lasting=True)
     fleet.crash_under(task, crashes.MAX_CRASHES - 1)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -302,11 +302,27 @@
     Mutation(
         'a task that crashes its workers is given up',
         'scheduler/crash_blame.py',
-        'return crashes.is_given_up(count, proven)',
+        'return not task.step.lasting and crashes.is_given_up(count, proven)',
         'return False',
         'scheduler',
         'test_task_is_given_up_after',
     ),
+    Mutation(
+        'a lasting task is not given up',
+        'scheduler/crash_blame.py',
+        'return not task.step.lasting and crashes',
+        'return crashes',
+        'scheduler',
+        'test_lasting_task_is_given_up',
+    ),
+    Mutation(
+        'a crash is proven before a task is given up',
+        'policy/crashes.py',
+        ' and proven >= MIN_PROVEN',
+        '',
+        'scheduler',
+        'test_cut_off_workers_count',
+    ),
     Mutation(
         'crashes under a task are known to the next leader',
         'scheduler/tasks.py',
