Keep the limit of failures with the job

What a caller would see: a job is shown as failed after one failure of a task, though its queue allows more (LOST).

Cause: a leader whose configuration lacks the queue let a task fail once only. The entry that accepted the job may know a new queue before the leader does, and a queue that was removed is unknown to the next leader.

Change: the record of a job keeps the limit of its queue as of its acceptance, as it keeps the service. The queue's own limit applies once the leader knows it. Records of earlier releases have none and count as 1, as before.

--- a/libs/jobs/src/jackdawlatch/jobs/model.py
+++ b/libs/jobs/src/jackdawlatch/jobs/model.py
@@ -77,12 +77,15 @@
     """An accepted job; ``accepted_s`` is wall-clock time.
 
     With ``repeat_count`` above 0 the steps run that many times, occurrence
-    ``k`` from ``start_at_s + k * interval_s`` (wall-clock) on.
+    ``k`` from ``start_at_s + k * interval_s`` (wall-clock) on.  ``service`` and
+    ``max_attempts`` are those of the queue when it was accepted, for a leader
+    that doesn't know the queue; earlier releases stored no ``max_attempts``.
     """
 
     id: str
     queue: str
     service: str
+    max_attempts: int = 1
     spec: str = ''
     steps: tuple[Step, ...]
     repeat_count: int = 0
--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -15,9 +15,6 @@
     workers,
 )
 
-# Attempts at a task whose queue is no longer configured.
-DEFAULT_MAX_ATTEMPTS = 1
-
 
 class Reconciler:
     """Applies the answers to polls."""
@@ -176,10 +173,7 @@
         failures = job.step_state(
             task.id.occurrence, task.id.step
         ).failed_attempt_count(task)
-        max_attempts = (
-            job.queue.max_attempts if job.queue else DEFAULT_MAX_ATTEMPTS
-        )
-        if failures >= max_attempts and not job.ended:
+        if failures >= _max_attempts(job) and not job.ended:
             self._cluster.end_job(job, stored.JobPhase.FAILED)
 
 
@@ -187,6 +181,11 @@
     return task.run is not None and task.run.attempt == end.run_id.attempt
 
 
+def _max_attempts(job: tasks.JobState) -> int:
+    """Return how often a task of a job may fail, by the latest configuration."""
+    return job.queue.max_attempts if job.queue else job.job.max_attempts
+
+
 def _is_absent(run: runs.Run, requested_s: float) -> bool:
     """Whether a poll answer without the run proves that it does not exist."""
     if run.phase in runs.STARTED:
