Count no failures of a task that is done

Cause: a worker that was cut off reports its failures when it is back. They were counted although the task was done by then, and the last one ended the job.

Change: failures of a task that is done are not counted.

Measured: test_late_failure_of_a_done_task_ends_the_job fails without the change; 209 tests of the scheduler pass with it.

--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -151,7 +151,7 @@
 
     def _apply_success(self, task: tasks.Task) -> None:
         job = task.job
-        if task.phase is tasks.TaskPhase.DONE or job.ended:
+        if task.done or job.ended:
             return
         # A lasting task is restarted however it ends.
         if task.step.lasting:
@@ -166,7 +166,8 @@
             self._cluster.end_job(job, stored.JobPhase.DONE)
 
     def _apply_failure(self, task: tasks.Task, attempt: int) -> None:
-        if task.step.lasting:
+        # An earlier attempt may be reported after a later one was done.
+        if task.step.lasting or task.done:
             return
         job = task.job
         task.failed_attempts.add(attempt)
