Keep since when the duration of a wave counts

What operators would see: a wave that is late, or never begins, while leaders change (a duty missed). With leaders that change every 8 s, no machine of a wave of 30 s was requested in 30 s.

Cause: a wave waits for a service that could use more machines until its deadline requires it to begin, and each leader counted the deadline anew.

Change: the record of a wave keeps the time from which its duration counts. A leader uses the earlier one of that and its own, so a clock that is set back costs no more than before; records of earlier releases have none.

--- a/libs/jobs/src/jackdawlatch/jobs/stored.py
+++ b/libs/jobs/src/jackdawlatch/jobs/stored.py
@@ -119,9 +119,14 @@
 
 
 class WaveProgress(records.Record, frozen=True, kw_only=True):
-    """The machines of a wave whose maintenance was requested."""
+    """The machines of a wave whose maintenance was requested.
+
+    ``began_s`` is the wall-clock time from which its duration counts; earlier
+    releases stored 0.
+    """
 
     maintenance: tuple[Maintenance, ...] = ()
+    began_s: float = 0
 
 
 class Pending(records.Record, frozen=True, kw_only=True):
--- a/libs/scheduler/src/jackdawlatch/scheduler/wave_records.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/wave_records.py
@@ -88,7 +88,8 @@
         Return whether the store holds them.
         """
         progress = stored.WaveProgress(
-            maintenance=tuple(self._maintenance(requested))
+            maintenance=tuple(self._maintenance(requested)),
+            began_s=self._wall_s - self.state.elapsed_s(self._now_s),
         )
         begun_by_machine = _begun_by_machine(progress)
         done = not self.state.remaining
@@ -116,6 +117,10 @@
     def _now_s(self) -> float:
         return self._dependencies.cluster.now_s
 
+    @property
+    def _wall_s(self) -> float:
+        return self._dependencies.cluster.dependencies.clock.wall_s()
+
     async def _load(self) -> None:
         status = self._dependencies.status(True)
         reported = await self._dependencies.store.get(status.key)
@@ -140,6 +145,9 @@
             return
         for maintenance in progress.maintenance:
             self.state.restore(maintenance, self._now_s)
+        if progress.began_s:
+            age_s = self._wall_s - progress.began_s
+            self.state.restore_age(age_s, self._now_s)
         self._begun_by_machine = _begun_by_machine(progress)
         self._inherited_until_s = max(
             self.state.up_s_by_machine.values(), default=0
--- a/libs/scheduler/src/jackdawlatch/scheduler/wave_states.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/wave_states.py
@@ -22,7 +22,7 @@
 
     def __init__(self, wave: 'waves.Wave', now_s: float) -> None:
         self.wave = wave
-        self.ends_s = now_s + wave.duration_s
+        self._began_s = now_s
         self.begun: set[str] = set()
         self.refused: set[str] = set()
         self._rests_until_s_by_machine: dict[str, float] = {}
@@ -84,10 +84,22 @@
         up_s = now_s + maintenance.left_s
         self.up_s_by_machine[maintenance.machine] = up_s
 
+    def elapsed_s(self, now_s: float) -> float:
+        """Return the time since the wave began."""
+        return now_s - self._began_s
+
+    def restore_age(self, age_s: float, now_s: float) -> None:
+        """Count the duration from when an earlier leader saw the wave.
+
+        An age that is too short, after a clock was set back, changes nothing.
+        """
+        self._began_s = min(self._began_s, now_s - age_s)
+
     def urgent(self, now_s: float, round_s: float) -> bool:
         """Whether the wave would miss its deadline by waiting for less load."""
         rounds = -(-len(self.remaining) // max(1, self.wave.max_count))
-        return now_s + (rounds + 1) * round_s > self.ends_s
+        ends_s = self._began_s + self.wave.duration_s
+        return now_s + (rounds + 1) * round_s > ends_s
 
     def record_outcome(
         self,
