Apply changes of a wave that is under way

What operators would see: a wave that is written again with another machine keeps its first machine closed, and the other one is not requested until the leader changes.

Cause: a leader ignored a wave whose number it knew.

Change: the new text replaces the known one. Machines that have left the wave are opened, what was begun stays begun, and a wave that was done is reported as running again if a machine has joined it.

--- a/libs/scheduler/src/jackdawlatch/scheduler/wave_records.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/wave_records.py
@@ -89,9 +89,11 @@
         """
         progress = stored.WaveProgress(
             maintenance=tuple(self._maintenance(requested)),
-            began_s=self._wall_s - self.state.elapsed_s(self._now_s),
+            began_s=_wall_s(self._dependencies.cluster)
+            - self.state.countdown.elapsed_s(self._now_s),
         )
         begun_by_machine = _begun_by_machine(progress)
+        wave = self.state.wave
         done = not self.state.remaining
         # The rest that is recorded for an earlier request is shorter.
         if not requested and self._is_written(begun_by_machine, done):
@@ -104,7 +106,8 @@
             self._revision = written.unwrap()
             self._written_s = self._now_s
             self._begun_by_machine = begun_by_machine
-            self.state.reported_done = done
+            # The wave may have been changed meanwhile.
+            self.state.reported_done = done if wave == self.state.wave else None
             return True
         failure = written.failure()
         if isinstance(failure, transactions.Rejected):
@@ -117,10 +120,6 @@
     def _now_s(self) -> float:
         return self._dependencies.cluster.now_s
 
-    @property
-    def _wall_s(self) -> float:
-        return self._dependencies.cluster.dependencies.clock.wall_s()
-
     async def _load(self) -> None:
         status = self._dependencies.status(True)
         reported = await self._dependencies.store.get(status.key)
@@ -146,8 +145,8 @@
         for maintenance in progress.maintenance:
             self.state.restore(maintenance, self._now_s)
         if progress.began_s:
-            age_s = self._wall_s - progress.began_s
-            self.state.restore_age(age_s, self._now_s)
+            age_s = _wall_s(self._dependencies.cluster) - progress.began_s
+            self.state.countdown.restore(age_s, self._now_s)
         self._begun_by_machine = _begun_by_machine(progress)
         self._inherited_until_s = max(
             self.state.up_s_by_machine.values(), default=0
@@ -179,7 +178,10 @@
         """
         now_s = self._now_s
         down_s = self._dependencies.maintenance_s
-        for machine in self.state.wave.machines:
+        # Machines that have left the wave may still be down.
+        for machine in dict.fromkeys(
+            (*self.state.wave.machines, *self.state.up_s_by_machine)
+        ):
             left_s = self.state.up_s_by_machine.get(machine, now_s) - now_s
             if machine in self.state.begun:
                 yield stored.Maintenance(machine, True, max(left_s, 0))
@@ -231,3 +233,8 @@
 
 def _begun_by_machine(progress: stored.WaveProgress) -> dict[str, bool]:
     return {row.machine: row.begun for row in progress.maintenance}
+
+
+def _wall_s(cluster: cluster_state.ClusterState) -> float:
+    clock = cluster.dependencies.clock
+    return clock.wall_s()
--- a/libs/scheduler/src/jackdawlatch/scheduler/wave_states.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/wave_states.py
@@ -17,12 +17,30 @@
 UNANSWERED_SLACK_S = 3.0
 
 
+class Countdown:
+    """Since when the duration of a wave counts, on the monotonic clock."""
+
+    def __init__(self, now_s: float) -> None:
+        self._began_s = now_s
+
+    def elapsed_s(self, now_s: float) -> float:
+        """Return the time since the wave began."""
+        return now_s - self._began_s
+
+    def restore(self, age_s: float, now_s: float) -> None:
+        """Count from when an earlier leader saw the wave.
+
+        An age that is too short, after a clock was set back, changes nothing.
+        """
+        self._began_s = min(self._began_s, now_s - age_s)
+
+
 class WaveState:
     """The progress of a wave."""
 
     def __init__(self, wave: 'waves.Wave', now_s: float) -> None:
         self.wave = wave
-        self._began_s = now_s
+        self.countdown = Countdown(now_s)
         self.begun: set[str] = set()
         self.refused: set[str] = set()
         self._rests_until_s_by_machine: dict[str, float] = {}
@@ -48,6 +66,19 @@
             if self._rests_until_s_by_machine.get(machine, 0) <= now_s
         ]
 
+    def change(self, wave: 'waves.Wave') -> set[str]:
+        """Replace the wave; return the machines that have left it.
+
+        What was begun stays begun.
+        """
+        removed = set(self.wave.machines).difference(wave.machines)
+        self.wave = wave
+        self.cordoned -= removed
+        if self.remaining and self.reported_done:
+            # Its status has to be reported again.
+            self.reported_done = None
+        return removed
+
     def rest(self, machine: str, until_s: float) -> None:
         """Leave a machine to the tasks until a time."""
         self._rests_until_s_by_machine[machine] = until_s
@@ -84,22 +115,11 @@
         up_s = now_s + maintenance.left_s
         self.up_s_by_machine[maintenance.machine] = up_s
 
-    def elapsed_s(self, now_s: float) -> float:
-        """Return the time since the wave began."""
-        return now_s - self._began_s
-
-    def restore_age(self, age_s: float, now_s: float) -> None:
-        """Count the duration from when an earlier leader saw the wave.
-
-        An age that is too short, after a clock was set back, changes nothing.
-        """
-        self._began_s = min(self._began_s, now_s - age_s)
-
     def urgent(self, now_s: float, round_s: float) -> bool:
         """Whether the wave would miss its deadline by waiting for less load."""
         rounds = -(-len(self.remaining) // max(1, self.wave.max_count))
-        ends_s = self._began_s + self.wave.duration_s
-        return now_s + (rounds + 1) * round_s > ends_s
+        needed_s = (rounds + 1) * round_s
+        return self.countdown.elapsed_s(now_s) + needed_s > self.wave.duration_s
 
     def record_outcome(
         self,
--- a/libs/scheduler/src/jackdawlatch/scheduler/waves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waves.py
@@ -89,21 +89,14 @@
         self._down_until_s_by_worker: dict[workers.Worker, float] = {}
 
     def add(self, wave: Wave) -> None:
-        """Add a wave, unless it is known already."""
-        if wave.number not in self._records_by_number:
-            self._records_by_number[wave.number] = wave_records.WaveRecord(
-                wave_records.Dependencies(
-                    self._dependencies.cluster,
-                    self._dependencies.store,
-                    self._dependencies.term,
-                    self._dependencies.deposed,
-                    self._dependencies.settings.maintenance_s,
-                    functools.partial(
-                        _status, self._dependencies.settings, wave.number
-                    ),
-                ),
-                wave_states.WaveState(wave, self._dependencies.cluster.now_s),
-            )
+        """Add a wave, or change it."""
+        known = self._records_by_number.get(wave.number)
+        if known is None:
+            self._records_by_number[wave.number] = self._new_record(wave)
+            return
+        for machine in known.state.change(wave):
+            for worker in _workers_on(self._dependencies.cluster, machine):
+                self.cordon(worker)
 
     def cordon(self, worker: workers.Worker) -> None:
         """Place no tasks on a worker whose machine is about to go down."""
@@ -128,6 +121,21 @@
                     await self._advance(record)
             await asyncio.sleep(PERIOD_S)
 
+    def _new_record(self, wave: Wave) -> wave_records.WaveRecord:
+        return wave_records.WaveRecord(
+            wave_records.Dependencies(
+                self._dependencies.cluster,
+                self._dependencies.store,
+                self._dependencies.term,
+                self._dependencies.deposed,
+                self._dependencies.settings.maintenance_s,
+                functools.partial(
+                    _status, self._dependencies.settings, wave.number
+                ),
+            ),
+            wave_states.WaveState(wave, self._dependencies.cluster.now_s),
+        )
+
     def _reopen(self) -> None:
         """Open workers whose machine had its maintenance before the request."""
         now_s = self._dependencies.cluster.now_s
@@ -210,7 +218,7 @@
 
     async def _order(self, state: wave_states.WaveState, machine: str) -> None:
         # A worker may have registered during the requests before this one.
-        held_by = self._workers_on(machine)
+        held_by = _workers_on(self._dependencies.cluster, machine)
         occupied = any(worker.runs_by_task for worker in held_by)
         if occupied or not self._dependencies.leading():
             return
@@ -244,14 +252,9 @@
                 self._down_until_s_by_worker[old] = state.up_s_by_machine[
                     machine
                 ]
-            for worker in self._workers_on(machine):
+            for worker in _workers_on(self._dependencies.cluster, machine):
                 self.cordon(worker)
 
-    def _workers_on(self, machine: str) -> list[workers.Worker]:
-        return machine_workers.on_machine(
-            machine, self._dependencies.cluster.workers_by_id.values()
-        )
-
     def _is_vacated(
         self, worker: workers.Worker, wait_for_short_tasks: bool
     ) -> bool:
@@ -270,6 +273,12 @@
         return not worker.runs_by_task
 
 
+def _workers_on(
+    cluster: cluster_state.ClusterState, machine: str
+) -> list[workers.Worker]:
+    return machine_workers.on_machine(machine, cluster.workers_by_id.values())
+
+
 def _status(settings: Settings, number: int, done: bool) -> transactions.Put:
     return settings.status(WaveStatus(number=number, done=done))
 
--- a/libs/scheduler/tests/test_scheduler_waves.py
+++ b/libs/scheduler/tests/test_scheduler_waves.py
@@ -6,6 +6,7 @@
 import scheduler_bench as benches
 from returns import result
 
+from jackdawlatch.model import records
 from jackdawlatch.scheduler import reports, waves, workers
 from jackdawlatch.testing import functions, waiting
 
@@ -160,6 +161,19 @@
         await waiting.until(lambda: 'm-w2' in bench.machines.maintained)
 
 
+async def test_done_wave_that_is_extended_stays_done(bench):
+    """Guards against machines that join a wave after its end."""
+    bench.add_worker('w1')
+    bench.add_worker('w2')
+    async with bench.lead() as leader:
+        leader.waves.add(waves.Wave(1, ('m-w1',), WAVE_S, 1))
+        await waiting.until(lambda: _is_done(bench))
+        leader.waves.add(waves.Wave(1, ('m-w1', 'm-w2'), WAVE_S, 1))
+        await waiting.until(lambda: not _is_done(bench))
+        await waiting.until(lambda: _is_done(bench))
+    assert bench.machines.maintained == ['m-w1', 'm-w2']
+
+
 async def test_worker_opens_after_repeated_maintenance(bench):
     """The platform accepts a request of a new leader that is done already."""
     worker = bench.add_worker('w1')
@@ -243,4 +257,9 @@
     assert bench.machines.maintained == ['m-w2']
 
 
+def _is_done(bench: benches.Bench) -> bool:
+    entry = bench.store.content.get('status/1')
+    return bool(entry) and records.decode(entry.value, waves.WaveStatus).done
+
+
 load_tests = functions.loader(__name__, {'bench': benches.bench})
