Learn of moves under way when a leader begins

What operators would see: after a change of leaders, twice as many machines move to a service as it lacks (machines that change their pool are priced).

Cause: only the leader that moved a machine knew where it would arrive.

Change: the platform's list of machines tells which ones move and where to. A new leader reads it before its first moves. It costs one reading of the list in each term.

--- a/libs/scheduler/src/jackdawlatch/scheduler/machine_moves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/machine_moves.py
@@ -58,7 +58,16 @@
         self._cordoned_until_s_by_worker: dict[workers.Worker, float] = {}
         self.standby: list[str] = []
         self._standby_due_s_by_machine: dict[str, float] = {}
-        self._listed_s: float = 0
+        self._listed_s: float = -LIST_MAX_AGE_S
+        self._restored = False
+        self._restore_due_s: float = 0
+
+    async def restore(self) -> None:
+        """Learn which machines earlier leaders have moved, once a term."""
+        now_s = self._dependencies.cluster.now_s
+        if not self._restored and self._restore_due_s <= now_s:
+            self._restore_due_s = now_s + LIST_MAX_AGE_S
+            await self._list_standby()
 
     def in_transit(self) -> list[tuple[str, str]]:
         """Return the machines in transit, each with its target service."""
@@ -174,11 +183,17 @@
             logging.info('listing machines failed: %s', listed.failure().line())
             return
         self._listed_s = now_s
+        machines = listed.unwrap()
+        if not self._restored:
+            self._restored = True
+            for moved in machines:
+                if moved.moving:
+                    self._record_move(moved.id, moved.service, now_s)
         in_transit = dict(self.in_transit())
         standby_services = self._dependencies.cluster.catalog.standby_services()
         self.standby = [
             machine.id
-            for machine in listed.unwrap()
+            for machine in machines
             if machine.available
             and machine.service in standby_services
             and machine.id not in in_transit
--- a/libs/scheduler/src/jackdawlatch/scheduler/pools.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/pools.py
@@ -101,6 +101,7 @@
 
     async def round(self) -> None:
         """Start all moves that are due, and wait for their answers."""
+        await self._mover.restore()
         self._mover.release_unmoved()
         self._fleet.record_idle()
         self._supply.update()
--- a/libs/scheduler/src/jackdawlatch/scheduler/reports.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reports.py
@@ -91,11 +91,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Machine:
-    """A machine of the platform; ``available`` means that it can be moved."""
+    """A machine of the platform; ``available`` means that it can be moved.
+
+    While it is ``moving``, ``service`` is where it moves to.
+    """
 
     id: str
     service: str
     available: bool
+    moving: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/scheduler/tests/test_scheduler_spread_supply.py
+++ b/libs/scheduler/tests/test_scheduler_spread_supply.py
@@ -64,7 +64,7 @@
     await bench.rounds(1)
     assert len(_moved_to(bench, 'photo')) == 4
     bench.machines.listed = tuple(
-        reports.Machine(machine, service, available=False)
+        reports.Machine(machine, service, available=False, moving=True)
         for machine, service in bench.machines.moves
     )
     bench.pools = bench.new_pools()
