Let no late write bring back an old number of waiting jobs

Cause: the number was written without a condition. A call without an answer may be carried out later, after newer ones, and a deposed leader could write, too.

Change: the write requires the leadership key and the revision of the number before it, as all other records of a leader do. A rejected write tells the revision and is repeated at once, which costs one call in each term.

Changed test: test_request_is_not_sent_before_it_is_recorded set its store down during one call, and took that back for every other call in flight; the repeated write of the number made them overlap. It now refuses exactly the writes of the wave's record, which is at least as strict.

Measured: test_late_write_replaces_number_of_pending_jobs fails without the change.

--- a/libs/scheduler/src/jackdawlatch/scheduler/housekeeping.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/housekeeping.py
@@ -10,10 +10,11 @@
 from jackdawlatch.model import records
 from jackdawlatch.scheduler import (
     cluster_state,
+    persistence,
     tasks,
     worker_registry,
 )
-from jackdawlatch.store import transactions
+from jackdawlatch.store import keyvalue, transactions
 
 TICK_S = 0.2
 PENDING_PERIOD_S = 1.0
@@ -30,6 +31,7 @@
     store: transactions.TransactionalStore
     leading: Callable[[], bool]
     retention_s: float
+    term: persistence.Term
 
 
 class Housekeeping:
@@ -37,6 +39,7 @@
 
     def __init__(self, dependencies: Dependencies) -> None:
         self._dependencies = dependencies
+        self._pending_revision = keyvalue.ABSENT
 
     async def tick(self) -> None:
         """Release lost runs and delete old jobs until cancelled."""
@@ -51,13 +54,38 @@
         while True:
             counts = pending(self._dependencies.cluster.jobs_by_id.values())
             if counts != published and self._dependencies.leading():
-                written = await self._dependencies.store.commit(
-                    transactions.Transaction(puts=(_pending_put(counts),))
-                )
-                if not isinstance(written, result.Failure):
+                written = await self._write_pending(counts)
+                if not written:
+                    # The first write of a term finds out the revision.
+                    written = await self._write_pending(counts)
+                if written:
                     published = counts
             await asyncio.sleep(PENDING_PERIOD_S)
 
+    async def _write_pending(self, counts: dict[str, int]) -> bool:
+        """Write the counts, unless a write that is carried out late did."""
+        written = await self._dependencies.store.commit(
+            transactions.Transaction(
+                conditions=(
+                    transactions.Condition(
+                        key=stored.LEADER_KEY,
+                        revision=self._dependencies.term.token,
+                    ),
+                    transactions.Condition(
+                        key=stored.PENDING_KEY, revision=self._pending_revision
+                    ),
+                ),
+                puts=(_pending_put(counts),),
+            )
+        )
+        if isinstance(written, result.Success):
+            self._pending_revision = written.unwrap()
+            return True
+        failure = written.failure()
+        if isinstance(failure, transactions.Rejected):
+            self._pending_revision = _pending_revision(failure)
+        return False
+
     async def _tick(self) -> None:
         for worker in tuple(self._dependencies.cluster.workers_by_id.values()):
             self._dependencies.registry.release_expired_runs(worker)
@@ -96,6 +124,11 @@
     )
 
 
+def _pending_revision(rejected: transactions.Rejected) -> int:
+    revisions_by_key = {entry.key: entry.revision for entry in rejected.entries}
+    return revisions_by_key.get(stored.PENDING_KEY, keyvalue.ABSENT)
+
+
 def _deletion(job_id: str) -> transactions.Transaction:
     return transactions.Transaction(
         deletes=(
--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -82,6 +82,7 @@
         catalog: queues.Catalog,
     ) -> None:
         self._dependencies = dependencies
+        self._term = term
         self._tasks: set[asyncio.Task[None]] = set()
         self._progress_writer = persistence.ProgressWriter(
             dependencies.store, term
@@ -206,6 +207,7 @@
                 self._dependencies.store,
                 self._leading,
                 self._dependencies.settings.retention_s,
+                self._term,
             )
         )
         self._spawn(self._progress_writer.run())
--- a/libs/scheduler/tests/test_scheduler_leader.py
+++ b/libs/scheduler/tests/test_scheduler_leader.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 import scheduler_bench as benches
+from returns import result
 
 from jackdawlatch.jobs import model, stored
 from jackdawlatch.model import records
@@ -16,6 +17,7 @@
     runs,
     waves,
 )
+from jackdawlatch.store import keyvalue, transactions
 from jackdawlatch.testing import functions, waiting
 
 DONE = reports.EndKind.DONE
@@ -66,6 +68,29 @@
         )
 
 
+async def test_late_write_replaces_number_of_pending_jobs(bench):
+    """Guards against a number that an earlier write brings back."""
+    late: list[transactions.Transaction] = []
+    commit = bench.store.commit
+
+    async def commit_late(transaction):
+        publishes = any(
+            put.key == stored.PENDING_KEY for put in transaction.puts
+        )
+        if publishes and not late:
+            late.append(transaction)
+            return result.Failure(keyvalue.Uncertain(message='late'))
+        return await commit(transaction)
+
+    with mock.patch.object(bench.store, 'commit', commit_late):
+        async with bench.lead():
+            await waiting.until(lambda: late)
+            bench.submit(benches.job())
+            await waiting.until(lambda: _pending(bench) == {'photos': 1})
+            bench.store.content.commit(late[0])
+            assert _pending(bench) == {'photos': 1}
+
+
 async def test_record_of_an_ended_job_is_short(bench):
     worker = bench.add_worker('w1')
     bench.submit(benches.job(count=2))
@@ -439,4 +464,11 @@
     await waiting.until(lambda: not worker.ends)
 
 
+def _pending(bench: benches.Bench) -> dict[str, int]:
+    entry = bench.store.content.get(stored.PENDING_KEY)
+    if entry is None:
+        return {}
+    return records.decode(entry.value, stored.Pending).counts_by_queue
+
+
 load_tests = functions.loader(__name__, {'bench': benches.bench})
--- a/libs/scheduler/tests/test_scheduler_wave_records.py
+++ b/libs/scheduler/tests/test_scheduler_wave_records.py
@@ -8,11 +8,12 @@
 import test_scheduler_departure_faults as faults
 import test_scheduler_fuzz as simulations
 import test_scheduler_waves as wave_tests
+from returns import result
 
 from jackdawlatch.jobs import stored
 from jackdawlatch.model import records
 from jackdawlatch.scheduler import wave_records, wave_states, waves
-from jackdawlatch.store import transactions
+from jackdawlatch.store import keyvalue, transactions
 from jackdawlatch.testing import functions
 
 MAINTENANCE_S = 2.5
@@ -145,12 +146,9 @@
         async def fail_for_record(
             transaction: transactions.Transaction,
         ) -> object:
-            keys = {put.key for put in transaction.puts}
-            simulation.bench.store.down = RECORD_KEY in keys
-            try:
-                return await commit(transaction)
-            finally:
-                simulation.bench.store.down = False
+            if RECORD_KEY in {put.key for put in transaction.puts}:
+                return result.Failure(keyvalue.Unavailable(message='down'))
+            return await commit(transaction)
 
         simulation.bench.store.commit = fail_for_record
         _begin_wave(simulation)
