Don't begin a known wave again when it is read again

Found while reading the change of waves under way: a watch that has lost its history reads every wave again. A wave that a release without records had reported as done has machines left, as far as the record tells, so that it was taken for extended and carried out again (an order for machines that had their maintenance).

Change: a wave that is equal to the known one changes nothing.

Measured: test_known_wave_is_begun_again fails without the change; 18 tests pass.

--- a/libs/scheduler/src/jackdawlatch/scheduler/wave_states.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/wave_states.py
@@ -71,6 +71,8 @@
 
         What was begun stays begun.
         """
+        if wave == self.wave:
+            return set()
         removed = set(self.wave.machines).difference(wave.machines)
         self.wave = wave
         self.cordoned -= removed
--- a/libs/scheduler/tests/test_scheduler_waves.py
+++ b/libs/scheduler/tests/test_scheduler_waves.py
@@ -174,6 +174,20 @@
     assert bench.machines.maintained == ['m-w1', 'm-w2']
 
 
+async def test_known_wave_is_begun_again(bench):
+    """Guards against a done wave that starts over when it is read again."""
+    bench.add_worker('w1')
+    wave = waves.Wave(1, ('m-w1',), WAVE_S, 1)
+    # A release without records has reported it.
+    bench.put('status/1', records.encode(waves.WaveStatus(number=1, done=True)))
+    async with bench.lead() as leader:
+        leader.waves.add(wave)
+        await asyncio.sleep(PLACED_S)
+        leader.waves.add(wave)
+        await asyncio.sleep(PLACED_S)
+    assert not bench.machines.requested
+
+
 async def test_worker_opens_after_repeated_maintenance(bench):
     """The platform accepts a request of a new leader that is done already."""
     worker = bench.add_worker('w1')
