Take no loss that was noticed late for a proven crash

Found while reading the proof of a crash: the lease that a leader knows is the latest one possible. A worker that was cut off silently, whose runs lapsed, and that booted again soon after could still count as proven, and a job be given up for it (LOST).

A crash breaks the open poll at once; silence is noticed later than that.

--- a/libs/scheduler/src/jackdawlatch/scheduler/crash_blame.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/crash_blame.py
@@ -75,7 +75,9 @@
             task.crash_record.clear()
         if not crashes.is_blamed(lost):
             return False
-        task.crash_record.record(run.attempt, rebooted and self._is_proven(run))
+        task.crash_record.record(
+            run.attempt, rebooted and self._is_proven(run, lost_s)
+        )
         count = task.state.crash_count(task)
         proven = task.state.proven_crash_count(task)
         self._cluster.note(
@@ -84,13 +86,17 @@
         # A lasting task is restarted however it ends.
         return not task.step.lasting and crashes.is_given_up(count, proven)
 
-    def _is_proven(self, run: runs.Run) -> bool:
-        """Whether a run was on its worker when that booted again.
+    def _is_proven(self, run: runs.Run, lost_s: float) -> bool:
+        """Whether a worker that has booted again crashed under a run.
 
+        If the loss was noticed late, the worker may have been cut off before.
         After the end of its lease the run may have ended before the worker.
         """
-        started = run.phase is runs.RunPhase.RUNNING
-        return started and self._cluster.now_s <= run.worker.lease.end_s
+        return (
+            run.phase is runs.RunPhase.RUNNING
+            and not crashes.survives(run.age_s(lost_s))
+            and self._cluster.now_s <= run.worker.lease.end_s
+        )
 
     def _record_losses(self, worker: workers.Worker) -> None:
         """Remember when a worker was lost, and others that are still away."""
--- a/libs/scheduler/tests/test_scheduler_crashes.py
+++ b/libs/scheduler/tests/test_scheduler_crashes.py
@@ -145,6 +145,15 @@
     assert not task.job.ended
 
 
+def test_loss_noticed_late_is_proven(fleet):
+    """Guards against a job that fails for workers cut off before they crash."""
+    task = fleet.add_job()
+    for _ in range(crashes.MAX_CRASHES):
+        run = fleet.start(task, fleet.boot('w'))
+        fleet.crash(run.worker, after_s=2 * crashes.SURVIVAL_S)
+    assert not task.job.ended
+
+
 def test_failed_run_between_crashes_clears_the_task(fleet):
     task = fleet.add_job()
     fleet.crash_under(task, crashes.MAX_CRASHES - 1)
