Prove the end of a worker by another one at its address

Cause: only a new registration proved that a worker had ended. In half of the crashes the log has "worker-ended" instead: the worker's address answered for another id before that one's registration was seen. Those crashes were counted without proof.

Change: such an answer proves the end of a worker, too. Leases that ran out still don't.

--- a/libs/scheduler/src/jackdawlatch/scheduler/crash_blame.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/crash_blame.py
@@ -22,13 +22,13 @@
         ] = collections.OrderedDict()
 
     def blame(
-        self, worker: workers.Worker, rebooted: bool
+        self, worker: workers.Worker, ended: bool
     ) -> list[tasks.JobState]:
         """Record the loss of a worker under the tasks that it had started.
 
-        ``rebooted`` tells whether a later boot of the worker is known; without
-        it the worker may be cut off.  Return the jobs with a task that is given
-        up for it.
+        ``ended`` tells whether this boot of the worker is known to have ended,
+        and was not only cut off.  Return the jobs with a task that is given up
+        for it.
         """
         if worker.cordons or worker.entry.draining:
             return []
@@ -47,7 +47,7 @@
         return [
             run.task.job
             for run in started
-            if self._blame(run, lost_s, last_sent_before_s, rebooted)
+            if self._blame(run, lost_s, last_sent_before_s, ended)
         ]
 
     def _blame(
@@ -55,7 +55,7 @@
         run: runs.Run,
         lost_s: float,
         last_sent_before_s: float,
-        rebooted: bool,
+        ended: bool,
     ) -> bool:
         """Return whether the task of a run is given up."""
         task = run.task
@@ -76,7 +76,7 @@
         if not crashes.is_blamed(lost):
             return False
         task.crash_record.record(
-            run.attempt, rebooted and self._is_proven(run, lost_s)
+            run.attempt, ended and self._is_proven(run, lost_s)
         )
         count = task.state.crash_count(task)
         proven = task.state.proven_crash_count(task)
@@ -87,7 +87,7 @@
         return not task.step.lasting and crashes.is_given_up(count, proven)
 
     def _is_proven(self, run: runs.Run, lost_s: float) -> bool:
-        """Whether a worker that has booted again crashed under a run.
+        """Whether a worker that has ended crashed under a run.
 
         If the loss was noticed late, the worker may have been cut off before.
         After the end of its lease the run may have ended before the worker.
--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -56,13 +56,13 @@
             return
         slack_s = 2 * self._cluster.dependencies.bounds.stop_s
         if self._cluster.now_s > worker.lease.end_s + slack_s:
-            self._release_all(worker, 'lease-over')
+            self._release_all(worker, 'lease-over', ended=False)
 
     def end(self, worker: workers.Worker) -> None:
         """Release the runs of a boot that is known to have ended."""
         worker.registered = False
         worker.reachable = False
-        self._release_all(worker, 'worker-ended')
+        self._release_all(worker, 'worker-ended', ended=True)
 
     def remove_gone_workers(self) -> None:
         """Remove the workers that are not registered and have no runs."""
@@ -71,10 +71,12 @@
             if not worker.registered and not worker.runs_by_task:
                 by_id.pop(worker.entry.id)
 
-    def _release_all(self, worker: workers.Worker, reason: str) -> None:
+    def _release_all(
+        self, worker: workers.Worker, reason: str, ended: bool
+    ) -> None:
         doomed: list[tasks.JobState] = []
         if not worker.registered:
-            doomed = self._crash_blame.blame(worker, rebooted=False)
+            doomed = self._crash_blame.blame(worker, ended)
         for run in tuple(worker.runs_by_task.values()):
             self._cluster.release(run, reason)
         self._give_up(doomed)
@@ -109,7 +111,7 @@
         old.reachable = False
         if old.runs_by_task:
             _note_replaced(self._cluster, old, new)
-        doomed = self._crash_blame.blame(old, rebooted=True)
+        doomed = self._crash_blame.blame(old, ended=True)
         for run in tuple(old.runs_by_task.values()):
             if same_id and run.phase is not runs.RunPhase.RUNNING:
                 # A delayed start may still reach the new boot.
--- a/libs/scheduler/tests/test_scheduler_crashes.py
+++ b/libs/scheduler/tests/test_scheduler_crashes.py
@@ -145,6 +145,18 @@
     assert not task.job.ended
 
 
+def test_crash_is_forgotten_if_the_address_passed_on(fleet):
+    """Guards against a crashing task that is started without a limit."""
+    task = fleet.add_job()
+    for number in range(crashes.MAX_CRASHES):
+        worker = fleet.boot(f'w{number}')
+        fleet.start(task, worker)
+        fleet.lose(worker)
+        fleet.clock.advance(3)
+        fleet.registry.end(worker)
+    assert task.job.phase is stored.JobPhase.FAILED
+
+
 def test_loss_noticed_late_is_proven(fleet):
     """Guards against a job that fails for workers cut off before they crash."""
     task = fleet.add_job()
