--- a/libs/scheduler/src/jackdawlatch/scheduler/checkpoints.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/checkpoints.py
@@ -20,7 +20,8 @@
 
     def of(self, task: model.TaskId) -> str:
         """Return the checkpoint of a task, empty if nothing was saved."""
-        return self._saved(task)[1]
+        # Most steps save nothing.
+        return self._saved(task)[1] if self._saved_by_index else ''
 
     def record(self, run_id: calls.RunId, checkpoint: str) -> None:
         """Record what a run has saved, unless a later attempt has reported.
--- a/libs/scheduler/src/jackdawlatch/scheduler/crash_record.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/crash_record.py
@@ -13,6 +13,11 @@
     def __init__(self) -> None:
         self._proven_by_attempt: dict[int, bool] = {}
 
+    @property
+    def suspicious(self) -> bool:
+        """Whether any attempt is counted."""
+        return bool(self._proven_by_attempt)
+
     @property
     def attempts(self) -> frozenset[int]:
         """All attempts that are counted."""
--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -81,7 +81,7 @@
             run.last_progress_s = self._cluster.now_s
         health.record_serving(run, self._cluster.now_s)
         record = run.task.crash_record
-        if record.attempts and crashes.survives(run.confirmed_s):
+        if record.suspicious and crashes.survives(run.confirmed_s):
             record.clear()
             self._cluster.dependencies.progress_writer.enqueue(run.task.job)
         if run.task.job.ended and run.phase is runs.RunPhase.RUNNING:
--- a/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
@@ -72,7 +72,9 @@
     @property
     def suspected(self) -> bool:
         """Whether the task, or its gang, may crash its workers."""
-        return self.state.crash_count(self) > 0
+        if self.step.gang:
+            return self.state.crash_count(self) > 0
+        return self.crash_record.suspicious
 
     def release(self) -> None:
         """Put the task back to waiting, unless it is done."""
@@ -98,6 +100,12 @@
     def progress(self) -> stored.TaskProgress:
         """Return the stored form."""
         run = self.run
+        # Built for each task of a job with each write: few have crashes.
+        crashed: tuple[int, ...] = ()
+        proven: tuple[int, ...] = ()
+        if self.crash_record.suspicious:
+            crashed = tuple(sorted(self.crash_record.attempts))
+            proven = tuple(sorted(self.crash_record.proven_attempts))
         return stored.TaskProgress(
             self.id.occurrence,
             self.id.step,
@@ -109,8 +117,8 @@
             run.worker.entry.born_ms if run else 0,
             self.checkpoint,
             run.worker.entry.machine if run else '',
-            crashed_attempts=tuple(sorted(self.crash_record.attempts)),
-            proven_crashes=tuple(sorted(self.crash_record.proven_attempts)),
+            crashed_attempts=crashed,
+            proven_crashes=proven,
         )
 
 
