Give the orders of starts a module, and read rejections in one place

Cause: dispatch.py had grown to 319 lines, and "Order" could be taken for a run in the phase ORDERED.

No decision changes.

--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -10,7 +10,6 @@
 from absl import logging
 from returns import result
 
-from jackdawlatch.jobs import stored
 from jackdawlatch.scheduler import (
     calls,
     clients,
@@ -19,6 +18,7 @@
     placing,
     reconciliation,
     runs,
+    start_orders,
     worker_registry,
     workers,
 )
@@ -60,14 +60,6 @@
     spawn: Callable[[Coroutine[Any, Any, None]], Any]
 
 
-@dataclasses.dataclass(frozen=True)
-class Order:
-    """A run whose placement is being persisted, and the ticket of its start."""
-
-    run: runs.Run
-    ticket: str
-
-
 class Dispatcher:
     """Starts and stops runs and polls workers.
 
@@ -85,12 +77,12 @@
 
         The members of a gang are all sent, or none of them.
         """
-        orders_by_group: dict[object, list[Order]] = {}
+        orders_by_group: dict[object, list[start_orders.StartOrder]] = {}
         for placement in placements:
             task = placement.task
             group = task.state if task.step.gang else task
             orders_by_group.setdefault(group, []).append(
-                _assign(self._dependencies.cluster, placement)
+                start_orders.create(self._dependencies.cluster, placement)
             )
         for orders in orders_by_group.values():
             self._dependencies.progress_writer.enqueue(
@@ -160,8 +152,8 @@
             self._settling.add(run)
             self._dependencies.spawn(self._settle(run))
 
-    def _send_starts(self, orders: Sequence[Order]) -> None:
-        obstacle = _find_obstacle(orders)
+    def _send_starts(self, orders: Sequence[start_orders.StartOrder]) -> None:
+        obstacle = start_orders.find_obstacle(orders)
         if not self._dependencies.leading():
             obstacle = 'not-leading'
         now_s = self._clock.monotonic_s()
@@ -177,7 +169,9 @@
             run.phase = runs.RunPhase.ORDERED
             self._dependencies.spawn(self._start(order, now_s))
 
-    async def _start(self, order: Order, ordered_s: float) -> None:
+    async def _start(
+        self, order: start_orders.StartOrder, ordered_s: float
+    ) -> None:
         run = order.run
         worker = run.worker
         started = await self._dependencies.client.start(
@@ -282,29 +276,6 @@
         self._stopping.discard(key)
 
 
-def _assign(
-    cluster: cluster_state.ClusterState, placement: placing.Placement
-) -> Order:
-    task = placement.task
-    run = cluster.assign(
-        task, placement.worker, placement.attempt, runs.RunPhase.WRITING
-    )
-    if task.step.lasting or placement.attempt > 1:
-        cluster.note('placed', run, 'lasting' if task.step.lasting else 'retry')
-    if task.job.phase is stored.JobPhase.QUEUED:
-        task.job.phase = stored.JobPhase.RUNNING
-    return Order(run, placement.ticket)
-
-
-def _find_obstacle(orders: Iterable[Order]) -> str:
-    """Return what has come up against the start of any of the runs."""
-    obstacles = (
-        order.run.obstacle if order.run.unsent else 'withdrawn'
-        for order in orders
-    )
-    return next(filter(None, obstacles), '')
-
-
 def _is_final(failure: calls.CallFailure) -> bool:
     """Whether a stop that failed would fail again."""
     return (
--- a/libs/scheduler/src/jackdawlatch/scheduler/housekeeping.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/housekeeping.py
@@ -83,7 +83,9 @@
             return True
         failure = written.failure()
         if isinstance(failure, transactions.Rejected):
-            self._pending_revision = _pending_revision(failure)
+            self._pending_revision = failure.revisions_by_key.get(
+                stored.PENDING_KEY, keyvalue.ABSENT
+            )
         return False
 
     async def _tick(self) -> None:
@@ -124,11 +126,6 @@
     )
 
 
-def _pending_revision(rejected: transactions.Rejected) -> int:
-    revisions_by_key = {entry.key: entry.revision for entry in rejected.entries}
-    return revisions_by_key.get(stored.PENDING_KEY, keyvalue.ABSENT)
-
-
 def _deletion(job_id: str) -> transactions.Transaction:
     return transactions.Transaction(
         deletes=(
--- a/libs/scheduler/src/jackdawlatch/scheduler/persistence.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/persistence.py
@@ -124,9 +124,7 @@
     def _update_revisions(
         self, batch: list[tasks.JobState], rejected: transactions.Rejected
     ) -> None:
-        revisions_by_key = {
-            entry.key: entry.revision for entry in rejected.entries
-        }
+        revisions_by_key = rejected.revisions_by_key
         if revisions_by_key.get(stored.LEADER_KEY) != self._term.token:
             self.deposed.set()
             return
--- a/libs/scheduler/src/jackdawlatch/scheduler/wave_records.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/wave_records.py
@@ -220,9 +220,7 @@
         )
 
     def _update_revision(self, rejected: transactions.Rejected) -> None:
-        revisions_by_key = {
-            entry.key: entry.revision for entry in rejected.entries
-        }
+        revisions_by_key = rejected.revisions_by_key
         token = self._dependencies.term.token
         if revisions_by_key.get(stored.LEADER_KEY) == token:
             # An earlier write took effect without an answer.
--- a/libs/store/src/jackdawlatch/store/transactions.py
+++ b/libs/store/src/jackdawlatch/store/transactions.py
@@ -46,6 +46,11 @@
 
     entries: tuple[keyvalue.Entry, ...] = ()
 
+    @property
+    def revisions_by_key(self) -> dict[str, int]:
+        """The current revisions of the keys that exist."""
+        return {entry.key: entry.revision for entry in self.entries}
+
 
 class TransactionalStore(keyvalue.Store):
     """A store that also writes several keys atomically."""
