Log which boot of a worker a run was released from

- worker-replaced is logged for each replaced boot, with both births and whether a registration or the answer to a poll showed the later one.
- Lines about runs give the birth of the worker, the phase of the run, and whether a poll of that boot had listed it.
- ends-missing is logged if the numbers of ends leave a gap.

The replacement of boots moves from the registry of workers to a module of its own, unchanged. No decision is changed.

--- /dev/null
+++ b/libs/scheduler/src/jackdawlatch/scheduler/boots.py
@@ -0,0 +1,88 @@
+"""Replaces each boot of a worker by the next one."""
+
+from jackdawlatch.scheduler import (
+    cluster_state,
+    crash_blame,
+    reports,
+    runs,
+    workers,
+)
+
+
+class Boots:
+    """Adds boots of workers, and releases the runs of those before them."""
+
+    def __init__(
+        self, cluster: cluster_state.ClusterState, blame: crash_blame.CrashBlame
+    ) -> None:
+        self._cluster = cluster
+        self._crash_blame = blame
+
+    def add(self, entry: reports.WorkerEntry, found_by: str) -> workers.Worker:
+        """Add a boot; ``found_by`` tells what has shown it."""
+        by_id = self._cluster.workers_by_id
+        known = by_id.get(entry.id)
+        worker = self._cluster.add_worker(entry)
+        self._cluster.on_new_worker(worker)
+        for other in tuple(by_id.values()):
+            if other is not worker and _is_successor(entry, other.entry):
+                self._replace(other, worker, found_by)
+        if known is not None:
+            self._replace(known, worker, found_by)
+        self._cluster.on_change()
+        return worker
+
+    def _replace(
+        self, old: workers.Worker, new: workers.Worker, found_by: str
+    ) -> None:
+        same_id = old.entry.id == new.entry.id
+        if not same_id:
+            self._cluster.workers_by_id.pop(old.entry.id, None)
+        old.registered = False
+        old.reachable = False
+        _note_replaced(self._cluster, old, new, found_by)
+        doomed = self._crash_blame.blame(old, ended=True)
+        for run in tuple(old.runs_by_task.values()):
+            if same_id and run.phase is not runs.RunPhase.RUNNING:
+                # A delayed start may still reach the new boot.
+                old.drop(run)
+                run.worker = new
+                new.add(run)
+                self._cluster.on_unsettled_run(run)
+            else:
+                self._cluster.release(run, 'worker-replaced')
+        self._crash_blame.give_up(doomed)
+
+
+def _is_successor(new: reports.WorkerEntry, old: reports.WorkerEntry) -> bool:
+    """Whether ``new`` is a later boot of the machine of ``old``."""
+    return bool(new.machine) and (
+        new.machine == old.machine and new.born_ms > old.born_ms
+    )
+
+
+def _note_replaced(
+    cluster: cluster_state.ClusterState,
+    old: workers.Worker,
+    new: workers.Worker,
+    found_by: str,
+) -> None:
+    now_s = cluster.now_s
+    lost_s = now_s if old.health.lost_s is None else old.health.lost_s
+    last = min(
+        old.runs_by_task.values(),
+        key=lambda run: abs(run.age_s(lost_s)),
+        default=None,
+    )
+    cluster.dependencies.log.note(
+        'worker-replaced',
+        worker=old.entry.id,
+        born=old.entry.born_ms,
+        successor=new.entry.id,
+        successor_born=new.entry.born_ms,
+        found_by=found_by,
+        runs=len(old.runs_by_task),
+        away_s=round(now_s - lost_s, 3),
+        last_started=last.task.id.name if last else '',
+        ran_s=round(last.age_s(lost_s), 3) if last else 0,
+    )
--- a/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
@@ -151,6 +151,9 @@
             task=run.task.id.name,
             attempt=run.attempt,
             worker=run.worker.entry.id,
+            born=run.worker.entry.born_ms,
+            phase=run.phase.value,
+            listed=run.listed,
             reason=reason,
         )
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/crash_blame.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/crash_blame.py
@@ -2,7 +2,9 @@
 
 import collections
 import math
+from collections.abc import Iterable
 
+from jackdawlatch.jobs import stored
 from jackdawlatch.policy import crashes
 from jackdawlatch.scheduler import cluster_state, runs, tasks, workers
 
@@ -50,6 +52,12 @@
             if self._blame(run, lost_s, last_sent_before_s, ended)
         ]
 
+    def give_up(self, jobs: Iterable[tasks.JobState]) -> None:
+        """End these jobs as failed, but those that have ended."""
+        for job in jobs:
+            if not job.ended:
+                self._cluster.end_job(job, stored.JobPhase.FAILED)
+
     def _blame(
         self,
         run: runs.Run,
--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -136,9 +136,7 @@
         status = polled.unwrap()
         worker.set_clock(status.clock_s, self._clock.monotonic_s())
         if status.born_ms and status.born_ms != worker.entry.born_ms:
-            self._dependencies.registry.register(
-                dataclasses.replace(worker.entry, born_ms=status.born_ms)
-            )
+            self._dependencies.registry.find_boot(worker, status.born_ms)
             return False
         self._dependencies.reconciler.reconcile(worker, status, requested_s)
         return True
--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -45,6 +45,7 @@
         worker.health.silent = False
         for end in status.ended:
             if end.number > worker.last_end_number:
+                self._note_gap(worker, end.number)
                 self._apply_end(worker, end)
         reported = set()
         for report in status.running:
@@ -55,6 +56,18 @@
             self._release_absent(worker, reported, requested_s)
         self._cluster.on_change()
 
+    def _note_gap(self, worker: workers.Worker, number: int) -> None:
+        """Log ends that were discarded before this leader read them."""
+        expected = worker.last_end_number + 1
+        if number > expected:
+            self._cluster.dependencies.log.note(
+                'ends-missing',
+                worker=worker.entry.id,
+                born=worker.entry.born_ms,
+                expected=expected,
+                number=number,
+            )
+
     def _release_absent(
         self,
         worker: workers.Worker,
--- a/libs/scheduler/src/jackdawlatch/scheduler/runs.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/runs.py
@@ -48,6 +48,7 @@
         'settled_after_s',
         'task',
         'worker',
+        '_listed',
         '_sent_s',
     )
 
@@ -72,12 +73,18 @@
         # A poll sent after this time whose answer lacks the run settles it.
         self.settled_after_s: float | None = None
         self._sent_s: float = 0
+        self._listed = False
 
     @property
     def run_id(self) -> calls.RunId:
         """The identity of this run in requests to its worker."""
         return calls.RunId(self.task.id, self.attempt)
 
+    @property
+    def listed(self) -> bool:
+        """Whether an answer of its worker to a poll has shown it."""
+        return self._listed
+
     @property
     def unsent(self) -> bool:
         """Whether its start is still to be sent."""
@@ -118,6 +125,7 @@
         self.task.state.checkpoints.record(report.run_id, report.checkpoint)
         if report.percent != self.percent:
             self.last_progress_s = now_s
+        self._listed = True
         self.percent = report.percent
         self.gauge = report.gauge
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -1,13 +1,13 @@
 """Tracks which workers exist, and releases the runs of lost ones."""
 
-from collections.abc import Collection, Iterable
+import dataclasses
+from collections.abc import Collection
 
-from jackdawlatch.jobs import stored
 from jackdawlatch.scheduler import (
+    boots,
     cluster_state,
     crash_blame,
     reports,
-    runs,
     tasks,
     workers,
 )
@@ -20,6 +20,7 @@
     def __init__(self, cluster: cluster_state.ClusterState) -> None:
         self._cluster = cluster
         self._crash_blame = crash_blame.CrashBlame(cluster)
+        self._boots = boots.Boots(cluster, self._crash_blame)
 
     def register(self, entry: reports.WorkerEntry) -> workers.Worker:
         """Add or update a worker; return the state of that boot."""
@@ -28,15 +29,13 @@
         if known is not None and known.entry.born_ms == entry.born_ms:
             self._update(known, entry)
             return known
-        worker = self._cluster.add_worker(entry)
-        self._cluster.on_new_worker(worker)
-        for other in tuple(by_id.values()):
-            if other is not worker and _is_successor(entry, other.entry):
-                self._replace(other, worker)
-        if known is not None:
-            self._replace(known, worker)
-        self._cluster.on_change()
-        return worker
+        return self._boots.add(entry, 'registration')
+
+    def find_boot(self, known: workers.Worker, born_ms: int) -> None:
+        """Replace a worker by the boot that has answered a poll."""
+        self._boots.add(
+            dataclasses.replace(known.entry, born_ms=born_ms), 'poll'
+        )
 
     def unregister(self, worker_id: str) -> None:
         """Mark a worker whose entry was deleted."""
@@ -79,7 +78,7 @@
             doomed = self._crash_blame.blame(worker, ended)
         for run in tuple(worker.runs_by_task.values()):
             self._cluster.release(run, reason)
-        self._give_up(doomed)
+        self._crash_blame.give_up(doomed)
 
     def _update(
         self, known: workers.Worker, entry: reports.WorkerEntry
@@ -103,38 +102,6 @@
             )
         worker.registered = False
 
-    def _replace(self, old: workers.Worker, new: workers.Worker) -> None:
-        same_id = old.entry.id == new.entry.id
-        if not same_id:
-            self._cluster.workers_by_id.pop(old.entry.id, None)
-        old.registered = False
-        old.reachable = False
-        if old.runs_by_task:
-            _note_replaced(self._cluster, old, new)
-        doomed = self._crash_blame.blame(old, ended=True)
-        for run in tuple(old.runs_by_task.values()):
-            if same_id and run.phase is not runs.RunPhase.RUNNING:
-                # A delayed start may still reach the new boot.
-                old.drop(run)
-                run.worker = new
-                new.add(run)
-                self._cluster.on_unsettled_run(run)
-            else:
-                self._cluster.release(run, 'worker-replaced')
-        self._give_up(doomed)
-
-    def _give_up(self, jobs: Iterable[tasks.JobState]) -> None:
-        for job in jobs:
-            if not job.ended:
-                self._cluster.end_job(job, stored.JobPhase.FAILED)
-
-
-def _is_successor(new: reports.WorkerEntry, old: reports.WorkerEntry) -> bool:
-    """Whether ``new`` is a later boot of the machine of ``old``."""
-    return bool(new.machine) and (
-        new.machine == old.machine and new.born_ms > old.born_ms
-    )
-
 
 def _note_departure(
     log: decisions.DecisionLog,
@@ -152,24 +119,3 @@
         reachable=worker.reachable,
         **details,
     )
-
-
-def _note_replaced(
-    cluster: cluster_state.ClusterState,
-    old: workers.Worker,
-    new: workers.Worker,
-) -> None:
-    now_s = cluster.now_s
-    lost_s = now_s if old.health.lost_s is None else old.health.lost_s
-    last = min(
-        old.runs_by_task.values(), key=lambda run: abs(run.age_s(lost_s))
-    )
-    cluster.dependencies.log.note(
-        'worker-replaced',
-        worker=old.entry.id,
-        successor=new.entry.id,
-        runs=len(old.runs_by_task),
-        away_s=round(now_s - lost_s, 3),
-        last_started=last.task.id.name,
-        ran_s=round(last.age_s(lost_s), 3),
-    )
--- /dev/null
+++ b/libs/scheduler/tests/test_scheduler_boots.py
@@ -0,0 +1,63 @@
+"""Workers that start again under their ids.
+
+A request names the id of a worker only, so that a later boot may carry it out.
+"""
+
+from collections.abc import Callable
+from unittest import mock
+
+import scheduler_bench as benches
+import scheduler_fleets as fleets
+
+from jackdawlatch.scheduler import calls, reports, workers
+from jackdawlatch.telemetry import decisions
+from jackdawlatch.testing import functions
+
+DONE = reports.EndKind.DONE
+
+
+def test_logs_do_not_tell_boots_apart(fleet):
+    task = fleet.add_job()
+    former = fleet.boot('w1')
+    fleet.start(task, former)
+    lines = _logged(lambda: fleet.registry.find_boot(former, born_ms=9))
+    replaced = lines['worker-replaced']
+    assert replaced['born'] == former.entry.born_ms
+    assert replaced['successor_born'] == 9
+    assert replaced['found_by'] == 'poll'
+    assert lines['released']['born'] == former.entry.born_ms
+    assert not lines['released']['listed']
+
+
+def test_discarded_ends_are_not_logged(fleet):
+    worker = fleet.boot('w1')
+    lines = _logged(lambda: _report(fleet, worker, ended=(_end(3),)))
+    missing = lines['ends-missing']
+    assert (missing['expected'], missing['number']) == (1, 3)
+
+
+def _logged(change: Callable[[], None]) -> dict[str, dict[str, object]]:
+    """Return the last line of each event that a change has logged."""
+    with mock.patch.object(decisions.DecisionLog, 'note') as note:
+        change()
+        return {call.args[0]: call.kwargs for call in note.call_args_list}
+
+
+def _end(number: int) -> reports.EndReport:
+    run_id = calls.RunId(benches.task(), 1)
+    return reports.EndReport(number, run_id, DONE, '')
+
+
+def _report(
+    fleet: fleets.Fleet,
+    worker: workers.Worker,
+    ended: tuple[reports.EndReport, ...] = (),
+) -> None:
+    """Apply an answer of a worker to a poll that is sent now."""
+    status = reports.WorkerStatus(
+        clock_s=0, born_ms=worker.entry.born_ms, running=(), ended=ended
+    )
+    fleet.reconciler.reconcile(worker, status, fleet.clock.monotonic_s())
+
+
+load_tests = functions.loader(__name__, {'fleet': fleets.fleet})
