Show requests that a later boot of a worker carries out

The clock of each boot now counts from its birth. A lease ends by itself, at most `bounds.lease_s` after the request arrived, also if a start was refused as outdated. Starts, polls and stops may be carried out late, by the boot that lives then under the id. A poll that waits while its boot ends gets no answer (it returned the list of the boot that had ended). Boots may be born without registration, and a former entry may be written again.

--- a/libs/scheduler/tests/scheduler_bench.py
+++ b/libs/scheduler/tests/scheduler_bench.py
@@ -132,9 +132,9 @@
         self._log = decision_log()
 
     def add_worker(
-        self, name: str, born_ms: int = 1
+        self, name: str, born_ms: int = 1, registered: bool = True
     ) -> task_workers.FakeWorker:
-        """Register a worker with capacity for four tasks of ``job``."""
+        """Boot a worker with capacity for four tasks of ``job``."""
         entry = reports.WorkerEntry(
             id=name,
             born_ms=born_ms,
@@ -146,13 +146,17 @@
         )
         worker = self.workers.create(entry)
         self.workers.by_id[name] = worker
-        self.add_entry(entry)
+        if registered:
+            self.add_entry(entry)
         return worker
 
-    def add_entry(self, entry: reports.WorkerEntry) -> None:
-        """Register a worker, or register it again."""
-        self.entries_by_id[entry.id] = entry
-        self.put(f'workers/{entry.id}', entry.id.encode())
+    def add_entry(
+        self, entry: reports.WorkerEntry, former: bool = False
+    ) -> None:
+        """Register a worker, or register it or a former boot again."""
+        name = f'{entry.id}/{entry.born_ms}' if former else entry.id
+        self.entries_by_id[name] = entry
+        self.put(f'workers/{entry.id}', name.encode())
 
     def remove_worker(self, name: str) -> None:
         """Remove the registration of a worker that goes on answering."""
--- a/libs/scheduler/tests/test_scheduler_fuzz.py
+++ b/libs/scheduler/tests/test_scheduler_fuzz.py
@@ -92,7 +92,9 @@
         self.loop = async_solipsism.EventLoop()
         self.clock = LoopClock(self.loop)
         self.oracle = oracles.Oracle(benches.QUEUE.max_attempts)
-        self.workers = oracles.Workers(self.oracle, self.loop.time)
+        self.workers = oracles.Workers(
+            self.oracle, self.loop, lambda: self.bench.bounds.lease_s
+        )
         self.bench = benches.Bench(self.clock, self.workers)
         self.workers.is_recorded = leases.extension_check(self.bench)
         for name in NAMES:
@@ -232,15 +234,14 @@
         faulty = self.workers.by_id[worker]
         if fault == 'restart':
             self.born_ms += 1
-            faulty.lapse()  # type: ignore[attr-defined]
             self.oracle.crashes.update(faulty.running)
             self.bench.add_worker(worker, self.born_ms)
         elif fault == 'lose':
             faulty.lose_answers += 1
         elif fault == 'late':
-            faulty.late = True  # type: ignore[attr-defined]
+            self._delay(worker, oracles.Call.START, oracles.LATE_START_S)
         elif fault == 'late-poll':
-            faulty.late_poll = True  # type: ignore[attr-defined]
+            self._delay(worker, oracles.Call.POLL, oracles.LATE_POLL_S)
         else:
             faulty.down = fault == 'cut'
 
@@ -294,6 +295,12 @@
         finally:
             self.simulation.close()
 
+    def _delay(self, worker: str, call: oracles.Call, delay_s: float) -> None:
+        """Let the next request of a kind be carried out late."""
+        slow = self.workers.by_id[worker]
+        assert isinstance(slow, oracles.Worker)
+        slow.delays_s[call] = delay_s
+
 
 class RacingMachine(SchedulerMachine):
     """Adds combined faults whose timing single rules seldom produce."""
--- /dev/null
+++ b/libs/scheduler/tests/test_scheduler_reborn.py
@@ -0,0 +1,177 @@
+"""Workers that start again under their ids, and are cut off; time is virtual.
+
+A request names the id of a worker only, so that a later boot may carry it out.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Iterator
+
+import scheduler_bench as benches
+import scheduler_oracle as oracles
+import scheduler_takeovers as takeovers
+import test_scheduler_fuzz as simulations
+
+from jackdawlatch.scheduler import cluster_state, reports
+from jackdawlatch.testing import functions
+
+# The worker that starts again; the others are cut off before.
+NAME = 'w1'
+TASK = benches.task('long')
+LONGEST_LEASE = cluster_state.Bounds(lease_s=10, stop_s=0.05)
+SOON_S = 0.1
+# Longer than any lease and the time to restart a task after it.
+LONG_S = 15.0
+NEVER_S = 100.0
+
+
+async def test_run_of_a_later_boot_is_started_elsewhere():
+    def scenario(simulation: simulations.Simulation) -> None:
+        later = _boot(simulation)
+        _start(simulation)
+        assert TASK in later.running
+        # The answer to the first poll that is sent to it is lost.
+        later.delays_s[oracles.Call.POLL] = NEVER_S
+        simulation.bench.add_entry(later.entry)
+        _check_runs_once(simulation)
+
+    await asyncio.to_thread(_play, scenario)
+
+
+async def test_later_boot_counts_as_having_no_lease():
+    def scenario(simulation: simulations.Simulation) -> None:
+        later = _boot(simulation)
+        later.lose_answers = 1
+        later.delays_s[oracles.Call.STOP] = NEVER_S
+        _start(simulation)
+        # A poll has found it.
+        later.down = True
+        _check_runs_once(simulation)
+
+    await asyncio.to_thread(_play, scenario)
+
+
+async def test_longest_lease_of_a_later_boot_is_not_counted():
+    def scenario(simulation: simulations.Simulation) -> None:
+        simulation.run(LONG_S)
+        later = _boot(simulation)
+        _start(simulation)
+        later.down = True
+        _check_runs_once(simulation)
+
+    await asyncio.to_thread(_play, scenario, LONGEST_LEASE)
+
+
+async def test_later_boot_has_no_lease_after_a_takeover():
+    def scenario(simulation: simulations.Simulation) -> None:
+        later = _boot(simulation)
+        _start(simulation)
+        later.down = True
+        simulation.bench.add_entry(later.entry)
+        takeovers.hand_over(simulation)
+        _check_runs_once(simulation)
+
+    await asyncio.to_thread(_play, scenario)
+
+
+async def test_entry_of_a_former_boot_replaces_a_later_one():
+    def scenario(simulation: simulations.Simulation) -> None:
+        former = simulation.workers.by_id[NAME].entry
+        later = simulation.bench.add_worker(NAME, born_ms=2)
+        simulation.run(takeovers.PROMPT_S)
+        _start(simulation)
+        assert TASK in later.running
+        simulation.bench.add_entry(former, former=True)
+        _check_runs_once(simulation)
+
+    await asyncio.to_thread(_play, scenario)
+
+
+async def test_ends_of_a_later_boot_are_acknowledged_unread():
+    def scenario(simulation: simulations.Simulation) -> None:
+        _lose_poll(simulation, delay_s=4)
+        later = simulation.bench.add_worker(NAME, born_ms=2)
+        simulation.run(3)
+        _start(simulation, lasting=False)
+        _lose_poll(simulation, delay_s=NEVER_S)
+        later.end(TASK, reports.EndKind.DONE)
+        _check_runs_once(simulation)
+
+    await asyncio.to_thread(_play, scenario)
+
+
+async def test_run_of_a_boot_found_by_a_poll_is_lost():
+    def scenario(simulation: simulations.Simulation) -> None:
+        later = _boot(simulation)
+        later.start_answer_s = 1.0
+        _start(simulation)
+        assert TASK in later.running
+        _check_runs_once(simulation)
+
+    await asyncio.to_thread(_play, scenario)
+
+
+def _play(
+    scenario: Callable[[simulations.Simulation], None],
+    bounds: cluster_state.Bounds | None = None,
+) -> None:
+    """Run a scenario that begins with one idle worker in touch."""
+    with _idle(bounds) as simulation:
+        scenario(simulation)
+
+
+@contextlib.contextmanager
+def _idle(
+    bounds: cluster_state.Bounds | None,
+) -> Iterator[simulations.Simulation]:
+    simulation = simulations.Simulation()
+    try:
+        simulation.bench.bounds = bounds or simulation.bench.bounds
+        takeovers.hand_over(simulation)
+        while simulation.unfinished():
+            simulation.run(simulations.TASK_S)
+            simulation.end_all()
+        for worker in simulation.workers.by_id.values():
+            worker.down = worker.entry.id != NAME
+        simulation.run(takeovers.PROMPT_S)
+        yield simulation
+    finally:
+        simulation.close()
+
+
+def _boot(simulation: simulations.Simulation) -> oracles.Worker:
+    """Start the worker again, without registration."""
+    later = simulation.bench.add_worker(NAME, 2, registered=False)
+    assert isinstance(later, oracles.Worker)
+    return later
+
+
+def _start(simulation: simulations.Simulation, lasting: bool = True) -> None:
+    """Let the leader start the task on the worker; the others come back."""
+    takeovers.submit(simulation, benches.job(TASK.job, lasting=lasting))
+    simulation.run(SOON_S)
+    for worker in simulation.workers.by_id.values():
+        if worker.entry.id != NAME:
+            worker.down = False
+
+
+def _lose_poll(simulation: simulations.Simulation, delay_s: float) -> None:
+    """Wait until a poll of the worker is sent that is carried out late."""
+    worker = simulation.workers.by_id[NAME]
+    assert isinstance(worker, oracles.Worker)
+    worker.delays_s[oracles.Call.POLL] = delay_s
+    while worker.delays_s:
+        simulation.run(simulations.POLL_S)
+
+
+def _check_runs_once(simulation: simulations.Simulation) -> None:
+    """Check that the task runs, or is done, and did not run twice."""
+    simulation.run(LONG_S)
+    violations = simulation.workers.violations
+    assert not violations, violations[0]
+    running = any(TASK in one.running for one in simulation.workers.alive())
+    done = TASK in simulation.oracle.done
+    assert running or done, f'{TASK.name} does not run'
+
+
+load_tests = functions.loader(__name__)
--- a/libs/standins/src/jackdawlatch/standins/task_workers.py
+++ b/libs/standins/src/jackdawlatch/standins/task_workers.py
@@ -78,6 +78,17 @@
         self.token = max(self.token, token)
         return token == self.token
 
+    def accept(self, poll: calls.Poll) -> bool:
+        """Carry out a poll but for its answer; return False if refused."""
+        admitted = self.admit(poll.token)
+        if admitted:
+            self.acknowledge(poll.acked)
+        return admitted
+
+    def acknowledge(self, number: int) -> None:
+        """Forget the ends up to a number."""
+        self.ends = [end for end in self.ends if end.number > number]
+
     def status(self) -> reports.WorkerStatus:
         """Return the running attempts and the unacknowledged ends."""
         return reports.WorkerStatus(
@@ -135,14 +146,14 @@
         if worker.down:
             await asyncio.sleep(END_POLL_S)
             return _unanswered()
-        if not worker.admit(poll.token):
+        if not worker.accept(poll):
             return result.Failure(_refused(calls.Refusal.FENCED))
-        worker.ends = [end for end in worker.ends if end.number > poll.acked]
         waited_s: float = 0
         while not worker.ends and waited_s < poll.wait_s:
             await asyncio.sleep(END_POLL_S)
             waited_s += END_POLL_S
-        if worker.down:
+        # A boot that has ended answers nothing.
+        if worker.down or self.by_id[target.id] is not worker:
             return _unanswered()
         status = worker.status()
         await worker.answers_polls.wait()
