Let no entry of a former boot replace a living worker

Callers could see a task run twice. The answer to a poll shows a new boot of a worker before the store does. An entry of the boot before that was read after that, by a scan or a late write, was taken for yet another boot, since every other birth was: the runs of the living boot were released as ended and started elsewhere, and the next poll brought the boot back.

The registry now takes an entry for another boot only if it is born later, and logs registration-outdated otherwise. The answer to a poll still replaces a worker whatever its birth, since a former boot cannot answer.

--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -23,13 +23,23 @@
         self._boots = boots.Boots(cluster, self._crash_blame)
 
     def register(self, entry: reports.WorkerEntry) -> workers.Worker:
-        """Add or update a worker; return the state of that boot."""
-        by_id = self._cluster.workers_by_id
-        known = by_id.get(entry.id)
-        if known is not None and known.entry.born_ms == entry.born_ms:
+        """Add or update a worker; return the state of that boot.
+
+        Entries may be read late, so that one of an earlier boot changes nothing.
+        """
+        known = self._cluster.workers_by_id.get(entry.id)
+        if known is None or entry.born_ms > known.entry.born_ms:
+            return self._boots.add(entry, 'registration')
+        if entry.born_ms == known.entry.born_ms:
             self._update(known, entry)
-            return known
-        return self._boots.add(entry, 'registration')
+        else:
+            self._cluster.dependencies.log.note(
+                'registration-outdated',
+                worker=entry.id,
+                born=entry.born_ms,
+                known_born=known.entry.born_ms,
+            )
+        return known
 
     def find_boot(self, known: workers.Worker, born_ms: int) -> None:
         """Replace a worker by the boot that has answered a poll."""
--- a/libs/scheduler/tests/test_scheduler_boots.py
+++ b/libs/scheduler/tests/test_scheduler_boots.py
@@ -36,6 +36,18 @@
     assert (missing['expected'], missing['number']) == (1, 3)
 
 
+def test_former_registration_replaces_a_living_boot(fleet):
+    """A poll may tell of a boot before the entry of the former one changes."""
+    task = fleet.add_job()
+    former = fleet.boot('w1')
+    fleet.registry.find_boot(former, born_ms=9)
+    found = fleet.cluster.workers_by_id['w1']
+    run = fleet.start(task, found)
+    fleet.registry.register(former.entry)
+    assert fleet.cluster.workers_by_id['w1'] is found
+    assert task.run is run
+
+
 def _logged(change: Callable[[], None]) -> dict[str, dict[str, object]]:
     """Return the last line of each event that a change has logged."""
     with mock.patch.object(decisions.DecisionLog, 'note') as note:
