Poll a boot as soon as it is found, and start nothing there until it registers

A worker that had started again under its id could be found by the answer to a poll, up to a heartbeat before it registered.

- nobody polled it: only a registration added a poll loop.
- tasks were placed on it by the room and the labels of the boot before, though a new boot may be of another kind.

Each new boot now gets a poll loop, whatever has shown it. One that was found by a poll counts as not registered until its own entry is read, and takes over neither the notice nor the remaining time of a former boot that was leaving.

--- a/libs/scheduler/src/jackdawlatch/scheduler/boots.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/boots.py
@@ -23,7 +23,8 @@
         by_id = self._cluster.workers_by_id
         known = by_id.get(entry.id)
         worker = self._cluster.add_worker(entry)
-        self._cluster.on_new_worker(worker)
+        for notify in self._cluster.on_new_worker:
+            notify(worker)
         for other in tuple(by_id.values()):
             if other is not worker and _is_successor(entry, other.entry):
                 self._replace(other, worker, found_by)
--- a/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
@@ -46,7 +46,7 @@
     ``on_change`` is called when tasks may have become ready or capacity free,
     ``on_unwanted_run`` with each run that has to be stopped,
     ``on_unsettled_run`` with each run whose start has an unknown outcome, and
-    ``on_new_worker`` with each boot of a worker that registers.
+    each of ``on_new_worker`` with each new boot of a worker.
     """
 
     def __init__(
@@ -61,7 +61,7 @@
             _ignore
         )
         self.on_unsettled_run: Callable[[runs.Run], None] = _ignore
-        self.on_new_worker: Callable[[workers.Worker], None] = _ignore
+        self.on_new_worker: tuple[Callable[[workers.Worker], None], ...] = ()
         self.dependencies = dependencies
         # No earlier leader extends a lease after this.
         self.began_s = self.now_s
--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -165,7 +165,7 @@
                 dependencies.settings.waves,
             )
         )
-        self.cluster.on_new_worker = self.waves.cordon
+        self.cluster.on_new_worker = (self.waves.cordon, self._poller.add)
 
     async def run(self) -> None:
         """Run every scheduler loop until the leadership is lost."""
--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -42,10 +42,14 @@
         return known
 
     def find_boot(self, known: workers.Worker, born_ms: int) -> None:
-        """Replace a worker by the boot that has answered a poll."""
-        self._boots.add(
-            dataclasses.replace(known.entry, born_ms=born_ms), 'poll'
+        """Replace a worker by the boot that has answered a poll.
+
+        It gets no tasks until it registers: its room and labels may differ.
+        """
+        entry = dataclasses.replace(
+            known.entry, born_ms=born_ms, draining=False, remaining_s=None
         )
+        self._boots.add(entry, 'poll').registered = False
 
     def unregister(self, worker_id: str) -> None:
         """Mark a worker whose entry was deleted."""
--- a/libs/scheduler/tests/test_scheduler_boots.py
+++ b/libs/scheduler/tests/test_scheduler_boots.py
@@ -3,17 +3,22 @@
 A request names the id of a worker only, so that a later boot may carry it out.
 """
 
+import asyncio
+import dataclasses
 from collections.abc import Callable
 from unittest import mock
 
 import scheduler_bench as benches
 import scheduler_fleets as fleets
 
-from jackdawlatch.scheduler import calls, reports, workers
+from jackdawlatch.jobs import stored
+from jackdawlatch.scheduler import calls, reports, runs, workers
 from jackdawlatch.telemetry import decisions
-from jackdawlatch.testing import functions
+from jackdawlatch.testing import functions, waiting
 
 DONE = reports.EndKind.DONE
+# Long enough for a few polls and a round of placements.
+SETTLED_S = 0.3
 
 
 def test_logs_do_not_tell_boots_apart(fleet):
@@ -48,6 +53,35 @@
     assert task.run is run
 
 
+async def test_task_starts_on_a_boot_that_is_not_registered(bench):
+    """Its room and labels may differ, and without an entry it was not polled."""
+    former = bench.add_worker('w1')
+    former.lost_starts = asyncio.Event()
+    bench.submit(benches.job())
+    async with bench.lead() as leader:
+        known = leader.cluster.workers_by_id
+        await waiting.until(lambda: _phases(known) == {runs.RunPhase.ORDERED})
+        entry = dataclasses.replace(former.entry, born_ms=2)
+        again = bench.workers.create(entry)
+        bench.workers.by_id['w1'] = again
+        former.lost_starts.set()
+        await waiting.until(lambda: again.token)
+        await asyncio.sleep(SETTLED_S)
+        assert not again.started_runs
+        bench.add_entry(entry)
+        await waiting.until(lambda: again.running)
+        again.end(benches.task(), DONE)
+        await waiting.until(lambda: bench.phase('a') is stored.JobPhase.DONE)
+
+
+def _phases(by_id: dict[str, workers.Worker]) -> set[runs.RunPhase]:
+    return {
+        run.phase
+        for worker in by_id.values()
+        for run in worker.runs_by_task.values()
+    }
+
+
 def _logged(change: Callable[[], None]) -> dict[str, dict[str, object]]:
     """Return the last line of each event that a change has logged."""
     with mock.patch.object(decisions.DecisionLog, 'note') as note:
@@ -72,4 +106,6 @@
     fleet.reconciler.reconcile(worker, status, fleet.clock.monotonic_s())
 
 
-load_tests = functions.loader(__name__, {'fleet': fleets.fleet})
+load_tests = functions.loader(
+    __name__, {'bench': benches.bench, 'fleet': fleets.fleet}
+)
