Keep a run that a later boot may have begun when its worker is replaced

Cause: a request names a worker by its id. A start that was sent before the leader knew of a new boot was carried out and answered by that boot. If the worker is cut off just then, the stop of the first run does not arrive.

Only an answer to a poll names the boot, so only a run that a poll of the former boot has listed is known to have ended with it. Any other one whose start was sent moves to the new boot, whose answers show whether it is there. A start that was not sent is released.

--- a/libs/scheduler/src/jackdawlatch/scheduler/boots.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/boots.py
@@ -44,16 +44,28 @@
         _note_replaced(self._cluster, old, new, found_by)
         doomed = self._crash_blame.blame(old, ended=True)
         for run in tuple(old.runs_by_task.values()):
-            if same_id and run.phase is not runs.RunPhase.RUNNING:
-                # A delayed start may still reach the new boot.
-                old.drop(run)
-                run.worker = new
-                new.add(run)
-                self._cluster.on_unsettled_run(run)
+            if same_id and _may_be_on_next(run):
+                self._move(run, new)
             else:
                 self._cluster.release(run, 'worker-replaced')
         self._crash_blame.give_up(doomed)
 
+    def _move(self, run: runs.Run, new: workers.Worker) -> None:
+        """Let the answers of the new boot show whether a run is there."""
+        run.worker.drop(run)
+        run.worker = new
+        new.add(run)
+        self._cluster.dependencies.progress_writer.enqueue(run.task.job)
+        self._cluster.on_unsettled_run(run)
+
+
+def _may_be_on_next(run: runs.Run) -> bool:
+    """Whether the boot after the one that was addressed may have a run.
+
+    It may have answered the start itself.
+    """
+    return run.phase is not runs.RunPhase.WRITING and not run.listed
+
 
 def _is_successor(new: reports.WorkerEntry, old: reports.WorkerEntry) -> bool:
     """Whether ``new`` is a later boot of the machine of ``old``."""
--- a/libs/scheduler/tests/scheduler_fleets.py
+++ b/libs/scheduler/tests/scheduler_fleets.py
@@ -74,10 +74,15 @@
         worker: workers.Worker,
         phase: runs.RunPhase = runs.RunPhase.RUNNING,
     ) -> runs.Run:
-        """Start the next attempt at a task."""
+        """Start the next attempt at a task; a poll lists a running one."""
         attempt = task.attempt + 1
         worker.extend_lease(workers.LEASE_S, self.clock.monotonic_s())
-        return self.cluster.assign(task, worker, attempt, phase)
+        run = self.cluster.assign(task, worker, attempt, phase)
+        if phase is runs.RunPhase.RUNNING:
+            run.update(
+                reports.RunReport(run.run_id, '', 0), self.clock.monotonic_s()
+            )
+        return run
 
     def reserve(self, *pool: workers.Worker) -> reservations.Reservations:
         """Return the free capacity of the workers of the service."""
--- a/libs/scheduler/tests/test_scheduler_boots.py
+++ b/libs/scheduler/tests/test_scheduler_boots.py
@@ -31,7 +31,7 @@
     assert replaced['successor_born'] == 9
     assert replaced['found_by'] == 'poll'
     assert lines['released']['born'] == former.entry.born_ms
-    assert not lines['released']['listed']
+    assert lines['released']['listed']
 
 
 def test_discarded_ends_are_not_logged(fleet):
@@ -74,6 +74,26 @@
         await waiting.until(lambda: bench.phase('a') is stored.JobPhase.DONE)
 
 
+def test_run_of_a_later_boot_is_taken_for_a_former_one(fleet):
+    """The later boot may have answered the start, at once."""
+    task = fleet.add_job()
+    former = fleet.boot('w1')
+    run = fleet.cluster.assign(task, former, 1, runs.RunPhase.RUNNING)
+    later = fleet.boot('w1')
+    assert task.run is run
+    _report(fleet, later, running=(_running(run),))
+    assert (task.run, run.worker) == (run, later)
+    assert run.phase is runs.RunPhase.RUNNING
+
+
+def test_unsent_start_moves_to_the_next_boot(fleet):
+    task = fleet.add_job()
+    run = fleet.cluster.assign(task, fleet.boot('w1'), 1, runs.RunPhase.WRITING)
+    later = fleet.boot('w1')
+    assert not task.run
+    assert run not in later.runs_by_task.values()
+
+
 def _phases(by_id: dict[str, workers.Worker]) -> set[runs.RunPhase]:
     return {
         run.phase
@@ -94,14 +114,19 @@
     return reports.EndReport(number, run_id, DONE, '')
 
 
+def _running(run: runs.Run) -> reports.RunReport:
+    return reports.RunReport(run.run_id, '', 100)
+
+
 def _report(
     fleet: fleets.Fleet,
     worker: workers.Worker,
+    running: tuple[reports.RunReport, ...] = (),
     ended: tuple[reports.EndReport, ...] = (),
 ) -> None:
     """Apply an answer of a worker to a poll that is sent now."""
     status = reports.WorkerStatus(
-        clock_s=0, born_ms=worker.entry.born_ms, running=(), ended=ended
+        clock_s=0, born_ms=worker.entry.born_ms, running=running, ended=ended
     )
     fleet.reconciler.reconcile(worker, status, fleet.clock.monotonic_s())
 
