Count the leases that requests for an earlier boot give to a later one

Callers saw a task run twice at once after its worker had started again under its id and was cut off. The leader gave the new boot no lease: a run whose start had no answer moved there and was released as lease-over at the next tick, 0.2 s later, though the start could still be carried out.

Ruled out: lateness of the clock reading; with 2 % drift it explains 0.1 s.

A boot that replaces another one now counts as holding the longest lease from the last moment at which a request for an earlier boot may be carried out, 12 s from then, and from its first answer on as holding the longest lease from that answer. The same holds for a run whose record names another boot than the one that is known.

The cost: the tasks of a worker that is lost for good within some seconds after it had started again wait up to 4 s longer where the longest lease is 10 s.

A boot of the tests' fleet that counts as reachable now has answered; boots that have not are asked for.

--- a/libs/scheduler/src/jackdawlatch/scheduler/boots.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/boots.py
@@ -29,6 +29,9 @@
             if other is not worker and _is_successor(entry, other.entry):
                 self._replace(other, worker, found_by)
         if known is not None:
+            worker.lease.expect_late_requests(
+                self._cluster.dependencies.bounds.lease_s, self._cluster.now_s
+            )
             self._replace(known, worker, found_by)
         self._cluster.on_change()
         return worker
--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -116,7 +116,7 @@
             return False
         requested_s = self._clock.monotonic_s()
         if lease_s is not None:
-            worker.extend_lease(lease_s, requested_s)
+            worker.lease.extend(lease_s, requested_s)
             lease_s += worker.clock_s(requested_s)
         polled = await self._dependencies.client.poll(
             worker.target,
@@ -162,7 +162,7 @@
             if obstacle:
                 self._dependencies.cluster.release(run, obstacle)
                 continue
-            run.worker.extend_lease(START_EXPIRY_S, now_s)
+            run.worker.lease.extend(START_EXPIRY_S, now_s)
             run.mark_sent(now_s)
             run.phase = runs.RunPhase.ORDERED
             self._dependencies.spawn(self._start(order, now_s))
--- a/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
@@ -96,11 +96,12 @@
             worker.registered = False
         end_s = worker.lease.end_s
         recorded = worker.lease.record is not None
-        if not recorded or worker.entry.born_ms != progress.born_ms:
-            longest_s = self._cluster.dependencies.bounds.lease_s
-            worker.extend_lease(
-                workers.granted_lease_s(longest_s), self._cluster.began_s
-            )
+        began_s = self._cluster.began_s
+        longest_s = self._cluster.dependencies.bounds.lease_s
+        if worker.entry.born_ms != progress.born_ms:
+            worker.lease.expect_late_requests(longest_s, began_s)
+        elif not recorded:
+            worker.lease.extend(workers.granted_lease_s(longest_s), began_s)
         if worker.lease.end_s > end_s or not worker.runs_by_task:
             self._cluster.dependencies.log.note(
                 'lease-assumed',
--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -43,6 +43,9 @@
         worker.reachable = True
         worker.health.lost_s = None
         worker.health.silent = False
+        worker.lease.record_answer(
+            self._cluster.dependencies.bounds.lease_s, self._cluster.now_s
+        )
         for end in status.ended:
             if end.number > worker.last_end_number:
                 self._note_gap(worker, end.number)
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -18,6 +18,9 @@
 LEASE_S = 6.0
 # The documented relative error of a worker's monotonic clock.
 CLOCK_DRIFT_FRACTION = 0.02
+# A request without an answer may be carried out so much later, by the boot that
+# then has the id of its worker.
+LATE_REQUEST_S = 12.0
 
 # The id and the birth of a worker.
 Boot = tuple[str, int]
@@ -69,6 +72,28 @@
     def __init__(self) -> None:
         self.end_s: float = 0
         self.record: LeaseRecord | None = None
+        self._late_expected = False
+
+    def extend(self, lease_s: float, now_s: float) -> None:
+        """Record the latest end of a lease requested at ``now_s``."""
+        self.end_s = max(self.end_s, _lease_end_s(lease_s, now_s))
+
+    def expect_late_requests(self, longest_s: float, now_s: float) -> None:
+        """Count the leases that requests for an earlier boot may still give.
+
+        Their deadlines are times on another clock, so each may give the longest.
+        """
+        self._late_expected = True
+        self.extend(longest_s, now_s + LATE_REQUEST_S)
+
+    def record_answer(self, longest_s: float, now_s: float) -> None:
+        """Expect no late requests any more, since the boot has answered.
+
+        ``longest_s`` is the longest lease that one may have given before.
+        """
+        if self._late_expected:
+            self._late_expected = False
+            self.end_s = min(self.end_s, _lease_end_s(longest_s, now_s))
 
 
 class Worker:
@@ -127,11 +152,6 @@
         """Record a reading of the worker's clock."""
         self._clock_offset_s = clock_s - now_s
 
-    def extend_lease(self, lease_s: float, now_s: float) -> None:
-        """Record the latest end of a lease requested at ``now_s``."""
-        end_s = now_s + lease_s * (1 + CLOCK_DRIFT_FRACTION)
-        self.lease.end_s = max(self.lease.end_s, end_s)
-
     def add(self, run: runs.Run) -> None:
         """Add a run and reserve its capacity."""
         self.runs_by_task[run.task.id] = run
@@ -168,6 +188,10 @@
         return acknowledge
 
 
+def _lease_end_s(lease_s: float, now_s: float) -> float:
+    return now_s + lease_s * (1 + CLOCK_DRIFT_FRACTION)
+
+
 def granted_lease_s(longest_s: float) -> float:
     """Return the lease that leaders grant where workers accept ``longest_s``."""
     return min(LEASE_S, longest_s)
--- a/libs/scheduler/tests/scheduler_fleets.py
+++ b/libs/scheduler/tests/scheduler_fleets.py
@@ -20,6 +20,8 @@
     workers,
 )
 
+LONGEST_LEASE_S = 2.0
+
 
 class Fleet:
     """A cluster state without a leader, whose workers crash on request."""
@@ -33,7 +35,7 @@
                     benches.Bench().store, persistence.Term('a', 1)
                 ),
                 benches.decision_log(),
-                cluster_state.Bounds(lease_s=2, stop_s=0.1),
+                cluster_state.Bounds(LONGEST_LEASE_S, stop_s=0.1),
             ),
             queues.Catalog(1, (benches.QUEUE,)),
         )
@@ -50,7 +52,9 @@
         job = self.cluster.jobs_by_id[job_id]
         return job.steps[0].tasks[0]
 
-    def boot(self, name: str, machine: str = '') -> workers.Worker:
+    def boot(
+        self, name: str, machine: str = '', answers: bool = True
+    ) -> workers.Worker:
         """Register a later boot of a worker, or of another on its machine."""
         self.born_ms += 1
         worker = self.registry.register(
@@ -64,8 +68,11 @@
                 room=model.Room(processors_m=4000, memory_mb=4000),
             )
         )
-        worker.reachable = True
-        worker.last_poll_s = self.clock.monotonic_s()
+        if answers:
+            now_s = self.clock.monotonic_s()
+            worker.reachable = True
+            worker.last_poll_s = now_s
+            worker.lease.record_answer(LONGEST_LEASE_S, now_s)
         return worker
 
     def start(
@@ -76,7 +83,7 @@
     ) -> runs.Run:
         """Start the next attempt at a task; a poll lists a running one."""
         attempt = task.attempt + 1
-        worker.extend_lease(workers.LEASE_S, self.clock.monotonic_s())
+        worker.lease.extend(workers.LEASE_S, self.clock.monotonic_s())
         run = self.cluster.assign(task, worker, attempt, phase)
         if phase is runs.RunPhase.RUNNING:
             run.update(
--- a/libs/scheduler/tests/test_scheduler_boots.py
+++ b/libs/scheduler/tests/test_scheduler_boots.py
@@ -86,6 +86,37 @@
     assert run.phase is runs.RunPhase.RUNNING
 
 
+def test_run_is_released_before_the_next_boot_answers(fleet):
+    """Its start may be carried out late, and get the longest lease."""
+    task = fleet.add_job()
+    run = fleet.cluster.assign(
+        task, fleet.boot('w1'), 1, runs.RunPhase.UNSETTLED
+    )
+    later = fleet.boot('w1', answers=False)
+    fleet.clock.advance(workers.LATE_REQUEST_S)
+    fleet.registry.release_expired_runs(later)
+    assert task.run is run
+    fleet.clock.advance(2 * fleets.LONGEST_LEASE_S)
+    fleet.registry.release_expired_runs(later)
+    assert not task.run
+
+
+def test_lease_granted_to_a_former_boot_is_not_counted(fleet):
+    """A request with a deadline on another clock gives the longest lease."""
+    fleet.boot('w1')
+    later = fleet.boot('w1', answers=False)
+    _report(fleet, later)
+    task = fleet.add_job()
+    run = fleet.cluster.assign(task, later, 1, runs.RunPhase.RUNNING)
+    fleet.lose(later)
+    fleet.clock.advance(fleets.LONGEST_LEASE_S)
+    fleet.registry.release_expired_runs(later)
+    assert task.run is run
+    fleet.clock.advance(fleets.LONGEST_LEASE_S)
+    fleet.registry.release_expired_runs(later)
+    assert not task.run
+
+
 def test_unsent_start_moves_to_the_next_boot(fleet):
     task = fleet.add_job()
     run = fleet.cluster.assign(task, fleet.boot('w1'), 1, runs.RunPhase.WRITING)
