Fence each boot of a worker by a token above all requests before

Callers saw a task started again after a run of it had ended as done and its end was acknowledged.

The class: a worker is its id and its birth, but a request carries the id only. A start, stop, poll or lease of the leader may reach a later boot, up to 12 s late. The one field that a worker compares is the fencing token, and a new boot has seen none.

So a leader now raises the token once it gets no answer from a worker, or learns of a new boot: the next request carries the revision of a write that requires the leadership, which is above every token before and below those of the next leader. Nothing else is sent to the boot before that, and starts only after its first answer, so that every request before is refused from that answer on. A run that moved to the new boot is settled by that answer; stopping it there is not needed any more. Requests to a worker that did not answer acknowledge nothing. A request that a later one of the same leader has overtaken is refused too; it no longer ends the term.

Ruled out: changing the leadership key instead, whose revision every write of the leader requires. Workers that are lost together share one write.

What a boot carries out before its first answer can't be prevented; its leases are counted, and ends that it loses are logged as ends-missing.

--- a/libs/jobs/src/jackdawlatch/jobs/stored.py
+++ b/libs/jobs/src/jackdawlatch/jobs/stored.py
@@ -15,6 +15,8 @@
 LEADER_KEY = 'fleet/leader'
 PENDING_KEY = 'fleet/pending'
 LEASES_KEY = 'fleet/leases'
+# No process watches it.
+FENCE_KEY = 'fence'
 
 
 class JobPhase(enum.StrEnum):
--- a/libs/scheduler/src/jackdawlatch/scheduler/boots.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/boots.py
@@ -59,7 +59,9 @@
         run.worker = new
         new.add(run)
         self._cluster.dependencies.progress_writer.enqueue(run.task.job)
-        self._cluster.on_unsettled_run(run)
+        run.phase = runs.RunPhase.UNSETTLED
+        # The new boot refuses the start from its first answer on.
+        run.settled_after_s = self._cluster.now_s
 
 
 def _may_be_on_next(run: runs.Run) -> bool:
--- a/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
@@ -44,9 +44,8 @@
     """Jobs and workers by id.
 
     ``on_change`` is called when tasks may have become ready or capacity free,
-    ``on_unwanted_run`` with each run that has to be stopped,
-    ``on_unsettled_run`` with each run whose start has an unknown outcome, and
-    each of ``on_new_worker`` with each new boot of a worker.
+    ``on_unwanted_run`` with each run that has to be stopped, and each of
+    ``on_new_worker`` with each new boot of a worker.
     """
 
     def __init__(
@@ -60,7 +59,6 @@
         self.on_unwanted_run: Callable[[workers.Worker, calls.RunId], None] = (
             _ignore
         )
-        self.on_unsettled_run: Callable[[runs.Run], None] = _ignore
         self.on_new_worker: tuple[Callable[[workers.Worker], None], ...] = ()
         self.dependencies = dependencies
         # No earlier leader extends a lease after this.
--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import functools
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -31,6 +30,7 @@
     worker_registry,
 )
 from jackdawlatch.scheduler import departures as worker_departures
+from jackdawlatch.scheduler import fences as worker_fences
 from jackdawlatch.scheduler import lease_records as leases
 from jackdawlatch.scheduler import pools as machine_pools
 from jackdawlatch.store import following, keyvalue, transactions
@@ -98,13 +98,21 @@
         )
         job_lateness = lateness.Lateness()
         self._registry = worker_registry.WorkerRegistry(self.cluster)
+        fences = worker_fences.Fences(
+            worker_fences.Dependencies(
+                dependencies.store,
+                term,
+                self._leading,
+                self._progress_writer.deposed,
+            )
+        )
         dispatcher = dispatch.Dispatcher(
             dispatch.Dependencies(
                 self.cluster,
                 self._registry,
                 reconciliation.Reconciler(self.cluster, job_lateness),
                 self._progress_writer,
-                term,
+                fences,
                 dependencies.worker_client,
                 self._leading,
                 self._held,
@@ -112,7 +120,6 @@
             )
         )
         self.cluster.on_unwanted_run = dispatcher.stop
-        self.cluster.on_unsettled_run = dispatcher.settle
         self._dispatcher = dispatcher
         self._lease_records = leases.LeaseRecords(
             leases.Dependencies(
@@ -128,7 +135,12 @@
             self.cluster, dispatcher, self._lease_records, self._spawn
         )
         self._pacer = pacing.FillerPacer(
-            pacing.Dependencies(dependencies.worker_client, term, self._leading)
+            pacing.Dependencies(
+                self.cluster.workers_by_id,
+                dependencies.worker_client,
+                fences,
+                self._leading,
+            )
         )
         self._pools = machine_pools.Pools(
             machine_pools.Dependencies(
@@ -224,7 +236,7 @@
                     self.cluster, self._dispatcher, self._leading, self._spawn
                 )
             ).run,
-            functools.partial(self._pacer.run, self.cluster.workers_by_id),
+            self._pacer.run,
         )
         for loop in loops:
             self._spawn(
--- a/libs/scheduler/src/jackdawlatch/scheduler/pacing.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/pacing.py
@@ -11,7 +11,7 @@
 
 from jackdawlatch.scheduler import (
     clients,
-    persistence,
+    fences,
     runs,
     workers,
 )
@@ -28,8 +28,9 @@
 class Dependencies:
     """Collaborators of the filler pacer."""
 
+    workers_by_id: Mapping[str, workers.Worker]
     client: clients.WorkerClient
-    term: persistence.Term
+    fences: fences.Fences
     leading: Callable[[], bool]
 
 
@@ -39,11 +40,11 @@
     def __init__(self, dependencies: Dependencies) -> None:
         self._dependencies = dependencies
 
-    async def run(self, workers_by_id: Mapping[str, workers.Worker]) -> None:
+    async def run(self) -> None:
         """Adjust the pace of all fillers until cancelled."""
         while True:
             await asyncio.sleep(PERIOD_S)
-            for worker in tuple(workers_by_id.values()):
+            for worker in tuple(self._dependencies.workers_by_id.values()):
                 if self._dependencies.leading() and worker.reachable:
                     await self._adjust(worker)
 
@@ -54,7 +55,8 @@
             if run.phase is runs.RunPhase.RUNNING
         ]
         fillers = [run for run in running if run.task.step.fills]
-        if not fillers:
+        token = self._dependencies.fences.token(worker)
+        if not fillers or token is None:
             return
         latency_ratio = max(
             (
@@ -71,7 +73,7 @@
                     worker.target,
                     run.run_id,
                     pace_percent,
-                    self._dependencies.term.token,
+                    token,
                 )
                 if not isinstance(paced, result.Failure):
                     run.pace_percent = pace_percent
--- a/libs/scheduler/src/jackdawlatch/scheduler/runs.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/runs.py
@@ -94,16 +94,16 @@
     def obstacle(self) -> str:
         """What has come up against its start, empty if nothing has."""
         worker = self.worker
-        if self.task.job.ended:
-            return 'job-ended'
-        if self.task.done:
-            return 'task-done'
-        if worker.lease.record is not None:
-            return 'lease-recorded'
-        if worker.entry.draining:
-            return 'worker-draining'
-        # Its capacity may have shrunk since the run was placed.
-        return '' if worker.free.fits(model.Room()) else 'no-capacity'
+        obstacles = (
+            ('job-ended', self.task.job.ended),
+            ('task-done', self.task.done),
+            ('lease-recorded', worker.lease.record is not None),
+            ('worker-draining', worker.entry.draining),
+            ('worker-unreachable', not worker.reachable),
+            # Its capacity may have shrunk since the run was placed.
+            ('no-capacity', not worker.free.fits(model.Room())),
+        )
+        return next((name for name, present in obstacles if present), '')
 
     def mark_sent(self, now_s: float) -> None:
         """Record that the start is sent now, or the run was taken over."""
