Read from its clock whether a later boot has answered a start

Until the leader learns of a new boot, by its registration or the next answer to a poll, it takes the answer to a start for one of the boot before. If the worker is cut off in that time, the run counts as one of the former boot: its lease, the longest one, is not known, and the task runs twice after the short lease that the former boot was granted.

Each answer carries the worker's clock, which begins anew with each boot. An answer to a start whose clock is behind the one that is known now shows that a later boot may have answered: the worker counts as lost, the next request carries a higher token, and the run waits for an answer that names the boot. A start whose answer fits is known to be on its boot, so that it need not wait for the next poll. Ruled out: a check that the clock is not ahead either. An answer that waits in a busy leader makes the known clock late, and clocks begin with their boot.

The stand-ins of workers have a clock.

--- a/libs/scheduler/src/jackdawlatch/scheduler/boots.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/boots.py
@@ -69,7 +69,7 @@
 
     It may have answered the start itself.
     """
-    return run.phase is not runs.RunPhase.WRITING and not run.listed
+    return run.phase is not runs.RunPhase.WRITING and not run.located
 
 
 def _is_successor(new: reports.WorkerEntry, old: reports.WorkerEntry) -> bool:
--- a/libs/scheduler/src/jackdawlatch/scheduler/call_failures.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/call_failures.py
@@ -27,12 +27,14 @@
 class Dependencies:
     """Collaborators of the failures.
 
-    ``deposed`` is set once another leader is found.
+    ``longest_lease_s`` is the longest lease that a request can give.  ``deposed``
+    is set once another leader is found.
     """
 
     clock: clocks.Clock
     registry: worker_registry.WorkerRegistry
     fences: fences.Fences
+    longest_lease_s: float
     deposed: asyncio.Event
 
 
@@ -47,17 +49,7 @@
     ) -> None:
         """Record that a request with a fencing token failed."""
         if not isinstance(failure, calls.Refused):
-            if worker.reachable:
-                logging.info(
-                    'worker %s is unreachable: %s',
-                    worker.entry.id,
-                    failure.line(),
-                )
-                worker.health.lost_s = self._dependencies.clock.monotonic_s()
-                # A later boot may answer next.
-                self._dependencies.fences.expire(worker)
-            worker.reachable = False
-            worker.health.silent = True
+            self._lose(worker, failure.line())
             return
         if failure.reason is calls.Refusal.FENCED:
             # Otherwise a later request of this leader has overtaken it.
@@ -70,3 +62,22 @@
         worker.health.suspend(
             self._dependencies.clock.monotonic_s() + penalty_s
         )
+
+    def record_other_boot(self, worker: workers.Worker) -> None:
+        """Record that a later boot may have answered a request."""
+        self._lose(worker, 'an answer does not fit its clock')
+        worker.lease.expect_late_requests(
+            self._dependencies.longest_lease_s,
+            self._dependencies.clock.monotonic_s(),
+        )
+
+    def _lose(self, worker: workers.Worker, reason: str) -> None:
+        if worker.reachable:
+            logging.info(
+                'worker %s is unreachable: %s', worker.entry.id, reason
+            )
+            worker.health.lost_s = self._dependencies.clock.monotonic_s()
+            # A later boot may answer next.
+            self._dependencies.fences.expire(worker)
+        worker.reachable = False
+        worker.health.silent = True
--- a/libs/scheduler/src/jackdawlatch/scheduler/clients.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/clients.py
@@ -13,8 +13,11 @@
     @abc.abstractmethod
     async def start(
         self, target: calls.Target, request: calls.Start
-    ) -> result.Result[None, calls.CallFailure]:
-        """Start a run; succeeds too if that run exists already."""
+    ) -> result.Result[float | None, calls.CallFailure]:
+        """Start a run; succeeds too if that run exists already.
+
+        Return the time on the worker's clock, None if the answer lacks it.
+        """
 
     @abc.abstractmethod
     async def stop(
--- a/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
@@ -151,7 +151,7 @@
             worker=run.worker.entry.id,
             born=run.worker.entry.born_ms,
             phase=run.phase.value,
-            listed=run.listed,
+            located=run.located,
             reason=reason,
         )
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -65,6 +65,7 @@
                 self._clock,
                 dependencies.registry,
                 dependencies.fences,
+                dependencies.cluster.dependencies.bounds.lease_s,
                 dependencies.progress_writer.deposed,
             )
         )
@@ -189,9 +190,14 @@
         if run.phase is not runs.RunPhase.ORDERED:
             return
         if isinstance(started, result.Success):
-            run.phase = runs.RunPhase.RUNNING
             run.task.job.begun = True
-            run.last_progress_s = self._clock.monotonic_s()
+            clock_s = started.unwrap()
+            known = clock_s is not None
+            if known and not worker.is_its_clock(clock_s, ordered_s):
+                self._failures.record_other_boot(worker)
+                self.settle(run)
+                return
+            run.confirm_start(self._clock.monotonic_s(), known)
             if run.task.job.ended:
                 self.stop(worker, run.run_id)
             return
--- a/libs/scheduler/src/jackdawlatch/scheduler/runs.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/runs.py
@@ -48,7 +48,7 @@
         'settled_after_s',
         'task',
         'worker',
-        '_listed',
+        '_located',
         '_sent_s',
     )
 
@@ -73,7 +73,7 @@
         # A poll sent after this time whose answer lacks the run settles it.
         self.settled_after_s: float | None = None
         self._sent_s: float = 0
-        self._listed = False
+        self._located = False
 
     @property
     def run_id(self) -> calls.RunId:
@@ -81,9 +81,9 @@
         return calls.RunId(self.task.id, self.attempt)
 
     @property
-    def listed(self) -> bool:
-        """Whether an answer of its worker to a poll has shown it."""
-        return self._listed
+    def located(self) -> bool:
+        """Whether an answer of its worker has shown that it is there."""
+        return self._located
 
     @property
     def unsent(self) -> bool:
@@ -120,12 +120,18 @@
             return 0
         return self.age_s(self.worker.last_poll_s)
 
+    def confirm_start(self, now_s: float, located: bool) -> None:
+        """Record the answer to the start; ``located`` if it names the boot."""
+        self.phase = RunPhase.RUNNING
+        self.last_progress_s = now_s
+        self._located = located
+
     def update(self, report: reports.RunReport, now_s: float) -> None:
         """Apply a report of the worker."""
         self.task.state.checkpoints.record(report.run_id, report.checkpoint)
         if report.percent != self.percent:
             self.last_progress_s = now_s
-        self._listed = True
+        self._located = True
         self.percent = report.percent
         self.gauge = report.gauge
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -18,6 +18,8 @@
 LEASE_S = 6.0
 # The documented relative error of a worker's monotonic clock.
 CLOCK_DRIFT_FRACTION = 0.02
+# More than the drift of a worker's clock between two polls.
+CLOCK_ERROR_S = 0.5
 # A request without an answer may be carried out so much later, by the boot that
 # then has the id of its worker.
 LATE_REQUEST_S = 12.0
@@ -152,6 +154,14 @@
         """Record a reading of the worker's clock."""
         self._clock_offset_s = clock_s - now_s
 
+    def is_its_clock(self, clock_s: float, sent_s: float) -> bool:
+        """Whether a clock reading in an answer may be of this boot.
+
+        ``sent_s`` is when the request was sent.  Clocks begin with their boot,
+        so the one of a later boot is behind.
+        """
+        return clock_s >= self.clock_s(sent_s) - CLOCK_ERROR_S
+
     def add(self, run: runs.Run) -> None:
         """Add a run and reserve its capacity."""
         self.runs_by_task[run.task.id] = run
--- a/libs/scheduler/tests/scheduler_oracle.py
+++ b/libs/scheduler/tests/scheduler_oracle.py
@@ -290,7 +290,7 @@
 
     async def start(
         self, target: calls.Target, request: calls.Start
-    ) -> result.Result[None, calls.CallFailure]:
+    ) -> result.Result[float | None, calls.CallFailure]:
         """Start a run now, or later and without an answer."""
         self._check_record(target, request.token)
         if self._delay(
--- a/libs/scheduler/tests/test_scheduler_boots.py
+++ b/libs/scheduler/tests/test_scheduler_boots.py
@@ -31,7 +31,7 @@
     assert replaced['successor_born'] == 9
     assert replaced['found_by'] == 'poll'
     assert lines['released']['born'] == former.entry.born_ms
-    assert lines['released']['listed']
+    assert lines['released']['located']
 
 
 def test_discarded_ends_are_not_logged(fleet):
@@ -86,6 +86,23 @@
     assert run.phase is runs.RunPhase.RUNNING
 
 
+async def test_answer_of_a_later_boot_confirms_a_start(bench):
+    """Its clock is behind the one of the boot that was addressed."""
+    former = bench.add_worker('w1')
+    async with bench.lead() as leader:
+        known = leader.cluster.workers_by_id
+        await waiting.until(lambda: 'w1' in known and known['w1'].reachable)
+        # Longer than the error of a clock.
+        await asyncio.sleep(workers.CLOCK_ERROR_S + SETTLED_S)
+        former.answers_polls.clear()
+        again = bench.add_worker('w1', 2, registered=False)
+        bench.submit(benches.job())
+        await waiting.until(lambda: again.running)
+        await waiting.until(lambda: known['w1'].entry.born_ms == 2)
+        await waiting.until(lambda: _phases(known) == {runs.RunPhase.RUNNING})
+        assert len(again.started_runs) == 1
+
+
 def test_run_is_released_before_the_next_boot_answers(fleet):
     """Its start may be carried out late, and get the longest lease."""
     task = fleet.add_job()
--- a/libs/scheduler/tests/test_scheduler_fences.py
+++ b/libs/scheduler/tests/test_scheduler_fences.py
@@ -60,7 +60,7 @@
     assert await term.fences.issue(former) > token
 
 
-async def test_boot_that_was_lost_is_asked_with_the_same_token(term):
+async def test_lost_boot_is_asked_with_the_same_token(term):
     worker = _boot('w1', 1)
     await term.fences.issue(worker)
     term.fences.expire(worker)
@@ -115,7 +115,7 @@
     worker = _boot('w1', 1)
     failed = call_failures.CallFailures(
         call_failures.Dependencies(
-            term.bench.clock, None, term.fences, term.deposed
+            term.bench.clock, None, term.fences, 2.0, term.deposed
         )
     )
     fenced = calls.Refused(message='', reason=calls.Refusal.FENCED)
--- a/libs/standins/src/jackdawlatch/standins/task_workers.py
+++ b/libs/standins/src/jackdawlatch/standins/task_workers.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import itertools
+import time
 
 from returns import result
 
@@ -41,8 +42,14 @@
         self.running: dict[model.TaskId, int] = {}
         self.ends: list[reports.EndReport] = []
         self._end_numbers = itertools.count(1)
+        self._born_s = time.monotonic()
         self._ended: dict[model.TaskId, int] = {}
 
+    @property
+    def clock_s(self) -> float:
+        """The time since the birth of this boot."""
+        return time.monotonic() - self._born_s
+
     def start(self, request: calls.Start) -> calls.Refusal | None:
         """Start a run, or return why it is refused."""
         if not self.admit(request.token):
@@ -92,7 +99,7 @@
     def status(self) -> reports.WorkerStatus:
         """Return the running attempts and the unacknowledged ends."""
         return reports.WorkerStatus(
-            clock_s=0,
+            clock_s=self.clock_s,
             born_ms=self.entry.born_ms,
             running=tuple(
                 reports.RunReport(calls.RunId(task, attempt), '', self.percent)
@@ -115,8 +122,8 @@
 
     async def start(
         self, target: calls.Target, request: calls.Start
-    ) -> result.Result[None, calls.CallFailure]:
-        """Start a run."""
+    ) -> result.Result[float | None, calls.CallFailure]:
+        """Start a run; return the time on the worker's clock."""
         worker = self.by_id[target.id]
         if worker.down:
             return _unanswered()
@@ -124,7 +131,8 @@
             await worker.lost_starts.wait()
             return _unanswered()
         refusal = worker.start(request)
-        return self._answer(worker, refusal)
+        answer = self._answer(worker, refusal)
+        return answer.map(lambda _: worker.clock_s)
 
     async def stop(
         self, target: calls.Target, run_id: calls.RunId, token: int
