Take no run that a later boot began for a proven crash

Cause: when a worker is replaced, each run that it had just started counts as crashed with it, and as proven if the start was answered. The starts of the last moments are answered by the later boot, and their runs go on there.

A crash is now proven only for a run that is known to have been on the boot that ended, and a run that a worker lists is not counted as crashed any more.

That a service whose workers crash in waves still reaches three crashes in a row is not changed by this.

--- a/libs/scheduler/src/jackdawlatch/scheduler/crash_blame.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/crash_blame.py
@@ -97,11 +97,13 @@
     def _is_proven(self, run: runs.Run, lost_s: float) -> bool:
         """Whether a worker that has ended crashed under a run.
 
-        If the loss was noticed late, the worker may have been cut off before.
+        A run that is not located may be on its next boot.  If the loss was
+        noticed late, the worker may have been cut off before.
         After the end of its lease the run may have ended before the worker.
         """
         return (
-            run.phase is runs.RunPhase.RUNNING
+            run.located
+            and run.phase is runs.RunPhase.RUNNING
             and not crashes.survives(run.age_s(lost_s))
             and self._cluster.now_s <= run.worker.lease.end_s
         )
--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -95,6 +95,8 @@
         if run.phase in runs.UNCONFIRMED:
             run.phase = runs.RunPhase.RUNNING
             run.last_progress_s = self._cluster.now_s
+            # It was not lost with an earlier boot.
+            run.task.crash_record.withdraw(run.attempt)
         health.record_serving(run, self._cluster.now_s)
         record = run.task.crash_record
         if record.suspicious and crashes.survives(run.confirmed_s):
