Judge a stall by the pace of the task

Cause: a run was stopped as stalled once its percent had been the same for 2.6 s of polls.

Ruled out: a larger fixed limit, which would move the tasks of a worker that stands still later, and only shift the length at which a task never ends.

Change: a run may be without progress for four times what a percent takes, by the estimate or by the mean pace that its step has shown, and for 2.6 s at least. Each stall of a task doubles that. The number of stalls is stored with the progress of the job; no write is added. A new checkpoint is progress.

The traffic of the sites was not looked at for tasks with an estimate above 65 s, whose stalls are now found later.

--- a/libs/jobs/src/jackdawlatch/jobs/stored.py
+++ b/libs/jobs/src/jackdawlatch/jobs/stored.py
@@ -43,7 +43,8 @@
     may still run, and ``machine`` its machine; they are empty when it does not
     run.  ``crashed_attempts`` lists the attempts in a row whose worker crashed
     soon after the start, as far as is known, and ``proven_crashes`` those of
-    them that certainly ran on it.
+    them that certainly ran on it.  ``stalls`` is how many attempts made no
+    progress for too long.
     """
 
     occurrence: int
@@ -60,6 +61,7 @@
     unused: float | None = None
     crashed_attempts: tuple[int, ...] = ()
     proven_crashes: tuple[int, ...] = ()
+    stalls: int = 0
 
 
 class Progress(records.Record, frozen=True, kw_only=True):
--- a/libs/scheduler/src/jackdawlatch/scheduler/health.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/health.py
@@ -3,12 +3,10 @@
 import asyncio
 from collections.abc import Callable
 
+from jackdawlatch.policy import stalls
 from jackdawlatch.scheduler import cluster_state, runs, workers
 
 PERIOD_S = 0.25
-# Workers are polled at least every 2 s; within this time more than one poll
-# has shown no progress.
-STALL_S = 2.6
 STALL_PENALTY_S = 4.0
 # The first failure may be the task's own; each further one in a row doubles
 # the penalty.
@@ -62,8 +60,12 @@
         while True:
             await asyncio.sleep(PERIOD_S)
             if self._leading():
-                for worker in tuple(self._cluster.workers_by_id.values()):
-                    self._check(worker)
+                self.check()
+
+    def check(self) -> None:
+        """Stop the runs that are stalled now."""
+        for worker in tuple(self._cluster.workers_by_id.values()):
+            self._check(worker)
 
     def _check(self, worker: workers.Worker) -> None:
         for run in tuple(worker.runs_by_task.values()):
@@ -71,6 +73,7 @@
                 now_s = self._cluster.now_s
                 worker.health.suspend(now_s + STALL_PENALTY_S)
                 run.task.avoided_worker = worker.entry.id
+                run.task.state.pace.record_stall(run.run_id)
                 self._cluster.note('stalled', run, f'{run.percent} percent')
                 self._cluster.stop(run)
 
@@ -84,4 +87,15 @@
     # Lasting tasks report no progress, and a gang waits for its last member.
     if run.task.step.lasting or run.task.step.gang:
         return False
-    return last_poll_s - run.last_progress_s > STALL_S
+    # Most runs progress with each poll.
+    if last_poll_s - run.last_progress_s <= stalls.STALL_S:
+        return False
+    step_pace = run.task.state.pace
+    tolerated_s = stalls.tolerated_s(
+        stalls.Pace(
+            run.task.step.estimate_s,
+            step_pace.shown_s,
+            step_pace.stall_count(run.task.id.index),
+        )
+    )
+    return last_poll_s - run.last_advance_s > tolerated_s
--- a/libs/scheduler/src/jackdawlatch/scheduler/runs.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/runs.py
@@ -48,7 +48,10 @@
         'settled_after_s',
         'task',
         'worker',
+        '_listed',
         '_located',
+        '_saved',
+        '_saved_s',
         '_sent_s',
     )
 
@@ -74,6 +77,9 @@
         self.settled_after_s: float | None = None
         self._sent_s: float = 0
         self._located = False
+        self._listed = False
+        self._saved = ''
+        self._saved_s: float = 0
 
     @property
     def run_id(self) -> calls.RunId:
@@ -126,11 +132,25 @@
         self.last_progress_s = now_s
         self._located = located
 
+    @property
+    def last_advance_s(self) -> float:
+        """When the run last started, progressed or saved its work."""
+        return max(self.last_progress_s, self._saved_s)
+
     def update(self, report: reports.RunReport, now_s: float) -> None:
         """Apply a report of the worker."""
         self.task.state.checkpoints.record(report.run_id, report.checkpoint)
         if report.percent != self.percent:
+            if self._listed and self.pace_percent == FULL_PACE_PERCENT:
+                self.task.state.pace.record(
+                    report.percent - self.percent,
+                    now_s - self.last_progress_s,
+                )
             self.last_progress_s = now_s
+        if report.checkpoint != self._saved:
+            self._saved = report.checkpoint
+            self._saved_s = now_s
+        self._listed = True
         self._located = True
         self.percent = report.percent
         self.gauge = report.gauge
--- a/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
@@ -3,7 +3,13 @@
 import enum
 
 from jackdawlatch.jobs import model, queues, stored
-from jackdawlatch.scheduler import calls, checkpoints, crash_record, runs
+from jackdawlatch.scheduler import (
+    calls,
+    checkpoints,
+    crash_record,
+    paces,
+    runs,
+)
 
 
 class TaskPhase(enum.Enum):
@@ -94,18 +100,22 @@
             self.crash_record.record(
                 attempt, attempt in stored_progress.proven_crashes
             )
+        if stored_progress.stalls:
+            self.state.pace.restore(self.id.index, stored_progress.stalls)
         if stored_progress.done:
             self.phase = TaskPhase.DONE
 
     def progress(self) -> stored.TaskProgress:
         """Return the stored form."""
         run = self.run
-        # Built for each task of a job with each write: few have crashes.
+        # Built for each task of a job with each write: few crash or stall.
         crashed: tuple[int, ...] = ()
         proven: tuple[int, ...] = ()
         if self.crash_record.suspicious:
             crashed = tuple(sorted(self.crash_record.attempts))
             proven = tuple(sorted(self.crash_record.proven_attempts))
+        pace = self.state.pace
+        stalls = pace.stall_count(self.id.index) if pace.stalled else 0
         return stored.TaskProgress(
             self.id.occurrence,
             self.id.step,
@@ -119,6 +129,7 @@
             run.worker.entry.machine if run else '',
             crashed_attempts=crashed,
             proven_crashes=proven,
+            stalls=stalls,
         )
 
 
@@ -135,6 +146,7 @@
         'done_count',
         'longest_run_s',
         'occurrence',
+        'pace',
         'step',
         'stopped_attempt',
         'tasks',
@@ -144,6 +156,7 @@
         self.occurrence = occurrence
         self.step = step
         self.checkpoints = checkpoints.Checkpoints(step.gang)
+        self.pace = paces.StepPace()
         self.tasks: list[Task] = []
         self.done_count = 0
         self.longest_run_s: float = 0
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -515,6 +515,14 @@
         'scheduler',
         'test_spread_step_waits_for_workers',
     ),
+    Mutation(
+        'a task that stalls gets more time',
+        'policy/stalls.py',
+        'return expected_s * GROWTH',
+        'return expected_s * 1',
+        'scheduler',
+        'test_slow_task_without_an_estimate',
+    ),
     Mutation(
         'a machine vacated for a wave stays closed',
         'policy/wave_order.py',
