Move only machines that are large enough for a waiting step

Cause: what waiting steps lack was passed on as a number of machines of the largest size, and any idle machine was moved for it. A task that fits only on a machine in use drew all 7 idle machines of the other service, one after the other, and none helped (test_machines_too_small_for_a_step_are_moved, known red).

Ruled out: to drop such steps from what is lacked, since a machine that is large enough may become idle later, and waves rest for steps that lack machines; to take the largest need of each service as the least room, since a small task would then wait for a large one.

Change: the needs of the tasks that would start on each lacked machine go along, and a machine that only waiting steps need has to be large enough for one of them. Demand by capacity takes any machine, as before. The room of machines that were seen up is remembered, for those on standby; one that was never seen is tried once in a term.

Measured: the known red test and the three new ones beside it failed before, and pass. With the check undone (tools/mutations.py) the first fails.

--- a/libs/policy/src/jackdawlatch/policy/transfers.py
+++ b/libs/policy/src/jackdawlatch/policy/transfers.py
@@ -7,7 +7,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 # Idling longer than this costs more than two moves of the machine.
 STANDBY_IDLE_S = 2.5
@@ -45,6 +45,18 @@
     service: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Lacked:
+    """Machines that waiting steps of a service lack.
+
+    ``helpful`` holds, for each of them, the machines that may be large enough.
+    ``missing`` of the service's missing machines are needed by these steps only.
+    """
+
+    helpful: Sequence[Collection[str]]
+    missing: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Fleet:
     """The machines that may move.
@@ -56,29 +68,29 @@
     idle: Sequence[IdleMachine]
     standby: Sequence[str]
     surplus_by_service: Mapping[str, int]
+    lacked_by_service: Mapping[str, Lacked] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def supply(fleet: Fleet) -> list[Transfer]:
     """Return the moves to the services that lack machines.
 
     The service that lacks most comes first; idle machines of other services
-    go before those on standby.
+    go before those on standby.  A machine that only waiting steps need has to
+    be large enough for one of them.
     """
-    surplus = collections.Counter(fleet.surplus_by_service)
-    idle = [
-        machine for machine in fleet.idle if machine.idle_s > TRANSFER_IDLE_S
-    ]
-    standby = list(fleet.standby)
+    offer = _Offer(fleet)
     transfers: list[Transfer] = []
-    for service, number in reversed(surplus.most_common()):
+    by_surplus = collections.Counter(fleet.surplus_by_service).most_common()
+    for service, number in reversed(by_surplus):
         if number >= 0:
             break
-        donated = _donated(idle, surplus, -number)
-        idle = [machine for machine in idle if machine not in donated]
-        chosen = [machine.id for machine in donated]
-        while standby and len(chosen) < -number:
-            chosen.append(standby.pop())
-        transfers += [Transfer(machine, service) for machine in chosen]
+        lacked = fleet.lacked_by_service.get(service, Lacked((), 0))
+        transfers += [
+            Transfer(machine, service)
+            for machine in offer.choose(-number, lacked)
+        ]
     return transfers
 
 
@@ -115,6 +127,48 @@
     ]
 
 
+class _Offer:
+    """The machines that have not been given to a service yet."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._surplus = collections.Counter(fleet.surplus_by_service)
+        self._idle = [
+            machine
+            for machine in fleet.idle
+            if machine.idle_s > TRANSFER_IDLE_S
+        ]
+        self._standby = list(fleet.standby)
+
+    def choose(self, missing: int, lacked: Lacked) -> list[str]:
+        """Take the machines for a service of which ``missing`` are missing."""
+        chosen: list[str] = []
+        # Steps that few machines can help have the first choice.
+        for helpful in sorted(lacked.helpful, key=len):
+            if len(chosen) < missing:
+                chosen += self._take(1, helpful)
+        flexible = missing - lacked.missing - len(chosen)
+        return chosen + self._take(flexible)
+
+    def _take(
+        self, count: int, helpful: Collection[str] | None = None
+    ) -> list[str]:
+        """Take up to ``count`` machines, only ``helpful`` ones if given."""
+        idle = [
+            machine
+            for machine in self._idle
+            if helpful is None or machine.id in helpful
+        ]
+        donated = _donated(idle, self._surplus, count)
+        self._idle = [one for one in self._idle if one not in donated]
+        standby = [
+            machine
+            for machine in reversed(self._standby)
+            if helpful is None or machine in helpful
+        ][: max(0, count - len(donated))]
+        self._standby = [one for one in self._standby if one not in standby]
+        return [*(machine.id for machine in donated), *standby]
+
+
 def _donated(
     machines: Sequence[IdleMachine],
     surplus: collections.Counter[str],
--- a/libs/policy/tests/test_policy_transfers.py
+++ b/libs/policy/tests/test_policy_transfers.py
@@ -31,6 +31,17 @@
     assert not transfers.supply(transfers.Fleet(idle, [], {'a': 0, 'b': -4}))
 
 
+def test_machines_that_help_no_waiting_step_are_moved():
+    idle = [_idle('m1', 'a'), _idle('m2', 'a'), _idle('m3', 'a')]
+    surplus = {'a': 9, 'b': -2}
+    lacked = transfers.Lacked([{'m1', 'm2'}, {'m2'}], missing=2)
+    assert _moved(idle, surplus, lacked) == ['m2', 'm1']
+    lacked = transfers.Lacked([set(), {'m3'}], missing=2)
+    assert _moved(idle, surplus, lacked) == ['m3']
+    lacked = transfers.Lacked([set()], missing=1)
+    assert _moved(idle, surplus, lacked) == ['m1']
+
+
 def test_machine_that_has_just_become_idle_stays():
     idle = [_idle('m1', 'a', idle_s=transfers.TRANSFER_IDLE_S / 2)]
     assert not transfers.supply(transfers.Fleet(idle, [], {'a': 1, 'b': -1}))
@@ -89,6 +100,15 @@
     return transfers.supply(transfers.Fleet(idle, [], surplus))
 
 
+def _moved(
+    idle: list[transfers.IdleMachine],
+    surplus: dict[str, int],
+    lacked: transfers.Lacked,
+) -> list[str]:
+    fleet = transfers.Fleet(idle, [], surplus, {'b': lacked})
+    return [transfer.machine for transfer in transfers.supply(fleet)]
+
+
 def _idle(name: str, service: str, idle_s: float = 9) -> transfers.IdleMachine:
     return transfers.IdleMachine(name, service, idle_s)
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/fleet.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/fleet.py
@@ -1,5 +1,7 @@
 """Usable and idle workers of the services that are not on standby."""
 
+from collections.abc import Collection, Iterable
+
 from jackdawlatch.jobs import model
 from jackdawlatch.policy import transfers
 from jackdawlatch.scheduler import cluster_state, demand, workers
@@ -11,6 +13,8 @@
     def __init__(self, cluster: cluster_state.ClusterState) -> None:
         self._cluster = cluster
         self._idle_since_s: dict[workers.Worker, float] = {}
+        # Room stays with a machine, also while it is on standby.
+        self._rooms_by_machine: dict[str, model.Room] = {}
 
     def usable(self) -> list[workers.Worker]:
         """Return the workers that may be given tasks."""
@@ -28,7 +32,11 @@
         )
 
     def record_idle(self) -> None:
-        """Record since when each worker has been idle."""
+        """Record since when each worker has been idle, and its room."""
+        self._rooms_by_machine.update(
+            (worker.entry.machine, worker.entry.room)
+            for worker in self._known()
+        )
         now_s = self._cluster.now_s
         self._idle_since_s = {
             worker: self._idle_since_s.get(worker, now_s)
@@ -60,6 +68,20 @@
             if worker.usable and not worker.runs_by_task
         ]
 
+    def helpful(
+        self, machines: Iterable[str], needs: Collection[model.Room]
+    ) -> frozenset[str]:
+        """Return the machines that may be large enough for one of the needs.
+
+        One that was never seen up counts as large enough.
+        """
+        return frozenset(
+            machine
+            for machine in machines
+            if machine not in self._rooms_by_machine
+            or any(map(self._rooms_by_machine[machine].fits, needs))
+        )
+
     def _known(self) -> list[workers.Worker]:
         serving = self._cluster.catalog.serving_services()
         return [
--- a/libs/scheduler/src/jackdawlatch/scheduler/pools.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/pools.py
@@ -81,7 +81,9 @@
         return frozenset(
             service
             for service, number in self._supply.surplus(
-                self._supply.divided(self._supply.open_demand())
+                self._supply.with_lacked(
+                    self._supply.by_capacity(self._supply.open_demand())
+                )
             ).items()
             if number < 0
         )
@@ -106,7 +108,8 @@
         self._fleet.record_idle()
         self._supply.update()
         open_demand = self._supply.open_demand()
-        demand_by_service = self._supply.divided(open_demand)
+        by_capacity = self._supply.by_capacity(open_demand)
+        demand_by_service = self._supply.with_lacked(by_capacity)
         surplus = self._supply.surplus(demand_by_service)
         self._withhold(surplus, open_demand)
         if min(surplus.values(), default=0) < 0:
@@ -118,7 +121,8 @@
         max_moves = max(
             1, int(self._dependencies.limits.moves_per_s * PERIOD_S)
         )
-        await self._move_all(self._transfers(surplus)[:max_moves])
+        chosen = self._transfers(surplus, by_capacity)
+        await self._move_all(chosen[:max_moves])
 
     @property
     def withheld(self) -> frozenset[str]:
@@ -148,10 +152,15 @@
             )
 
     def _transfers(
-        self, surplus: collections.Counter[str]
+        self,
+        surplus: collections.Counter[str],
+        by_capacity: Mapping[str, int],
     ) -> list[transfers.Transfer]:
         machines = transfers.Fleet(
-            self._fleet.idle(), self._mover.standby, surplus
+            self._fleet.idle(),
+            self._mover.standby,
+            surplus,
+            self._supply.lacked_machines(surplus, by_capacity),
         )
         chosen = transfers.supply(machines)
         standby = min(self._cluster.catalog.standby_services(), default='')
--- a/libs/scheduler/src/jackdawlatch/scheduler/shortages.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/shortages.py
@@ -11,6 +11,8 @@
 from jackdawlatch.jobs import model
 from jackdawlatch.scheduler import reservations, spread, tasks, workers
 
+# What the tasks need that would start on one machine.
+Needs = list[model.Room]
 # A machine that moves takes longer than the waits this leaves out.
 MIN_WAIT_S = 0.4
 
@@ -38,10 +40,11 @@
         ready: Iterable[tuple[str, tasks.StepState]],
         machines: Machines,
         now_s: float,
-    ) -> dict[str, int]:
-        """Return how many more machines each service needs.
+    ) -> dict[str, list[Needs]]:
+        """Return the machines that each service lacks.
 
-        ``ready`` holds steps that may start, each with its service.
+        For each of them, the needs of the tasks that would start there are
+        listed.  ``ready`` holds steps that may start, each with its service.
         """
         trial = _Trial(machines, now_s)
         since_s_by_step: dict[tasks.StepState, float] = {}
@@ -53,7 +56,7 @@
                 if now_s - since_s >= MIN_WAIT_S:
                     trial.add_machines(service, state.step, unplaced)
         self._since_s_by_step = since_s_by_step
-        return trial.added_count_by_service()
+        return trial.needs_by_service()
 
 
 def is_bound(step: model.Step) -> bool:
@@ -72,6 +75,23 @@
     return math.ceil(step.count / step.max_per_worker)
 
 
+class _AddedMachine:
+    """A machine that would be added for waiting tasks."""
+
+    def __init__(self, room: model.Room) -> None:
+        self.needs: Needs = []
+        self._left = room
+
+    def place(self, step: model.Step, count: int) -> int:
+        """Place up to ``count`` tasks of a step; return how many fit."""
+        placed = min(count, max(0, _fitting_count(step, self._left)))
+        for _ in range(placed):
+            self._left = self._left.minus(step.reserved_room)
+        if placed:
+            self.needs.append(step.reserved_room)
+        return placed
+
+
 class _Trial:
     """Places waiting tasks on the machines there are, then on added ones."""
 
@@ -80,7 +100,7 @@
         self._free = reservations.Reservations(
             machines.usable_by_service, now_s
         )
-        self._added_by_service: dict[str, list[model.Room]] = {}
+        self._added_by_service: dict[str, list[_AddedMachine]] = {}
 
     def place(self, service: str, state: tasks.StepState) -> int:
         """Reserve capacity for a step; return how many tasks found none."""
@@ -99,21 +119,19 @@
     def add_machines(self, service: str, step: model.Step, count: int) -> None:
         """Add machines until ``count`` tasks of a step could be placed."""
         added = self._added_by_service.setdefault(service, [])
-        for number, room in enumerate(added):
-            placed = min(count, max(0, _fitting_count(step, room)))
-            added[number] = _minus(room, step, placed)
-            count -= placed
+        for known in added:
+            count -= known.place(step, count)
         per_machine = _fitting_count(step, self._machines.largest)
         # Jobs that were stored earlier may have a negative limit.
         while count > 0 and per_machine > 0:
-            placed = min(count, per_machine)
-            added.append(_minus(self._machines.largest, step, placed))
-            count -= placed
+            machine = _AddedMachine(self._machines.largest)
+            count -= machine.place(step, count)
+            added.append(machine)
 
-    def added_count_by_service(self) -> dict[str, int]:
-        """Return how many machines were added to each service."""
+    def needs_by_service(self) -> dict[str, list[Needs]]:
+        """Return what was placed on the machines added to each service."""
         return {
-            service: len(added)
+            service: [machine.needs for machine in added]
             for service, added in self._added_by_service.items()
         }
 
@@ -152,10 +170,3 @@
     if step.max_per_worker:
         ratios.append(step.max_per_worker)
     return min(ratios, default=step.count)
-
-
-def _minus(room: model.Room, step: model.Step, count: int) -> model.Room:
-    """Return the capacity that ``count`` tasks of a step leave."""
-    for _ in range(count):
-        room = room.minus(step.reserved_room)
-    return room
--- a/libs/scheduler/src/jackdawlatch/scheduler/supply.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/supply.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Mapping
 
+from jackdawlatch.policy import transfers
 from jackdawlatch.scheduler import (
     cluster_state,
     demand,
@@ -32,7 +33,7 @@
         self._fleet = usable_fleet
         self._mover = mover
         self._shortages = shortages.Shortages()
-        self._missing_by_service: Mapping[str, int] = {}
+        self._missing_by_service: Mapping[str, list[shortages.Needs]] = {}
         self._first_update_s: float | None = None
 
     def update(self) -> None:
@@ -77,21 +78,56 @@
             self._fleet.largest(),
         )
 
-    def divided(self, open_demand: demand.Demand) -> dict[str, int]:
-        """Return how many of all machines each service could use."""
-        divided = demand.divide(open_demand, self._machine_count())
+    def by_capacity(self, open_demand: demand.Demand) -> dict[str, int]:
+        """Return how many of all machines each service could use.
+
+        Those that waiting steps lack are left out.
+        """
+        known = len(self._fleet.usable()) + self._mover.available_count()
+        divided = demand.divide(open_demand, known)
         kept = self._kept_for_spread()
-        lacked = self._lacked()
         return {
             service: max(
-                MIN_MACHINES,
-                divided.get(service, 0),
-                kept.get(service, 0),
-                lacked.get(service, 0),
+                MIN_MACHINES, divided.get(service, 0), kept.get(service, 0)
             )
             for service in self._cluster.catalog.serving_services()
         }
 
+    def with_lacked(self, by_capacity: Mapping[str, int]) -> dict[str, int]:
+        """Return how many machines each service could use or lacks."""
+        usable = self._usable_by_service()
+        lacked = {
+            service: len(usable.get(service, ())) + len(missing)
+            for service, missing in self._missing_by_service.items()
+        }
+        return {
+            service: max(number, lacked.get(service, 0))
+            for service, number in by_capacity.items()
+        }
+
+    def lacked_machines(
+        self,
+        surplus: Mapping[str, int],
+        by_capacity: Mapping[str, int],
+    ) -> dict[str, transfers.Lacked]:
+        """Return which machines would help the steps that wait for some.
+
+        ``surplus`` counts what these steps lack as demand.
+        """
+        if not self._missing_by_service:
+            return {}
+        movable = [machine.id for machine in self._fleet.idle()]
+        movable += self._mover.standby
+        capacity_surplus = self.surplus(by_capacity)
+        return {
+            service: transfers.Lacked(
+                [self._fleet.helpful(movable, needs) for needs in missing],
+                max(0, min(0, capacity_surplus[service]) - surplus[service]),
+            )
+            for service, missing in self._missing_by_service.items()
+            if service in surplus
+        }
+
     def surplus(
         self, demand_by_service: Mapping[str, int]
     ) -> collections.Counter[str]:
@@ -114,14 +150,6 @@
             ).items()
         }
 
-    def _lacked(self) -> dict[str, int]:
-        """Return the machines of services with too few for waiting steps."""
-        usable = self._usable_by_service()
-        return {
-            service: len(usable.get(service, ())) + missing
-            for service, missing in self._missing_by_service.items()
-        }
-
     def _present(self) -> collections.Counter[str]:
         """Return the machines of each service, those in transit included."""
         present = collections.Counter(
@@ -130,9 +158,6 @@
         present.update(service for _, service in self._mover.in_transit())
         return present
 
-    def _machine_count(self) -> int:
-        return len(self._fleet.usable()) + self._mover.available_count()
-
     def _usable_by_service(self) -> dict[str, list[workers.Worker]]:
         usable: dict[str, list[workers.Worker]] = collections.defaultdict(list)
         for worker in self._fleet.usable():
--- a/libs/scheduler/tests/test_scheduler_spread_supply.py
+++ b/libs/scheduler/tests/test_scheduler_spread_supply.py
@@ -32,16 +32,54 @@
     _resize(bench, 'desk0', processors_m=16000)
     bench.submit_lasting('holding', 'letters', count=1)
     bench.start('holding', 'desk0', 1)
-    bench.submit_lasting('large', 'photos', count=1)
-    large = bench.cluster.jobs_by_id['large']
-    state = large.steps[0]
-    state.step = records.replace(state.step, room=model.Room(processors_m=8000))
+    _submit_large(bench)
     for _ in range(10):
         await bench.rounds(pool_tests.MIGRATION_S)
         _arrive(bench)
     assert not _moved_to(bench, 'photo')
 
 
+async def test_large_machine_is_moved_after_small_ones(bench):
+    bench.add_workers('photo', 2)
+    bench.add_workers('desk', 9)
+    _resize(bench, 'desk8', processors_m=16000)
+    _submit_large(bench)
+    await bench.rounds(1)
+    assert bench.machines.moves == [('m-desk8', 'photo')]
+
+
+async def test_small_step_waits_for_a_large_machine(bench):
+    """Together they would fit on a machine in use."""
+    bench.add_workers('photo', 2)
+    bench.add_workers('desk', 9)
+    _resize(bench, 'desk0', processors_m=16000)
+    bench.submit_lasting('holding', 'letters', count=1)
+    bench.start('holding', 'desk0', 1)
+    _submit_large(bench)
+    bench.submit_lasting('small', 'photos', count=3, max_per_worker=1)
+    for number in range(2):
+        bench.start('small', f'photo{number}', 1)
+    for _ in range(4):
+        await bench.rounds(pool_tests.MIGRATION_S)
+        _arrive(bench)
+    assert len(_moved_to(bench, 'photo')) == 1
+
+
+async def test_small_machine_on_standby_is_moved_twice(bench):
+    bench.machines.listed = STANDBY[:3]
+    bench.add_workers('photo', 2)
+    bench.add_workers('desk', 3)
+    _resize(bench, 'desk0', processors_m=16000)
+    bench.submit_lasting('holding', 'letters', count=1)
+    bench.start('holding', 'desk0', 1)
+    _submit_large(bench)
+    for _ in range(20):
+        await bench.rounds(pool_tests.MIGRATION_S)
+        _arrive(bench)
+    moved = _moved_to(bench, 'photo')
+    assert sorted(moved) == [machine.id for machine in STANDBY[:3]]
+
+
 async def test_steps_that_share_workers_get_separate_ones(bench):
     bench.add_workers('photo', 2)
     bench.add_workers('desk', 16)
@@ -93,6 +131,14 @@
     )
 
 
+def _submit_large(bench: pool_tests.Bench) -> None:
+    """Accept a lasting task that is too large for most machines."""
+    bench.submit_lasting('large', 'photos', count=1)
+    large = bench.cluster.jobs_by_id['large']
+    state = large.steps[0]
+    state.step = records.replace(state.step, room=model.Room(processors_m=8000))
+
+
 def _arrive(bench: pool_tests.Bench) -> None:
     """Register the workers of the machines that have moved."""
     for machine, service in bench.machines.moves:
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -515,6 +515,14 @@
         'scheduler',
         'test_spread_step_waits_for_workers',
     ),
+    Mutation(
+        'machines that help no waiting task stay',
+        'policy/transfers.py',
+        'flexible = missing - lacked.missing - len(chosen)',
+        'flexible = missing - len(chosen)',
+        'scheduler',
+        'test_machines_too_small',
+    ),
     Mutation(
         'a task that stalls gets more time',
         'policy/stalls.py',
