--- a/libs/scheduler/tests/test_scheduler_boots.py
+++ b/libs/scheduler/tests/test_scheduler_boots.py
@@ -104,6 +104,30 @@
         assert len(again.started_runs) == 1
 
 
+async def test_lost_worker_is_sent_acknowledgements(bench):
+    """A later boot would take them for its own ends."""
+    worker = bench.add_worker('w1')
+    bench.submit(benches.job())
+    polls: list[calls.Poll] = []
+    poll = bench.workers.poll
+
+    async def record(target, request):
+        polls.append(request)
+        return await poll(target, request)
+
+    bench.workers.poll = record
+    async with bench.lead() as leader:
+        await waiting.until(lambda: worker.running)
+        worker.end(benches.task(), DONE)
+        await waiting.until(lambda: polls[-1].acked)
+        worker.down = True
+        known = leader.cluster.workers_by_id['w1']
+        await waiting.until(lambda: not known.reachable)
+        polls.clear()
+        await waiting.until(lambda: polls)
+        assert not any(one.acked for one in polls)
+
+
 def test_run_on_a_later_boot_counts_as_crashed(fleet):
     """Guards against a job that fails though all its runs go on."""
     task = fleet.add_job()
