Remember what was sent to a worker that was removed

A boot that a poll had found was idle and not registered, so that it was removed 0.1 s later; when it registered, nothing was known of the boot before, and the leader counted no lease but its own, while a late poll for the former boot had given it the longest one. The same holds for a worker whose entry had expired.

Cause: what was sent to an id was kept with the object of the boot, which goes with it.

If the same boot comes back it goes on with its lease, health and ends; another boot of its id counts the leases that late requests may give. A worker that registered again was also reported with ends-missing, though this leader had acknowledged them.

--- a/libs/scheduler/src/jackdawlatch/scheduler/boots.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/boots.py
@@ -42,6 +42,7 @@
         same_id = old.entry.id == new.entry.id
         if not same_id:
             self._cluster.workers_by_id.pop(old.entry.id, None)
+            self._cluster.gone_workers.add(old)
         old.registered = False
         old.reachable = False
         _note_replaced(self._cluster, old, new, found_by)
--- a/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
@@ -7,6 +7,7 @@
 from jackdawlatch.model import clocks
 from jackdawlatch.scheduler import (
     calls,
+    gone_workers,
     persistence,
     reports,
     runs,
@@ -54,6 +55,7 @@
         self.catalog = catalog
         self.jobs_by_id: dict[str, tasks.JobState] = {}
         self.workers_by_id: dict[str, workers.Worker] = {}
+        self.gone_workers = gone_workers.GoneWorkers()
         self.lease_records_by_boot: dict[workers.Boot, workers.LeaseRecord] = {}
         self.on_change: Callable[[], None] = _ignore
         self.on_unwanted_run: Callable[[workers.Worker, calls.RunId], None] = (
@@ -88,11 +90,13 @@
 
     def add_worker(self, entry: reports.WorkerEntry) -> workers.Worker:
         """Add a boot of a worker, with the record of its lease."""
-        worker = workers.Worker(entry)
+        worker = self.gone_workers.boot(
+            entry, self.dependencies.bounds.lease_s, self.now_s
+        )
         record = self.lease_records_by_boot.get(entry.boot)
         if record is not None:
             worker.lease.record = record
-            worker.lease.end_s = record.end_s
+            worker.lease.end_s = max(worker.lease.end_s, record.end_s)
         self.workers_by_id[entry.id] = worker
         return worker
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -83,6 +83,7 @@
         for worker in tuple(by_id.values()):
             if not worker.registered and not worker.runs_by_task:
                 by_id.pop(worker.entry.id)
+                self._cluster.gone_workers.add(worker)
 
     def _release_all(
         self, worker: workers.Worker, reason: str, ended: bool
--- a/libs/scheduler/tests/test_scheduler_boots.py
+++ b/libs/scheduler/tests/test_scheduler_boots.py
@@ -173,6 +173,47 @@
     assert not task.run
 
 
+def test_removed_boot_comes_back_without_a_lease(fleet):
+    """A poll finds it while it is idle; then it registers, and is cut off."""
+    former = fleet.boot('w1')
+    fleet.registry.find_boot(former, born_ms=9)
+    fleet.registry.remove_gone_workers()
+    assert not fleet.cluster.workers_by_id
+    fleet.born_ms = 8
+    later = fleet.boot('w1', answers=False)
+    run = _start(fleet, later)
+    fleet.clock.advance(workers.LATE_REQUEST_S)
+    fleet.registry.release_expired_runs(later)
+    assert run.task.run is run
+    fleet.clock.advance(2 * fleets.LONGEST_LEASE_S)
+    fleet.registry.release_expired_runs(later)
+    assert not run.task.run
+
+
+def test_next_boot_of_a_removed_worker_has_no_lease(fleet):
+    former = fleet.boot('w1')
+    fleet.registry.unregister('w1')
+    fleet.registry.remove_gone_workers()
+    later = fleet.boot('w1', answers=False)
+    assert later is not former
+    run = _start(fleet, later)
+    fleet.clock.advance(workers.LATE_REQUEST_S)
+    fleet.registry.release_expired_runs(later)
+    assert run.task.run is run
+
+
+def test_worker_that_comes_back_reports_its_ends_again(fleet):
+    """Its acknowledged ends are no missing ones."""
+    worker = fleet.boot('w1')
+    _report(fleet, worker, ended=(_end(1),))
+    fleet.registry.unregister('w1')
+    fleet.registry.remove_gone_workers()
+    again = fleet.registry.register(worker.entry)
+    assert again.registered
+    lines = _logged(lambda: _report(fleet, again, ended=(_end(2),)))
+    assert 'ends-missing' not in lines
+
+
 def test_unsent_start_moves_to_the_next_boot(fleet):
     task = fleet.add_job()
     run = fleet.cluster.assign(task, fleet.boot('w1'), 1, runs.RunPhase.WRITING)
@@ -181,6 +222,13 @@
     assert run not in later.runs_by_task.values()
 
 
+def _start(fleet: fleets.Fleet, worker: workers.Worker) -> runs.Run:
+    """Let a start without an answer be under way."""
+    return fleet.cluster.assign(
+        fleet.add_job(), worker, 1, runs.RunPhase.UNSETTLED
+    )
+
+
 def _phases(by_id: dict[str, workers.Worker]) -> set[runs.RunPhase]:
     return {
         run.phase
