Let the next leader know a lease that a worker has from earlier requests

A row of progress now holds how long the lease of its worker might last, counted from the last answer, if requests for an earlier boot may have extended it. The next leader counts it from the start of its term. It is written again once a run that moved to the boot is found there, and ignored for a boot that is older than a minute.

--- a/libs/jobs/src/jackdawlatch/jobs/stored.py
+++ b/libs/jobs/src/jackdawlatch/jobs/stored.py
@@ -44,7 +44,8 @@
     run.  ``crashed_attempts`` lists the attempts in a row whose worker crashed
     soon after the start, as far as is known, and ``proven_crashes`` those of
     them that certainly ran on it.  ``stalls`` is how many attempts made no
-    progress for too long.
+    progress for too long.  ``lease_left_s`` is how long the lease of the worker
+    might last when this was written, 0 if not longer than leaders grant.
     """
 
     occurrence: int
@@ -62,6 +63,7 @@
     crashed_attempts: tuple[int, ...] = ()
     proven_crashes: tuple[int, ...] = ()
     stalls: int = 0
+    lease_left_s: float = 0
 
 
 class Progress(records.Record, frozen=True, kw_only=True):
--- a/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
@@ -9,6 +9,10 @@
     workers,
 )
 
+# Long after the last request for an earlier boot; clocks of hosts may differ.
+INHERITED_LEASE_AGE_S = 60.0
+MS_PER_S = 1000
+
 
 class JobLoader:
     """Applies job records of the store to the cluster state."""
@@ -102,6 +106,9 @@
             worker.lease.expect_late_requests(longest_s, began_s)
         elif not recorded:
             worker.lease.extend(workers.granted_lease_s(longest_s), began_s)
+            worker.lease.end_s = max(
+                worker.lease.end_s, began_s + self._inherited_lease_s(progress)
+            )
         if worker.lease.end_s > end_s or not worker.runs_by_task:
             self._cluster.dependencies.log.note(
                 'lease-assumed',
@@ -110,3 +117,8 @@
                 recorded=recorded,
             )
         return worker
+
+    def _inherited_lease_s(self, progress: stored.TaskProgress) -> float:
+        wall_s = self._cluster.dependencies.clock.wall_s()
+        age_s = wall_s - progress.born_ms / MS_PER_S
+        return progress.lease_left_s if age_s < INHERITED_LEASE_AGE_S else 0
--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -97,6 +97,8 @@
             run.last_progress_s = self._cluster.now_s
             # It was not lost with an earlier boot.
             run.task.crash_record.withdraw(run.attempt)
+            if worker.lease.longest_left_s:
+                self._cluster.dependencies.progress_writer.enqueue(run.task.job)
         health.record_serving(run, self._cluster.now_s)
         record = run.task.crash_record
         if record.suspicious and crashes.survives(run.confirmed_s):
--- a/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
@@ -9,6 +9,7 @@
     crash_record,
     paces,
     runs,
+    workers,
 )
 
 
@@ -130,6 +131,7 @@
             crashed_attempts=crashed,
             proven_crashes=proven,
             stalls=stalls,
+            lease_left_s=workers.inherited_lease_s(run.worker) if run else 0,
         )
 
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -69,11 +69,16 @@
 
 
 class Lease:
-    """When the lease of a worker ends at the latest, and its record."""
+    """When the lease of a worker ends at the latest, and its record.
+
+    ``longest_left_s`` is 0 unless requests for an earlier boot may have extended
+    it; else it is how long it may last at most.
+    """
 
     def __init__(self) -> None:
         self.end_s: float = 0
         self.record: LeaseRecord | None = None
+        self.longest_left_s: float = 0
         self._late_expected = False
 
     def extend(self, lease_s: float, now_s: float) -> None:
@@ -86,6 +91,7 @@
         Their deadlines are times on another clock, so each may give the longest.
         """
         self._late_expected = True
+        self.longest_left_s = _lease_end_s(longest_s, LATE_REQUEST_S)
         self.extend(longest_s, now_s + LATE_REQUEST_S)
 
     def record_answer(self, longest_s: float, now_s: float) -> None:
@@ -207,6 +213,15 @@
     return min(LEASE_S, longest_s)
 
 
+def inherited_lease_s(worker: Worker) -> float:
+    """Return how long a lease from requests for an earlier boot may last.
+
+    It counts from the last answer at the earliest, and is 0 if there is none.
+    """
+    left_s = worker.lease.end_s - worker.last_poll_s
+    return min(left_s, worker.lease.longest_left_s)
+
+
 def lasting_count(worker: Worker) -> int:
     """Return how many lasting tasks may run on a worker."""
     return sum(run.task.step.lasting for run in worker.runs_by_task.values())
--- a/libs/scheduler/tests/test_scheduler_reborn.py
+++ b/libs/scheduler/tests/test_scheduler_reborn.py
@@ -62,6 +62,20 @@
     await asyncio.to_thread(_play, scenario, LONGEST_LEASE)
 
 
+async def test_next_leader_does_not_know_the_longest_lease():
+    def scenario(simulation: simulations.Simulation) -> None:
+        simulation.run(LONG_S)
+        later = _boot(simulation)
+        _start(simulation)
+        simulation.bench.add_entry(later.entry)
+        simulation.run(takeovers.SETTLED_S)
+        later.down = True
+        takeovers.hand_over(simulation)
+        _check_runs_once(simulation)
+
+    await asyncio.to_thread(_play, scenario, LONGEST_LEASE)
+
+
 async def test_later_boot_has_no_lease_after_a_takeover():
     def scenario(simulation: simulations.Simulation) -> None:
         later = _boot(simulation)
