Give a new worker its token while another one waits for a higher one

A worker that a leader asks for the first time needs no new token, but waited for the write of another worker's: with a slow store, the first answers of all workers that registered meanwhile, and their tasks, came that much later (found in review).

The newest token is taken without the lock wherever it is high enough.

--- a/libs/scheduler/src/jackdawlatch/scheduler/fences.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/fences.py
@@ -73,19 +73,26 @@
 
         Return None if none could be issued.
         """
-        return self.token(worker) or await self._issue(worker)
+        known = self.token(worker) or self._take(worker)
+        return known or await self._issue(worker)
 
-    async def _issue(self, worker: workers.Worker) -> int | None:
+    def _take(self, worker: workers.Worker) -> int | None:
+        """Give a worker the newest token, unless its id has seen it."""
         entry = worker.entry
+        last = self._fences_by_id.get(entry.id)
+        if last is not None and self._newest <= last.token:
+            return None
+        self._fences_by_id[entry.id] = _Fence(self._newest, entry.born_ms)
+        return self._newest
+
+    async def _issue(self, worker: workers.Worker) -> int | None:
         async with self._issuing:
             # Workers that are lost together share a write.
-            last = self._fences_by_id.get(entry.id)
-            if last is not None and self._newest <= last.token:
+            token = self._take(worker)
+            if token is None:
                 await self._raise()
-                if self._newest <= last.token:
-                    return None
-            self._fences_by_id[entry.id] = _Fence(self._newest, entry.born_ms)
-            return self._newest
+                token = self._take(worker)
+            return token
 
     async def _raise(self) -> None:
         if not self._dependencies.leading():
--- a/libs/scheduler/tests/test_scheduler_fences.py
+++ b/libs/scheduler/tests/test_scheduler_fences.py
@@ -77,6 +77,19 @@
     assert set(tokens) == {term.writes}
 
 
+async def test_new_worker_waits_for_the_token_of_another_one(term):
+    lost = _boot('w1', 1)
+    await term.fences.issue(lost)
+    term.fences.expire(lost)
+    term.bench.store.slow_s = 9
+    issuing = asyncio.create_task(term.fences.issue(lost))
+    await asyncio.sleep(0.05)
+    assert not issuing.done()
+    async with asyncio.timeout(1):
+        assert await term.fences.issue(_boot('w2', 1)) == term.token
+    issuing.cancel()
+
+
 async def test_deposed_leader_issues_a_token(term):
     worker = _boot('w1', 1)
     await term.fences.issue(worker)
