Extend no lease that was recorded while a poll waited for its token

A poll may wait for the write of a higher token.

The poll looks at the worker again after its token has come, and leaves the lease as it is if the worker was lost or its lease recorded.

--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -116,9 +116,12 @@
         if token is None or not self._dependencies.leading():
             return False
         requested_s = self._clock.monotonic_s()
-        if lease_s is not None:
+        # It may have been lost while its token was written.
+        if lease_s is not None and _may_extend_lease(worker):
             worker.lease.extend(lease_s, requested_s)
             lease_s += worker.clock_s(requested_s)
+        else:
+            lease_s = None
         polled = await self._dependencies.client.poll(
             worker.target,
             calls.Poll(
@@ -284,6 +287,10 @@
     return start_orders.find_obstacle(orders)
 
 
+def _may_extend_lease(worker: workers.Worker) -> bool:
+    return worker.reachable and worker.lease.record is None
+
+
 def _is_final(failure: calls.CallFailure) -> bool:
     """Whether a stop that failed would fail again."""
     return (
--- a/libs/scheduler/tests/test_scheduler_boots.py
+++ b/libs/scheduler/tests/test_scheduler_boots.py
@@ -128,6 +128,38 @@
         assert not any(one.acked for one in polls)
 
 
+async def test_poll_that_waited_extends_a_recorded_lease(bench):
+    worker = bench.add_worker('w1')
+    bench.submit(benches.job())
+    extended: list[float] = []
+    async with bench.lead() as leader:
+        await waiting.until(lambda: worker.running)
+        known = leader.cluster.workers_by_id['w1']
+        worker.answers_polls.clear()
+        await asyncio.sleep(0.3)
+        poll = bench.workers.poll
+
+        async def record(target, request):
+            if request.lease_s is not None and known.lease.record:
+                extended.append(known.lease.end_s - known.lease.record.end_s)
+            return await poll(target, request)
+
+        bench.workers.poll = record
+        leader._dispatcher._fences.expire(known)
+        bench.store.slow_s = 0.6
+        polling = asyncio.create_task(
+            leader._dispatcher.poll(known, workers.LEASE_S, 0)
+        )
+        await asyncio.sleep(0.05)
+        # Another poll that was in flight gets no answer.
+        known.reachable = False
+        known.health.silent = True
+        await waiting.until(lambda: known.lease.record)
+        await asyncio.sleep(1)
+        polling.cancel()
+    assert not extended, extended
+
+
 def test_run_on_a_later_boot_counts_as_crashed(fleet):
     """Guards against a job that fails though all its runs go on."""
     task = fleet.add_job()
