Acknowledge each end of a worker once

Every poll repeated the highest acknowledgement. A poll that a later boot carries out before the leader knows it then erases the first ends of that boot unread, and their tasks are started again; a boot that has answered no token can't be guarded otherwise.

An acknowledgement that the worker has answered is not sent again, so that only the polls that carry a new one can do that.

--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -122,13 +122,12 @@
             lease_s += worker.clock_s(requested_s)
         else:
             lease_s = None
+        acked = worker.acked if worker.reachable else 0
         polled = await self._dependencies.client.poll(
             worker.target,
             calls.Poll(
                 token=token,
-                # A later boot would take this for an acknowledgement of its
-                # own ends.
-                acked=worker.acked if worker.reachable else 0,
+                acked=acked,
                 lease_s=lease_s,
                 wait_s=wait_s,
             ),
@@ -143,7 +142,8 @@
         if status.born_ms and status.born_ms != worker.entry.born_ms:
             self._dependencies.registry.find_boot(worker, status.born_ms)
             return False
-        worker.set_clock(status.clock_s, self._clock.monotonic_s())
+        now_s = self._clock.monotonic_s()
+        worker.record_answer(status.clock_s, acked, now_s)
         self._dependencies.reconciler.reconcile(worker, status, requested_s)
         return True
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -119,6 +119,7 @@
         self.free = entry.room
         self.last_end_number = 0
         self._clock_offset_s: float | None = None
+        self._confirmed_ack = 0
         self._unstored: set[int] = set()
         self._all_stored = asyncio.Event()
         self._all_stored.set()
@@ -137,10 +138,15 @@
 
     @property
     def acked(self) -> int:
-        """The highest number up to which every end is persisted."""
+        """The highest number up to which every end is persisted.
+
+        0 if the worker has confirmed that: a later boot would take an
+        acknowledgement for one of its own ends.
+        """
+        number = self.last_end_number
         if self._unstored:
-            return min(self._unstored) - 1
-        return self.last_end_number
+            number = min(self._unstored) - 1
+        return number if number > self._confirmed_ack else 0
 
     async def wait_all_stored(self, timeout_s: float) -> None:
         """Wait until every end is persisted, at most ``timeout_s``."""
@@ -156,9 +162,10 @@
         """
         return now_s + (self._clock_offset_s or 0)
 
-    def set_clock(self, clock_s: float, now_s: float) -> None:
-        """Record a reading of the worker's clock."""
+    def record_answer(self, clock_s: float, acked: int, now_s: float) -> None:
+        """Record a reading of its clock, and what it has acknowledged."""
         self._clock_offset_s = clock_s - now_s
+        self._confirmed_ack = max(self._confirmed_ack, acked)
 
     def is_its_clock(self, clock_s: float, sent_s: float) -> bool:
         """Whether a clock reading in an answer may be of this boot.
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -230,8 +230,8 @@
     Mutation(
         'a worker that does not answer gets no acknowledgement',
         'scheduler/dispatch.py',
-        'acked=worker.acked if worker.reachable else 0,',
-        'acked=worker.acked,',
+        'acked = worker.acked if worker.reachable else 0',
+        'acked = worker.acked',
         'scheduler',
         'test_lost_worker_is_sent',
     ),
