Log how much of the loop's time the planning rounds take

The log did not tell a leader without processor time from one without machines: a task waits as `no-room` in both cases, since the capacity of a placement counts as used from the decision on. The line `rounds`, once a second, gives the rounds and their share of the time, how late the loop was, and how many placements are not written, starts not answered and runs running.

No decision changes.

--- a/libs/scheduler/src/jackdawlatch/scheduler/rounds.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/rounds.py
@@ -12,6 +12,7 @@
     job_order,
     lateness,
     planner,
+    round_costs,
     round_times,
     supervision,
     waiting,
@@ -46,6 +47,7 @@
         self._dependencies = dependencies
         self._wake = asyncio.Event()
         self._wait_reporter = waiting.WaitReporter(dependencies.cluster)
+        self._costs = round_costs.RoundCosts(dependencies.cluster)
         self._advisor = advisor.Advisor(
             dependencies.cluster,
             dependencies.advice_client,
@@ -70,16 +72,18 @@
         pause_s = PLAN_DELAY_S
         while True:
             await self._wake.wait()
+            due_s = clock.monotonic_s() + pause_s
             await asyncio.sleep(pause_s)
             self._wake.clear()
             if self._dependencies.leading():
                 begun_s = clock.monotonic_s()
-                self._plan()
+                plan = self._plan()
                 # At least half of the loop's time is left for the workers.
                 took_s = clock.monotonic_s() - begun_s
+                self._costs.add(took_s, begun_s - due_s, plan)
                 pause_s = min(MAX_PAUSE_S, max(PLAN_DELAY_S, took_s))
 
-    def _plan(self) -> None:
+    def _plan(self) -> planner.Plan:
         cluster = self._dependencies.cluster
         candidates: dict[str, list[workers.Worker]] = {}
         for worker in cluster.workers_by_id.values():
@@ -94,3 +98,4 @@
         self._dependencies.dispatcher.place(plan.placements)
         if self._wait_reporter.due:
             self._wait_reporter.report(plan.unplaced)
+        return plan
