Show a start beside a listed run whose stop gets no answer

The next answers of the boot list the run. It is not wanted, since a later attempt runs elsewhere, and is stopped; the stop gets no answer. The leader goes on to extend the lease of the boot, and once the later attempt has ended it starts the next one while the first is still listed.

Ruled out: the births and the fence; the boot has answered the token of the leader 0.5 s before the start.

--- a/libs/scheduler/tests/test_scheduler_reborn.py
+++ b/libs/scheduler/tests/test_scheduler_reborn.py
@@ -125,6 +125,29 @@
     await asyncio.to_thread(_play, scenario)
 
 
+async def test_task_is_started_beside_a_listed_run_of_it():
+    def scenario(simulation: simulations.Simulation) -> None:
+        simulation.run(LONG_S)
+        simulation.workers.delay(NAME, oracles.Call.START, 4)
+        _start(simulation)
+        later = _boot(simulation)
+        later.down = True
+        simulation.run(5)
+        # The first start was carried out late, after the second one.
+        assert TASK in later.running
+        simulation.workers.delay(NAME, oracles.Call.STOP, NEVER_S)
+        later.down = False
+        simulation.bench.add_entry(later.entry)
+        simulation.run(takeovers.PROMPT_S)
+        assert TASK in later.running
+        for worker in simulation.workers.alive():
+            if worker is not later and TASK in worker.running:
+                worker.end(TASK, reports.EndKind.STOPPED)
+        _check_runs_once(simulation)
+
+    await asyncio.to_thread(_play, scenario)
+
+
 def _play(
     scenario: Callable[[simulations.Simulation], None],
     bounds: cluster_state.Bounds | None = None,
