Let stand-ins carry a minute of daemons as processes

- Content.changes read the whole history for each look at a watch; it starts at the first later revision.
- Processes can be started with environment variables, which hold the path of the unified daemon's settings.

--- a/libs/standins/src/jackdawlatch/standins/content.py
+++ b/libs/standins/src/jackdawlatch/standins/content.py
@@ -1,6 +1,8 @@
 """The data of the key-value stand-in: keys, leases and history."""
 
+import bisect
 import itertools
+import operator
 from collections.abc import Iterable
 
 from returns import result
@@ -50,10 +52,13 @@
         self.expire()
         if revision < self._trimmed_revision or revision > self.revision:
             return self.scan(prefix)
+        first = bisect.bisect_right(
+            self._history, revision, key=operator.attrgetter('revision')
+        )
         found = tuple(
             entry
-            for entry in self._history
-            if entry.revision > revision and entry.key.startswith(prefix)
+            for entry in self._history[first:]
+            if entry.key.startswith(prefix)
         )
         return keyvalue.Changes(entries=found, revision=self.revision)
 
--- a/libs/standins/src/jackdawlatch/standins/processes.py
+++ b/libs/standins/src/jackdawlatch/standins/processes.py
@@ -1,11 +1,12 @@
 """Operating system processes that a test or the demo starts and ends."""
 
+import os
 import pathlib
 import signal
 import subprocess
 import sys
 import time
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Self
 
 STOP_TIMEOUT_S = 15.0
@@ -18,7 +19,11 @@
     """One program that was started; it is signalled only by its process id."""
 
     def __init__(
-        self, name: str, arguments: Sequence[str], directory: pathlib.Path
+        self,
+        name: str,
+        arguments: Sequence[str],
+        directory: pathlib.Path,
+        variables: Mapping[str, str],
     ) -> None:
         self.name = name
         self.paused = False
@@ -32,6 +37,7 @@
                 stdout=output,
                 stderr=output,
                 cwd=directory,
+                env={**os.environ, **variables},
                 start_new_session=True,
             )
 
@@ -91,15 +97,17 @@
         """Iterate over all processes, in the order of their start."""
         return iter(tuple(self._processes_by_name.values()))
 
-    def start(self, name: str, arguments: Sequence[str]) -> Process:
-        """Start ``python -m`` with arguments, under a name.
+    def start(
+        self, name: str, arguments: Sequence[str], **variables: str
+    ) -> Process:
+        """Start ``python -m`` with arguments and environment variables.
 
         Raises ``ValueError`` if a process of that name still runs.
         """
         before = self._processes_by_name.get(name)
         if before and before.exit_status is None:
             raise ValueError(f'{name} is still running')
-        process = Process(name, arguments, self.directory)
+        process = Process(name, arguments, self.directory, variables)
         self._processes_by_name[name] = process
         return process
 
