Place nothing on a worker whose token is due

A worker that a leader asks again after a lost answer could count as reachable through another poll that was under way, though no start may be sent until its next token is issued.

An answer under a token that has expired meanwhile still counts, but the worker is reachable only after the next poll, which follows at once.

--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -145,6 +145,9 @@
         now_s = self._clock.monotonic_s()
         worker.record_answer(status.clock_s, acked, now_s)
         self._dependencies.reconciler.reconcile(worker, status, requested_s)
+        if self._fences.token(worker) != token:
+            # Another request was lost meanwhile: the next poll shows more.
+            worker.reachable = False
         return True
 
     def settle(self, run: runs.Run) -> None:
--- a/libs/scheduler/tests/test_scheduler_boots.py
+++ b/libs/scheduler/tests/test_scheduler_boots.py
@@ -160,6 +160,27 @@
     assert not extended, extended
 
 
+async def test_tasks_are_placed_while_a_token_is_due(bench):
+    """Their starts may not be sent: each placement would be undone."""
+    worker = bench.add_worker('w1')
+    async with bench.lead() as leader:
+        known_by_id = leader.cluster.workers_by_id
+        await waiting.until(
+            lambda: 'w1' in known_by_id and known_by_id['w1'].usable
+        )
+        known = known_by_id['w1']
+        worker.answers_polls.clear()
+        # A poll that is under way now is answered later.
+        await asyncio.sleep(SETTLED_S)
+        leader._dispatcher._fences.expire(known)
+        known.reachable = False
+        bench.store.slow_s = 9
+        answered_s = known.last_poll_s
+        worker.answers_polls.set()
+        await waiting.until(lambda: known.last_poll_s > answered_s)
+        assert not known.usable
+
+
 def test_run_on_a_later_boot_counts_as_crashed(fleet):
     """Guards against a job that fails though all its runs go on."""
     task = fleet.add_job()
