Record a lease again that turns out to be longer

The record of a lost worker's lease was written once for each loss.

A record that ends before the lease that is known now is replaced, as a new episode.

--- a/libs/scheduler/src/jackdawlatch/scheduler/lease_records.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/lease_records.py
@@ -107,7 +107,7 @@
         """Return the records of all lost workers, of which some are new."""
         current = {}
         for worker in self._cluster.workers_by_id.values():
-            if worker.lease.record is None and _is_lost(worker):
+            if _is_unrecorded(worker):
                 # From now on the lease is not extended.
                 worker.lease.record = self._new_record(worker)
             record = worker.lease.record
@@ -206,9 +206,19 @@
 
 def _is_changed(worker: workers.Worker) -> bool:
     """Whether the record of a worker is missing, or has to be cleared."""
-    if worker.lease.record is None:
-        return _is_lost(worker)
-    return worker.reachable
+    return _is_unrecorded(worker) or (
+        worker.lease.record is not None and worker.reachable
+    )
+
+
+def _is_unrecorded(worker: workers.Worker) -> bool:
+    """Whether a lost worker has no record, or one that ends too early.
+
+    A later boot may be found after the loss, with a longer lease.
+    """
+    record = worker.lease.record
+    outdated = record is None or record.end_s < worker.lease.end_s
+    return outdated and _is_lost(worker)
 
 
 def _is_lost(worker: workers.Worker) -> bool:
