Issue one token for all requests that wait for one worker

Requests to one worker that waited for its token at the same time each wrote a token of their own, and each fenced the requests with the tokens before: polls and stops of the same leader refused each other. Found on reading the code once more.

A request that has waited takes the token that has become valid meanwhile. What stands against starts is found in one place.

--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -160,7 +160,9 @@
             self._dependencies.spawn(self._settle(run))
 
     def _send_starts(self, orders: Sequence[start_orders.StartOrder]) -> None:
-        obstacle = _find_obstacle(self._dependencies, orders)
+        obstacle = start_orders.find_obstacle(orders, self._fences)
+        if not self._dependencies.leading():
+            obstacle = 'not-leading'
         now_s = self._clock.monotonic_s()
         for order in orders:
             run = order.run
@@ -277,19 +279,6 @@
         return stopped
 
 
-def _find_obstacle(
-    dependencies: Dependencies, orders: Sequence[start_orders.StartOrder]
-) -> str:
-    """Return why none of these starts may be sent, empty if they may."""
-    if not dependencies.leading():
-        return 'not-leading'
-    if any(
-        dependencies.fences.token(order.run.worker) is None for order in orders
-    ):
-        return 'fence-due'
-    return start_orders.find_obstacle(orders)
-
-
 def _may_extend_lease(worker: workers.Worker) -> bool:
     return worker.reachable and worker.lease.record is None
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/fences.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/fences.py
@@ -87,12 +87,11 @@
 
     async def _issue(self, worker: workers.Worker) -> int | None:
         async with self._issuing:
-            # Workers that are lost together share a write.
-            token = self._take(worker)
-            if token is None:
+            # Requests to one worker, and workers lost together, share a write.
+            known = self.token(worker) or self._take(worker)
+            if known is None:
                 await self._raise()
-                token = self._take(worker)
-            return token
+            return known or self._take(worker)
 
     async def _raise(self) -> None:
         if not self._dependencies.leading():
--- a/libs/scheduler/src/jackdawlatch/scheduler/start_orders.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/start_orders.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from jackdawlatch.jobs import stored
-from jackdawlatch.scheduler import cluster_state, placing, runs
+from jackdawlatch.scheduler import cluster_state, fences, placing, runs
 
 
 @dataclasses.dataclass(frozen=True)
@@ -30,10 +30,18 @@
     return StartOrder(run, placement.ticket)
 
 
-def find_obstacle(orders: Iterable[StartOrder]) -> str:
+def find_obstacle(
+    orders: Iterable[StartOrder], worker_fences: fences.Fences
+) -> str:
     """Return what has come up against the start of any of the runs."""
-    obstacles = (
-        order.run.obstacle if order.run.unsent else 'withdrawn'
-        for order in orders
+    return next(
+        filter(None, (_obstacle(order.run, worker_fences) for order in orders)),
+        '',
     )
-    return next(filter(None, obstacles), '')
+
+
+def _obstacle(run: runs.Run, worker_fences: fences.Fences) -> str:
+    if not run.unsent:
+        return 'withdrawn'
+    due = worker_fences.token(run.worker) is None
+    return 'fence-due' if due else run.obstacle
--- a/libs/scheduler/tests/test_scheduler_fences.py
+++ b/libs/scheduler/tests/test_scheduler_fences.py
@@ -77,6 +77,17 @@
     assert set(tokens) == {term.writes}
 
 
+async def test_requests_to_one_worker_are_fenced_one_by_one(term):
+    """The second token would fence the requests with the first one."""
+    worker = _boot('w1', 1)
+    await term.fences.issue(worker)
+    term.fences.expire(worker)
+    tokens = await asyncio.gather(
+        *(term.fences.issue(worker) for _ in range(3))
+    )
+    assert set(tokens) == {term.writes}
+
+
 async def test_new_worker_waits_for_the_token_of_another_one(term):
     lost = _boot('w1', 1)
     await term.fences.issue(lost)
