Give a job up only after more crashes than chance explains

Cause: three crashes in a row were taken for a sign of the task however often workers crash.

The number of crashes in a row after which a task is given up now follows from the rate at which workers were lost in the last 20 s: with as many it would happen by chance to fewer than 1 in 200. It stays at three up to one loss per worker in five seconds. All but one of them have to be proven, as before.

Ruled out: to count proven crashes only. A crash before the answer to a start is not proven, and a fourth start of a task that crashes its workers breaks the limit of its queue.

--- a/libs/policy/src/jackdawlatch/policy/crashes.py
+++ b/libs/policy/src/jackdawlatch/policy/crashes.py
@@ -15,6 +15,10 @@
 # Crashes in a row after which a task is given up, if so many are proven.
 MAX_CRASHES = 3
 MIN_PROVEN = 2
+# The losses of this time give the rate at which workers crash.
+RATE_PERIOD_S = 20.0
+# Probability that the crashes in a row under a task have other causes.
+MAX_CHANCE = 0.005
 # Workers lost within ``TOGETHER_S`` have a cause outside of their tasks.
 MASS_LOSS = 4
 TOGETHER_S = 0.05
@@ -58,13 +62,27 @@
     return confirmed_s >= SURVIVAL_S
 
 
-def is_given_up(crashes: int, proven: int) -> bool:
+def crashes_to_give_up(recent_losses: int, workers: int) -> int:
+    """Return after how many crashes in a row a task is given up.
+
+    ``recent_losses`` is how many of the workers were lost in the last
+    ``RATE_PERIOD_S``.  Where they crash often, they do so by chance soon after
+    a start.
+    """
+    rate = recent_losses / max(1, workers) / RATE_PERIOD_S
+    chance = 1 - math.exp(-rate * SURVIVAL_S)
+    if chance <= 0:
+        return MAX_CRASHES
+    return max(MAX_CRASHES, math.ceil(math.log(MAX_CHANCE) / math.log(chance)))
+
+
+def is_given_up(crashes: int, proven: int, limit: int = MAX_CRASHES) -> bool:
     """Whether a task with so many crashes in a row is started no more.
 
     ``proven`` of them are certain: the task ran on a worker that crashed.  The
     others may be workers that were cut off, or starts that were not carried out.
     """
-    return crashes >= MAX_CRASHES and proven >= MIN_PROVEN
+    return crashes >= limit and proven >= limit - MAX_CRASHES + MIN_PROVEN
 
 
 def is_isolated(crashes: int) -> bool:
--- a/libs/policy/tests/test_policy_crashes.py
+++ b/libs/policy/tests/test_policy_crashes.py
@@ -59,6 +59,14 @@
     assert not crashes.may_isolate(usable=8, trying=4, lost=0)
 
 
+def test_few_losses_raise_the_limit():
+    """Guards against a crashing task that is started again and again."""
+    for recent, workers in ((0, 0), (0, 30), (3, 1), (14, 30), (60, 30)):
+        limit = crashes.crashes_to_give_up(recent, workers)
+        assert limit == crashes.MAX_CRASHES, (recent, workers)
+    assert crashes.crashes_to_give_up(54, 8) > crashes.MAX_CRASHES
+
+
 def test_only_the_deadly_task_is_given_up():
     """Replays 10 tasks that start together, of which one is deadly.
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/crash_blame.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/crash_blame.py
@@ -92,7 +92,18 @@
             'crash-under', run, f'{count} in a row, {proven} proven'
         )
         # A lasting task is restarted however it ends.
-        return not task.step.lasting and crashes.is_given_up(count, proven)
+        return not task.step.lasting and crashes.is_given_up(
+            count, proven, self._crashes_to_give_up()
+        )
+
+    def _crashes_to_give_up(self) -> int:
+        since_s = self._cluster.now_s - crashes.RATE_PERIOD_S
+        recent = sum(
+            lost_s > since_s for lost_s in self._lost_s_by_boot.values()
+        )
+        return crashes.crashes_to_give_up(
+            recent, len(self._cluster.workers_by_id)
+        )
 
     def _is_proven(self, run: runs.Run, lost_s: float) -> bool:
         """Whether a worker that has ended crashed under a run.
--- a/libs/scheduler/tests/scheduler_fleets.py
+++ b/libs/scheduler/tests/scheduler_fleets.py
@@ -110,6 +110,15 @@
         self.clock.advance(3)
         self.boot(worker.entry.id)
 
+    def crash_soon(self, name: str, task: tasks.Task, times: int) -> None:
+        """Crash a worker just after a start, and boot it again at once."""
+        for _ in range(times):
+            self.start(task, self.boot(name))
+            self.clock.advance(0.1)
+            self.lose(self.cluster.workers_by_id[name])
+            self.clock.advance(0.1)
+            self.boot(name)
+
     def crash_under(self, task: tasks.Task, times: int) -> None:
         """Start a task ``times`` times on a worker that then crashes."""
         for _ in range(times):
--- a/libs/scheduler/tests/test_scheduler_crashes.py
+++ b/libs/scheduler/tests/test_scheduler_crashes.py
@@ -166,6 +166,17 @@
     assert not task.job.ended
 
 
+def test_job_fails_where_workers_crash_all_the_time(fleet):
+    """A worker then crashes soon after a start whatever it runs."""
+    for number in range(crashes.MASS_LOSS - 1):
+        fleet.crash_soon(f'w{number}', fleet.add_job(f'j{number}'), times=3)
+    task = fleet.add_job()
+    fleet.crash_soon('w0', task, times=crashes.MAX_CRASHES)
+    assert not task.job.ended
+    fleet.crash_soon('w0', task, times=crashes.MAX_CRASHES)
+    assert task.job.phase is stored.JobPhase.FAILED
+
+
 def test_failed_run_between_crashes_clears_the_task(fleet):
     task = fleet.add_job()
     fleet.crash_under(task, crashes.MAX_CRASHES - 1)
