--- a/libs/scheduler/src/jackdawlatch/scheduler/boots.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/boots.py
@@ -19,7 +19,7 @@
         self._crash_blame = blame
 
     def add(self, entry: reports.WorkerEntry, found_by: str) -> workers.Worker:
-        """Add a boot; ``found_by`` tells what has shown it."""
+        """Add a boot; ``found_by`` names what has shown it."""
         by_id = self._cluster.workers_by_id
         known = by_id.get(entry.id)
         worker = self._cluster.add_worker(entry)
--- a/libs/scheduler/tests/test_scheduler_boots.py
+++ b/libs/scheduler/tests/test_scheduler_boots.py
@@ -43,7 +43,7 @@
 
 
 def test_former_registration_replaces_a_living_boot(fleet):
-    """A poll may tell of a boot before the entry of the former one changes."""
+    """A poll may show a boot before the entry of the former one changes."""
     task = fleet.add_job()
     former = fleet.boot('w1')
     fleet.registry.find_boot(former, born_ms=9)
