Check the keys of teams, and place jobs within their quotas and shares

The configuration of some deployments names teams with keys, a weight and limits of what they may have running.

An entry now refuses a call without a key of the configuration in force with 401, or with 503 while the store, and so perhaps a newer configuration, can't be reached. The job's record names its team. The leader counts what the runs of each team hold, from their placement until it is certain that they do not run, and places no task beyond the team's quota. What a team submits beyond its weight a second goes behind all other jobs. A configuration without teams is served as before.

--- a/libs/jobs/src/jackdawlatch/jobs/intake.py
+++ b/libs/jobs/src/jackdawlatch/jobs/intake.py
@@ -38,13 +38,19 @@
     code: ClassVar[str] = 'job-outcome-unknown'
 
 
+class KeyUnknown(failures.Problem, frozen=True, kw_only=True):
+    """No team of the configuration in force holds the key of the call."""
+
+    code: ClassVar[str] = 'key-unknown'
+
+
 class NoSuchJob(failures.Problem, frozen=True, kw_only=True):
     """No job with this id was accepted, or it was removed after its end."""
 
     code: ClassVar[str] = 'job-unknown'
 
 
-Failure = NotAccepted | OutcomeUnknown | NoSuchJob
+Failure = NotAccepted | OutcomeUnknown | KeyUnknown | NoSuchJob
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,6 +75,28 @@
         self.in_flight = 0
         self._dependencies = dependencies
 
+    def authorize(
+        self, queue: queues.Queue, key: str, request_id: str
+    ) -> result.Result[str, KeyUnknown | NotAccepted]:
+        """Return the team whose key a call carries, '' if it needs no key."""
+        if queue.open or not self.catalog.requires_keys:
+            return result.Success('')
+        team = self.catalog.team_of_key(key)
+        if team is not None:
+            return result.Success(team.name)
+        if not self._dependencies.store.answering:
+            # A newer configuration may hold the key.
+            return result.Failure(_STORE_UNAVAILABLE)
+        self._dependencies.log.note(
+            'key-refused',
+            request=request_id,
+            queue=queue.name,
+            version=self.catalog.version,
+        )
+        return result.Failure(
+            KeyUnknown(message='no team of the configuration holds this key')
+        )
+
     async def submit(
         self, job: model.Job, request_id: str
     ) -> result.Result[None, NotAccepted | OutcomeUnknown]:
@@ -92,7 +120,7 @@
                 ),
             )
         )
-        self._note('submit', job.id, request_id, outcome)
+        self._note('submit', job.id, request_id, outcome, job.team)
         return outcome
 
     async def cancel(
@@ -180,6 +208,7 @@
         job_id: str,
         request_id: str,
         outcome: result.Result[None, Failure],
+        team: str = '',
     ) -> None:
         outcome_text = 'stored'
         if isinstance(outcome, result.Failure):
@@ -188,6 +217,7 @@
             name,
             request=request_id,
             job=job_id,
+            team=team,
             version=self.catalog.version,
             outcome=outcome_text,
         )
--- a/libs/jobs/src/jackdawlatch/jobs/model.py
+++ b/libs/jobs/src/jackdawlatch/jobs/model.py
@@ -80,6 +80,7 @@
     ``k`` from ``start_at_s + k * interval_s`` (wall-clock) on.  ``service`` and
     ``max_attempts`` are those of the queue when it was accepted, for a leader
     that doesn't know the queue; earlier releases stored no ``max_attempts``.
+    ``team`` is the one whose key submitted it, empty for open queues.
     """
 
     id: str
@@ -92,6 +93,7 @@
     start_at_s: float = 0
     interval_s: float = 0
     accepted_s: float = 0
+    team: str = ''
 
     @property
     def occurrences(self) -> int:
--- a/libs/jobs/src/jackdawlatch/jobs/queues.py
+++ b/libs/jobs/src/jackdawlatch/jobs/queues.py
@@ -3,6 +3,8 @@
 import dataclasses
 from collections.abc import Iterable, Mapping
 
+from jackdawlatch.model import teams as model_teams
+
 NO_VERSION = 0
 
 
@@ -13,7 +15,7 @@
     A lower ``priority`` goes first.  ``max_attempts`` limits the failures of a
     task that is not lasting.  ``advised`` queues need a ticket for each start.
     The latency objective of a job is ``slack_factor`` times its longest chain
-    of estimated work, plus ``target_s``.
+    of estimated work, plus ``target_s``.  Calls for ``open`` queues need no key.
     """
 
     name: str
@@ -25,6 +27,7 @@
     slack_factor: float = 1
     target_s: float = 0
     advised: bool = False
+    open: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -37,13 +40,18 @@
 
 
 class Catalog:
-    """All queues and services of one version of the configuration."""
+    """All queues, services and teams of one version of the configuration.
+
+    Without ``teams``, which differs from an empty list of them, callers need no
+    keys.
+    """
 
     def __init__(
         self,
         version: int = NO_VERSION,
         queues: Iterable[Queue] = (),
         services: Iterable[Service] = (),
+        teams: Iterable[model_teams.Team] | None = None,
     ) -> None:
         self.version = version
         self.queues_by_name: Mapping[str, Queue] = {
@@ -52,6 +60,15 @@
         self.services_by_name: Mapping[str, Service] = {
             service.name: service for service in services
         }
+        self.requires_keys = teams is not None
+        self.teams_by_name: Mapping[str, model_teams.Team] = {
+            team.name: team for team in teams or ()
+        }
+        self._teams_by_key = {
+            key: team
+            for team in self.teams_by_name.values()
+            for key in team.keys
+        }
         self._by_hostname: dict[str, list[Queue]] = {}
         for queue in sorted(
             self.queues_by_name.values(), key=_prefix_length, reverse=True
@@ -73,6 +90,10 @@
                 return queue
         return None
 
+    def team_of_key(self, key: str) -> model_teams.Team | None:
+        """Return the team that holds a key, None if no team does."""
+        return self._teams_by_key.get(key)
+
     def _services(self) -> Iterable[Service]:
         return self.services_by_name.values()
 
--- a/libs/model/src/jackdawlatch/model/presets.py
+++ b/libs/model/src/jackdawlatch/model/presets.py
@@ -67,6 +67,7 @@
 
     processors: Annotated[float, msgspec.Meta(ge=0)] = 1e9
     memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 1e12
+    accelerators: Annotated[float, msgspec.Meta(ge=0)] = 1e9
 
 
 class Preset(records.StrictRecord, frozen=True, kw_only=True):
--- a/libs/scheduler/src/jackdawlatch/scheduler/demand.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/demand.py
@@ -36,7 +36,7 @@
     late: list[tasks.JobState] = []
     for job in jobs:
         if not job.ended:
-            (late if job_lateness.is_late(job, now) else in_time).append(job)
+            (late if job_lateness.gives_way(job, now) else in_time).append(job)
     return Demand(
         machines_by_service(in_time, machine),
         machines_by_service(late, machine),
--- a/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
@@ -6,6 +6,7 @@
     reports,
     runs,
     tasks,
+    team_accounts,
     workers,
 )
 
@@ -19,6 +20,7 @@
 
     def __init__(self, cluster: cluster_state.ClusterState) -> None:
         self._cluster = cluster
+        self._accounts = team_accounts.Accounts()
 
     def add(
         self,
@@ -33,7 +35,11 @@
         """
         if job.id in self._cluster.jobs_by_id:
             return
-        state = tasks.JobState(job, self._cluster.now_s - age_s)
+        accepted_s = self._cluster.now_s - age_s
+        team = self._cluster.catalog.teams_by_name.get(job.team)
+        state = tasks.JobState(
+            job, accepted_s, self._accounts.claim(job.team, team, accepted_s)
+        )
         state.queue = self._cluster.catalog.queues_by_name.get(job.queue)
         self._cluster.jobs_by_id[job.id] = state
         if stored_progress is not None:
--- a/libs/scheduler/src/jackdawlatch/scheduler/job_order.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/job_order.py
@@ -37,4 +37,10 @@
             for state in job.steps
         )
         late = self._lateness.is_late(job, now)
-        return (not job.lasting, late, priority, work)
+        return (
+            not job.lasting,
+            not job.claim.within_share,
+            late,
+            priority,
+            work,
+        )
--- a/libs/scheduler/src/jackdawlatch/scheduler/lateness.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/lateness.py
@@ -43,6 +43,12 @@
         """Record a step whose tasks are all done."""
         self._ratios.record(queue, state.longest_run_s, state.step.estimate_s)
 
+    def gives_way(
+        self, job: tasks.JobState, now: round_times.RoundTime
+    ) -> bool:
+        """Whether a job is late, or beyond the share of its team."""
+        return not job.claim.within_share or self.is_late(job, now)
+
     def is_late(self, job: tasks.JobState, now: round_times.RoundTime) -> bool:
         """Whether a job would miss its objective if it continued now."""
         if job.lasting:
--- a/libs/scheduler/src/jackdawlatch/scheduler/observers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/observers.py
@@ -33,7 +33,8 @@
     def reset(self, entries: Iterable[keyvalue.Entry]) -> None:
         """Apply jobs before cancellations; jobs without an entry are kept."""
         apply = functools.partial(self._apply, wall_s=self._clock.wall_s())
-        for entry in sorted(entries, key=_is_cancellation):
+        # Created in the order of acceptance, in which teams claim their shares.
+        for entry in sorted(entries, key=_loading_order):
             self.observe(entry, apply)
 
     def change(self, entry: keyvalue.Entry) -> None:
@@ -154,5 +155,5 @@
         return None
 
 
-def _is_cancellation(entry: keyvalue.Entry) -> bool:
-    return entry.key.startswith(stored.CANCELS_PREFIX)
+def _loading_order(entry: keyvalue.Entry) -> tuple[bool, int]:
+    return (entry.key.startswith(stored.CANCELS_PREFIX), entry.revision)
--- a/libs/scheduler/src/jackdawlatch/scheduler/placing.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/placing.py
@@ -31,7 +31,8 @@
     ``SPREAD``: each worker with room runs as many tasks of its step as may share
     one.  ``RESTRICTED``: workers with room are excluded by the gang, the rack or
     the tickets of its step.  ``WITHHELD``: its job is late, and the workers with
-    room are kept free to move to other services.
+    room are kept free to move to other services.  ``QUOTA``: the runs of its team
+    hold as much as they may.
     """
 
     NO_WORKER = 'no-worker'
@@ -41,6 +42,7 @@
     SPREAD = 'spread'
     RESTRICTED = 'step-restricted'
     WITHHELD = 'workers-withheld'
+    QUOTA = 'team-quota'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -71,7 +73,9 @@
     ) -> None:
         self.state = state
         self._step = state.step
-        self._service = state.tasks[0].job.service
+        job = state.tasks[0].job
+        self._service = job.service
+        self._account = job.claim.account
         self._reservations = reserved
         self._advisor = step_advisor
         self._tickets: advisor.Tickets | None = None
@@ -85,10 +89,19 @@
         Steps of advised queues count as fitting: their tickets are requested
         ahead of free capacity, in the order of the jobs.
         """
+        if not _within_quota(self._reservations, self.state):
+            return False
         return self._advisor is not None or self._reservations.may_fit(
             self._service, self._step, self._late
         )
 
+    @property
+    def candidates(self) -> list[workers.Worker]:
+        """The workers with free capacity for one more task."""
+        return self._reservations.candidates(
+            self._service, self._step, self._late
+        )
+
     def place(self) -> list[Placement]:
         """Return the placements; a gang is placed whole or not at all."""
         waiting = [
@@ -129,6 +142,10 @@
             (
                 reason
                 for reason, number in (
+                    (
+                        WaitReason.QUOTA,
+                        _within_quota(self._reservations, self.state),
+                    ),
                     (WaitReason.NO_WORKER, counts.known),
                     (WaitReason.UNUSABLE, counts.usable),
                     (WaitReason.SUSPENDED, counts.available),
@@ -136,7 +153,7 @@
                     (WaitReason.WITHHELD, counts.open),
                     (
                         WaitReason.SPREAD,
-                        sum(map(self._spread.admits, self._candidates())),
+                        sum(map(self._spread.admits, self.candidates)),
                     ),
                 )
                 if not number
@@ -145,20 +162,15 @@
         )
         return Wait(self.state, reason, counts)
 
-    def _candidates(self) -> list[workers.Worker]:
-        return self._reservations.candidates(
-            self._service, self._step, self._late
-        )
-
     def _request_tickets(self) -> None:
         """Request tickets for the workers that still have capacity, if any."""
-        if self._advisor is not None and self._tickets and self._candidates():
+        if self._advisor is not None and self._tickets and self.candidates:
             self._advisor.request_more(self.state)
 
     def _assign_step(self, waiting: list[tasks.Task]) -> Assignments:
         if not self._step.same_rack:
             return self._assign(waiting, _any_worker)
-        racks = {worker.entry.rack for worker in self._candidates()}
+        racks = {worker.entry.rack for worker in self.candidates}
         for rack in sorted(
             racks, key=functools.partial(_is_remote, self._step)
         ):
@@ -173,7 +185,7 @@
         self, waiting: list[tasks.Task], fits: WorkerFilter
     ) -> Assignments:
         assigned: Assignments = []
-        candidates = [worker for worker in self._candidates() if fits(worker)]
+        candidates = [worker for worker in self.candidates if fits(worker)]
         for task in waiting:
             worker = self._best_worker(task, candidates)
             if worker is not None:
@@ -188,6 +200,7 @@
     def _reserve(self, worker: workers.Worker, task: tasks.Task) -> None:
         self._spread.add(worker)
         self._reservations.reserve(worker, self._step.reserved_room)
+        self._reservations.allowances.reserve(self._account, self._step.room)
         if task.suspected:
             self._reservations.trials.begin(worker, task)
 
@@ -197,6 +210,9 @@
                 self._reservations.trials.cancel(worker, task)
             self._spread.remove(worker)
             self._reservations.release(worker, self._step.reserved_room)
+            self._reservations.allowances.release(
+                self._account, self._step.room
+            )
 
     def _best_worker(
         self, task: tasks.Task, candidates: list[workers.Worker]
@@ -204,6 +220,8 @@
         trials = self._reservations.trials
         if task.suspected and trials.is_full(task):
             return None
+        if not _within_quota(self._reservations, self.state):
+            return None
         admitted = [
             worker
             for worker in candidates
@@ -237,6 +255,14 @@
         return (leaves, remote, -lasting, free)
 
 
+def _within_quota(
+    reserved: reservations.Reservations, state: tasks.StepState
+) -> bool:
+    """Whether the quota of the team has room for one more task of a step."""
+    job = state.tasks[0].job
+    return reserved.allowances.admits(job.claim.account, state.step.room)
+
+
 def _is_remote(step: model.Step, rack: str) -> bool:
     return bool(step.data_rack) and rack != step.data_rack
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/planner.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/planner.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Collection, Iterable, Mapping
 
+from jackdawlatch.model import teams
 from jackdawlatch.scheduler import (
     advisor,
     job_order,
@@ -11,6 +12,7 @@
     reservations,
     round_times,
     tasks,
+    team_accounts,
     workers,
 )
 
@@ -61,6 +63,7 @@
         candidates_by_service: Mapping[str, list[workers.Worker]],
         now: round_times.RoundTime,
         withheld: Collection[str] = (),
+        teams_by_name: Mapping[str, teams.Team] | None = None,
     ) -> Plan:
         """Return the placements of this round; no state is changed.
 
@@ -68,7 +71,10 @@
         other services with jobs that can still be in time.
         """
         free = reservations.Reservations(
-            candidates_by_service, now.monotonic_s, withheld
+            candidates_by_service,
+            now.monotonic_s,
+            withheld,
+            team_accounts.Allowances(teams_by_name or {}),
         )
         plan = Plan([], [])
         fitting = []
@@ -96,7 +102,7 @@
         late = (
             bool(waiting)
             and free.withholds(job.service)
-            and self._lateness.is_late(job, now)
+            and self._lateness.gives_way(job, now)
         )
         advised = job.queue is not None and job.queue.advised
         step_advisor = self._advisor if advised else None
--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -182,7 +182,7 @@
         job.finish_task(task)
         if task.state.done:
             self._lateness.record_step(task.state, job.job.queue)
-        if job.complete:
+        if tasks.is_complete(job):
             self._cluster.end_job(job, stored.JobPhase.DONE)
 
     def _apply_failure(self, task: tasks.Task, attempt: int) -> None:
--- a/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
@@ -4,7 +4,7 @@
 from collections.abc import Collection, Iterable, Mapping
 
 from jackdawlatch.jobs import model
-from jackdawlatch.scheduler import trials, workers
+from jackdawlatch.scheduler import team_accounts, trials, workers
 
 
 @dataclasses.dataclass(frozen=True)
@@ -56,7 +56,8 @@
 class Reservations:
     """Free capacity by worker id; the workers themselves are not changed.
 
-    The machines in ``withheld`` are not available to late jobs.
+    The machines in ``withheld`` are not available to late jobs.  ``allowances``
+    are what the quotas of the teams leave.
     """
 
     def __init__(
@@ -64,7 +65,9 @@
         candidates_by_service: Mapping[str, list[workers.Worker]],
         now_s: float,
         withheld: Collection[str] = (),
+        allowances: team_accounts.Allowances | None = None,
     ) -> None:
+        self.allowances = allowances or team_accounts.Allowances({})
         self._known_by_service = candidates_by_service
         self._groups_by_service = {
             service: _groups(_available(candidates, now_s), withheld)
--- a/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
@@ -1,6 +1,7 @@
 """The state of jobs and their tasks."""
 
 import enum
+import functools
 
 from jackdawlatch.jobs import model, queues, stored
 from jackdawlatch.scheduler import (
@@ -9,6 +10,7 @@
     crash_record,
     paces,
     runs,
+    team_accounts,
     workers,
 )
 
@@ -218,13 +220,19 @@
 
     ``accepted_s`` is the monotonic time at which it was accepted, as far as
     is known.  ``begun`` tells whether any of its tasks is known to have
-    started; a task that was placed may have been refused.
+    started; a task that was placed may have been refused.  ``claim`` is its
+    claim to a share of its team.
     """
 
-    def __init__(self, job: model.Job, accepted_s: float = 0) -> None:
+    def __init__(
+        self,
+        job: model.Job,
+        accepted_s: float = 0,
+        claim: team_accounts.Claim | None = None,
+    ) -> None:
         self.job = job
+        self.claim = claim or team_accounts.Claim()
         self.accepted_s = accepted_s
-        self.lasting = any(step.lasting for step in job.steps)
         self.phase = stored.JobPhase.QUEUED
         self.begun = False
         self.cancelled = False
@@ -241,16 +249,16 @@
         """Whether the job is in a final phase."""
         return self.phase in stored.ENDED
 
+    @functools.cached_property
+    def lasting(self) -> bool:
+        """Whether any of its tasks runs until the job is cancelled."""
+        return any(step.lasting for step in self.job.steps)
+
     @property
     def service(self) -> str:
         """The service of the queue, by the current configuration."""
         return self.queue.service if self.queue else self.job.service
 
-    @property
-    def complete(self) -> bool:
-        """Whether every task of every occurrence is done."""
-        return all(state.done for state in self.steps)
-
     def runs(self) -> list[runs.Run]:
         """Return the attempts that may be running."""
         return [
@@ -353,6 +361,11 @@
     ]
 
 
+def is_complete(job: JobState) -> bool:
+    """Whether every task of every occurrence of a job is done."""
+    return all(state.done for state in job.steps)
+
+
 def _may_start(job: JobState, state: StepState, wall_s: float) -> bool:
     return job.job.due_s(state.occurrence) <= wall_s and all(
         job.step_state(state.occurrence, number).done
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -11,6 +11,7 @@
     calls,
     reports,
     runs,
+    team_accounts,
 )
 
 # Long enough to survive a change of leaders after a lost lease, short enough
@@ -182,6 +183,7 @@
         """Add a run and reserve its capacity."""
         self.runs_by_task[run.task.id] = run
         self.free = self.free.minus(run.task.step.reserved_room)
+        _account(run).add(run.task.step.room)
         if run.task.suspected:
             self.health.suspects.add(run)
 
@@ -190,6 +192,7 @@
         if self.runs_by_task.get(run.task.id) is run:
             self.runs_by_task.pop(run.task.id)
             self.free = self.free.plus(run.task.step.reserved_room)
+            _account(run).remove(run.task.step.room)
             self.health.suspects.discard(run)
 
     def update(self, entry: reports.WorkerEntry) -> None:
@@ -214,6 +217,12 @@
         return acknowledge
 
 
+def _account(run: runs.Run) -> team_accounts.Account:
+    """Return the account of the team whose job a run belongs to."""
+    job = run.task.job
+    return job.claim.account
+
+
 def _lease_end_s(lease_s: float, now_s: float) -> float:
     return now_s + lease_s * (1 + CLOCK_DRIFT_FRACTION)
 
--- a/libs/unified/tests/unified_bench.py
+++ b/libs/unified/tests/unified_bench.py
@@ -52,13 +52,18 @@
         method: str,
         path: str = PATH,
         body: Mapping[str, object] | None = None,
+        headers: tuple[tuple[str, str], ...] = (),
     ) -> exchange.Reply:
         """Send a request as a caller does."""
         content = None if body is None else json.dumps(dict(body)).encode()
-        return await self.send(method, path, content)
+        return await self.send(method, path, content, headers)
 
     async def send(
-        self, method: str, path: str = PATH, content: bytes | None = None
+        self,
+        method: str,
+        path: str = PATH,
+        content: bytes | None = None,
+        headers: tuple[tuple[str, str], ...] = (),
     ) -> exchange.Reply:
         """Send a request with any body."""
         replied = await self._client.send(
@@ -66,7 +71,7 @@
                 self._base + path,
                 method=method,
                 body=content,
-                headers=(('Host', 'host.example'),),
+                headers=(('Host', 'host.example'), *headers),
             )
         )
         return replied.unwrap()
