--- a/libs/jobs/src/jackdawlatch/jobs/intake.py
+++ b/libs/jobs/src/jackdawlatch/jobs/intake.py
@@ -19,6 +19,7 @@
 
 # The store documents answers in milliseconds; a slow one takes about 0.25 s.
 RETRY_AFTER_S = 1
+BEARER = 'bearer'
 
 
 class NotAccepted(failures.NotRun, frozen=True, kw_only=True):
@@ -76,13 +77,17 @@
         self._dependencies = dependencies
 
     def authorize(
-        self, queue: queues.Queue, key: str, request_id: str
+        self, queue: queues.Queue, header: str, request_id: str
     ) -> result.Result[str, KeyUnknown | NotAccepted]:
-        """Return the team whose key a call carries, '' if it needs no key."""
+        """Return the team that calls a queue, '' if the call needs no key.
+
+        ``header`` is the call's Authorization header, which contains the key.
+        """
         if queue.open or not self.catalog.requires_keys:
             return result.Success('')
-        team = self.catalog.team_of_key(key)
-        if team is not None:
+        scheme, _, key = header.partition(' ')
+        team = self.catalog.team_of_key(key.strip())
+        if team is not None and scheme.lower() == BEARER:
             return result.Success(team.name)
         if not self._dependencies.store.answering:
             # A newer configuration may hold the key.
--- a/libs/policy/src/jackdawlatch/policy/quotas.py
+++ b/libs/policy/src/jackdawlatch/policy/quotas.py
@@ -4,23 +4,24 @@
 hold at once.  Runs whose end is not certain count as held.
 """
 
-from jackdawlatch.jobs import model
-from jackdawlatch.model import presets
+from typing import NamedTuple
 
-MILLICORES_PER_CORE = 1000
 
+class Resources(NamedTuple):
+    """Processors in thousandths of a core, memory in MB, and accelerators."""
 
-def admits(quota: presets.Quota, held: model.Room, need: model.Room) -> bool:
-    """Return whether ``need`` fits into a quota beside what is held.
+    processors_m: float
+    memory_mb: float
+    accelerators: float
 
-    A task that alone is over the quota may run while nothing else is held, so
+
+def admits(limit: Resources, held: Resources, need: Resources) -> bool:
+    """Return whether ``need`` fits within a limit beside what is held.
+
+    A task that alone is over the limit may run while nothing else is held, so
     that it does not wait for ever.
     """
-    if held == model.Room():
-        return True
-    total = held.plus(need)
-    return (
-        total.processors_m <= quota.processors * MILLICORES_PER_CORE
-        and total.memory_mb <= quota.memory_mb
-        and total.accelerators <= quota.accelerators
+    return not any(held) or all(
+        used + more <= most
+        for used, more, most in zip(held, need, limit, strict=True)
     )
--- a/libs/policy/tests/test_policy_claims.py
+++ b/libs/policy/tests/test_policy_claims.py
@@ -1,12 +1,11 @@
 """A team's flood claims no more than its share, and its quota holds."""
 
-from jackdawlatch.jobs import model
-from jackdawlatch.model import presets
 from jackdawlatch.policy import claims, quotas
 from jackdawlatch.testing import functions
 
-QUOTA = presets.Quota(processors=4, memory_mb=1000)
-TASK = model.Room(processors_m=1500, memory_mb=100)
+QUOTA = quotas.Resources(4000, 1000, 0)
+TASK = quotas.Resources(1500, 100, 0)
+NOTHING = quotas.Resources(0, 0, 0)
 
 
 def test_flood_of_one_team_is_beyond_its_share():
@@ -30,15 +29,14 @@
 
 
 def test_quota_bounds_each_resource():
-    held = model.Room(processors_m=2500, memory_mb=850)
-    assert quotas.admits(QUOTA, held, TASK)
-    assert not quotas.admits(QUOTA, held.plus(model.Room(memory_mb=60)), TASK)
-    assert not quotas.admits(QUOTA, held.plus(model.Room(processors_m=1)), TASK)
+    assert quotas.admits(QUOTA, quotas.Resources(2500, 850, 0), TASK)
+    for held in ((2501, 850, 0), (2500, 901, 0), (2500, 850, 1)):
+        assert not quotas.admits(QUOTA, quotas.Resources(*held), TASK)
 
 
 def test_task_over_its_quota_runs_alone():
-    large = model.Room(processors_m=9000)
-    assert quotas.admits(QUOTA, model.Room(), large)
+    large = quotas.Resources(9000, 100, 0)
+    assert quotas.admits(QUOTA, NOTHING, large)
     assert not quotas.admits(QUOTA, TASK, large)
 
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/team_accounts.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/team_accounts.py
@@ -4,10 +4,11 @@
 from collections.abc import Mapping
 
 from jackdawlatch.jobs import model
-from jackdawlatch.model import teams
+from jackdawlatch.model import presets, teams
 from jackdawlatch.policy import claims, quotas
 
 NO_TEAM = ''
+MILLICORES_PER_CORE = 1000
 
 
 class Account:
@@ -76,7 +77,9 @@
         if team is None:
             return True
         held = account.held.plus(self._reserved(account))
-        return quotas.admits(team.quota, held, need)
+        return quotas.admits(
+            _limit(team.quota), _resources(held), _resources(need)
+        )
 
     def reserve(self, account: Account, need: model.Room) -> None:
         """Count a task that is placed in this round."""
@@ -94,3 +97,17 @@
 
     def _reserved(self, account: Account) -> model.Room:
         return self.reserved_by_team.get(account.team, model.Room())
+
+
+def _limit(quota: presets.Quota) -> quotas.Resources:
+    return quotas.Resources(
+        quota.processors * MILLICORES_PER_CORE,
+        quota.memory_mb,
+        quota.accelerators,
+    )
+
+
+def _resources(room: model.Room) -> quotas.Resources:
+    return quotas.Resources(
+        room.processors_m, room.memory_mb, room.accelerators
+    )
