--- a/libs/policy/tests/test_policy_withholding.py
+++ b/libs/policy/tests/test_policy_withholding.py
@@ -55,6 +55,20 @@
     assert not kept_free.machines(now_s=ALLOWED_WAIT_S)
 
 
+def test_short_withholding_does_not_bar_the_next_turn():
+    machine = _machine('m0', used_share=1)
+    kept_free = withholding.Withholding()
+    kept_free.replace([machine], now_s=0)
+    kept_free.replace([], now_s=0.2)
+    # Eight seconds later another service has its turn.
+    withheld = []
+    for step in range(25):
+        now_s = 8 + step * STEP_S
+        kept_free.replace([machine], now_s)
+        withheld.append(machine.id in kept_free.machines(now_s))
+    assert all(withheld)
+
+
 def _replay(used_share: float, max_machines: int = 1) -> list[frozenset[str]]:
     """Return what is withheld in each step of a day on which no move succeeds.
 
