Count the capacity that jobs need now, and the work that arrives

A service counted each of its jobs with 1.3 times its widest step until the job ended. A job now counts with its tasks that run or may start, or with its average use until its end if that is more (policy.occupancy), and with 1.2 for what packing leaves unused.

While a turn begins, few of its jobs are there, and a machine takes 1.5 s to move. policy.arrivals counts the work of the last 0.6 s, lowered by the standard error of the number of jobs, as if it kept arriving.

Considered and not kept: the average use alone, which asks for too little while many jobs wait.

policy.division holds what demand.divide decided, and its test.

--- a/libs/scheduler/src/jackdawlatch/scheduler/demand.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/demand.py
@@ -6,10 +6,11 @@
 from collections.abc import Iterable, Mapping
 
 from jackdawlatch.jobs import model
+from jackdawlatch.policy import arrivals, occupancy
 from jackdawlatch.scheduler import lateness, round_times, shortages, tasks
 
 # Tasks of different sizes leave part of a machine unused.
-PACKING_FACTOR = 1.3
+PACKING_FACTOR = 1.2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -37,9 +38,14 @@
     for job in jobs:
         if not job.ended:
             (late if job_lateness.gives_way(job, now) else in_time).append(job)
+    present = machines_by_service(in_time, machine, job_lateness)
+    arriving = _arriving_by_service(in_time, machine, now.monotonic_s)
     return Demand(
-        machines_by_service(in_time, machine),
-        machines_by_service(late, machine),
+        {
+            service: max(number, arriving.get(service, 0))
+            for service, number in present.items()
+        },
+        machines_by_service(late, machine, job_lateness),
         frozenset(_ready_services(in_time, now.wall_s)),
     )
 
@@ -54,31 +60,64 @@
 
 
 def machines_by_service(
-    jobs: Iterable[tasks.JobState], machine: model.Room
+    jobs: Iterable[tasks.JobState],
+    machine: model.Room,
+    job_lateness: lateness.Lateness,
 ) -> dict[str, int]:
     """Return how many machines of a size the open jobs would fill.
 
-    Each job counts with the largest remaining demand of its steps, since the
-    steps that wait for others will need capacity next.
+    Lasting tasks and gangs count with all their tasks, other jobs with what
+    they need now and soon.
     """
     shares: dict[str, float] = collections.defaultdict(float)
     for job in jobs:
         if not job.ended:
-            shares[job.service] += _largest_share(job, machine)
+            shares[job.service] += _machines(job, machine, job_lateness)
     return {
         service: math.ceil(share * PACKING_FACTOR)
         for service, share in shares.items()
     }
 
 
-def _largest_share(job: tasks.JobState, machine: model.Room) -> float:
-    largest: float = 0
-    for state in job.steps:
-        open_count = state.step.count - state.done_count
-        if open_count:
-            needed = open_count * share(state.step.reserved_room, machine)
-            largest = max(largest, needed)
-    return largest
+def _arriving_by_service(
+    jobs: Iterable[tasks.JobState], machine: model.Room, now_s: float
+) -> dict[str, int]:
+    """Return how many machines the jobs fill that arrive as in the last time."""
+    works_s: dict[str, list[float]] = collections.defaultdict(list)
+    for job in jobs:
+        if not job.lasting and now_s - job.accepted_s < arrivals.WINDOW_S:
+            works_s[job.service].append(_machine_seconds(job.job, machine))
+    return {
+        service: math.ceil(arrivals.expected_machines(works) * PACKING_FACTOR)
+        for service, works in works_s.items()
+    }
+
+
+def _machine_seconds(job: model.Job, machine: model.Room) -> float:
+    """Return the work of one occurrence of a job."""
+    return sum(
+        step.count * share(step.reserved_room, machine) * step.estimate_s
+        for step in job.steps
+    )
+
+
+def _machines(
+    job: tasks.JobState, machine: model.Room, job_lateness: lateness.Lateness
+) -> float:
+    """Return how many machines the first open occurrence of a job needs."""
+    steps = [
+        occupancy.StepWork(
+            open_count=state.step.count - state.done_count,
+            share=share(state.step.reserved_room, machine),
+            task_s=state.step.estimate_s,
+            step_s=job_lateness.expected_s(state.step, job.job.queue),
+            after=state.step.after,
+        )
+        for state in lateness.open_steps(job)
+    ]
+    if job.lasting or any(step.gang for step in job.job.steps):
+        return occupancy.widest_machines(steps)
+    return occupancy.needed_machines(steps)
 
 
 def spread_by_service(jobs: Iterable[tasks.JobState]) -> dict[str, int]:
@@ -100,25 +139,3 @@
         need.processors_m / max(1, machine.processors_m),
         need.memory_mb / max(1, machine.memory_mb),
     )
-
-
-def divide(open_demand: Demand, machines: int) -> dict[str, int]:
-    """Divide machines among services, each gets at most its demand.
-
-    Demand of jobs that can still meet their objective is served first, in
-    proportion; the rest goes to the demand of late jobs.
-    """
-    first = _scaled(open_demand.in_time, machines)
-    rest = _scaled(open_demand.late, max(0, machines - sum(first.values())))
-    return {
-        service: first.get(service, 0) + rest.get(service, 0)
-        for service in (*first, *rest)
-    }
-
-
-def _scaled(demand: Mapping[str, int], machines: int) -> dict[str, int]:
-    total = sum(demand.values())
-    scale = min(1, machines / total) if total else 1
-    return {
-        service: math.ceil(number * scale) for service, number in demand.items()
-    }
--- a/libs/scheduler/src/jackdawlatch/scheduler/lateness.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/lateness.py
@@ -3,6 +3,7 @@
 import dataclasses
 import weakref
 
+from jackdawlatch.jobs import model
 from jackdawlatch.policy import durations, objectives
 from jackdawlatch.scheduler import round_times, tasks
 
@@ -43,6 +44,10 @@
         """Record a step whose tasks are all done."""
         self._ratios.record(queue, state.longest_run_s, state.step.estimate_s)
 
+    def expected_s(self, step: model.Step, queue: str) -> float:
+        """Return how long a step of a queue is expected to take."""
+        return self._ratios.expected_s(queue, step.estimate_s)
+
     def gives_way(
         self, job: tasks.JobState, now: round_times.RoundTime
     ) -> bool:
@@ -64,7 +69,7 @@
     ) -> float:
         if job.queue is None:
             return -1
-        states = _open_steps(job)
+        states = open_steps(job)
         return objectives.slack_s(
             [self._timing(state, job.queue.name, now) for state in states],
             objectives.Objective(job.queue.slack_factor, job.queue.target_s),
@@ -74,7 +79,7 @@
     def _timing(
         self, state: tasks.StepState, queue: str, now: round_times.RoundTime
     ) -> objectives.StepTiming:
-        expected_s = self._ratios.expected_s(queue, state.step.estimate_s)
+        expected_s = self.expected_s(state.step, queue)
         return objectives.StepTiming(
             duration_s=state.longest_run_s or expected_s,
             after=state.step.after,
@@ -83,7 +88,7 @@
         )
 
 
-def _open_steps(job: tasks.JobState) -> list[tasks.StepState]:
+def open_steps(job: tasks.JobState) -> list[tasks.StepState]:
     """Return the steps of the first occurrence that is not done."""
     size = len(job.job.steps)
     open_number = next(
--- a/libs/scheduler/src/jackdawlatch/scheduler/supply.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/supply.py
@@ -3,7 +3,7 @@
 import collections
 from collections.abc import Mapping
 
-from jackdawlatch.policy import transfers
+from jackdawlatch.policy import division, transfers
 from jackdawlatch.scheduler import (
     cluster_state,
     demand,
@@ -84,7 +84,7 @@
         Those that waiting steps lack are left out.
         """
         known = len(self._fleet.usable()) + self._mover.available_count()
-        divided = demand.divide(open_demand, known)
+        divided = division.divide(open_demand.in_time, open_demand.late, known)
         kept = self._kept_for_spread()
         return {
             service: max(
--- a/libs/scheduler/tests/test_scheduler_decisions.py
+++ b/libs/scheduler/tests/test_scheduler_decisions.py
@@ -234,16 +234,10 @@
         model.Step(count=8, room=CORE, after=(0,)),
     )
     machine = model.Room(processors_m=4000, memory_mb=4000)
-    assert demand.machines_by_service([job], machine) == {'s': 3}
+    judged = lateness.Lateness()
+    assert demand.machines_by_service([job], machine, judged) == {'s': 3}
     job.phase = job.phase.CANCELLED
-    assert not demand.machines_by_service([job], machine)
-
-
-def test_jobs_in_time_get_machines_before_late_ones():
-    wanted = demand.Demand(in_time={'a': 6, 'b': 2}, late={'a': 4, 'c': 4})
-    divided = demand.divide(wanted, machines=12)
-    assert divided == {'a': 8, 'b': 2, 'c': 2}
-    assert demand.divide(wanted, machines=4) == {'a': 3, 'b': 1, 'c': 0}
+    assert not demand.machines_by_service([job], machine, judged)
 
 
 def test_late_job_waits_while_machines_are_withheld():
