Compare only the resources of a quota that a task needs

Each limit of a team was compared with what it holds, also for tasks that need none of that resource. After a limit of accelerators had dropped below what runs, the team's other tasks waited, though it was under half of its other limits. The new test failed before:

assert quotas.admits(limit, held, TASK) -> AssertionError

test_quota_bounds_each_resource demanded the fault: a task without accelerators was to be refused since one was held beyond the limit. Its task now needs each of the three resources, and each limit is checked at its exact end.

--- a/libs/policy/src/jackdawlatch/policy/quotas.py
+++ b/libs/policy/src/jackdawlatch/policy/quotas.py
@@ -19,9 +19,10 @@
     """Return whether ``need`` fits within a limit beside what is held.
 
     A task that alone is over the limit may run while nothing else is held, so
-    that it does not wait for ever.
+    that it does not wait for ever.  A resource that the task does not need is
+    not compared: after a limit has dropped, more than that may be held.
     """
     return not any(held) or all(
-        used + more <= most
+        not more or used + more <= most
         for used, more, most in zip(held, need, limit, strict=True)
     )
