Give lasting tasks of a flooding team all machines

A job beyond its team's share gave way to jobs in time, lasting ones included. A lasting task of such a job that lost its worker got none of the withheld machines, for up to 6 s, and its demand was counted behind all other. Lasting jobs were never late before teams were known. The new test failed before:

test_lasting_job_beyond_the_share_gives_no_way assert judged.gives_way(job, NOW) is not lasting -> AssertionError

and passes now.

--- a/libs/scheduler/src/jackdawlatch/scheduler/lateness.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/lateness.py
@@ -46,7 +46,12 @@
     def gives_way(
         self, job: tasks.JobState, now: round_times.RoundTime
     ) -> bool:
-        """Whether a job is late, or beyond the share of its team."""
+        """Whether a job is late, or beyond the share of its team.
+
+        Lasting jobs never give way: their lost tasks have to be restarted soon.
+        """
+        if job.lasting:
+            return False
         return not job.claim.within_share or self.is_late(job, now)
 
     def is_late(self, job: tasks.JobState, now: round_times.RoundTime) -> bool:
