Judge the claims of teams by the times in the records of jobs

A job claimed its team's share at the time at which the leader learnt of it. Jobs that a watch delivered together after an interruption were mostly beyond the share, though their team had sent them at its usual rate; a new leader, which reads their ages from the records, decided otherwise. Its times were not in order either if the clocks of entries differ, and one clock ahead took the claims of all that followed.

--- a/libs/scheduler/src/jackdawlatch/scheduler/team_accounts.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/team_accounts.py
@@ -51,7 +51,7 @@
     def claim(
         self, name: str, team: teams.Team | None, accepted_s: float
     ) -> Claim:
-        """Return the claim of a job that was accepted at a time.
+        """Return the claim of a job, by the time in its record.
 
         Jobs without a team, or with one that is configured no longer, are not
         limited in number.
--- a/libs/scheduler/tests/test_scheduler_teams.py
+++ b/libs/scheduler/tests/test_scheduler_teams.py
@@ -70,4 +70,36 @@
         assert judged.gives_way(job, NOW) is not lasting
 
 
+def test_next_leader_finds_the_same_claims(fleet):
+    """Guards against jobs that arrive at once when a watch was interrupted.
+
+    The next leader reads them all at once, those that have ended included.
+    """
+    ends = (None, None, 'cancelled', None, None, 'done', None, None)
+    for number, end in enumerate(ends):
+        job = submit(fleet, str(number), accepted_s=number / 2)
+        if end == 'cancelled':
+            fleet.loader.cancel(job.job.id)
+        elif end:
+            job.phase = job.phase.DONE
+    known = fleet.cluster.jobs_by_id.copy()
+    fleet.cluster.jobs_by_id.clear()
+    fleet.clock.advance(60)
+    fleet.loader = job_loader.JobLoader(fleet.cluster)
+    for job in known.values():
+        fleet.loader.add(job.job, job.progress(), 1, age_s=7.3)
+    restored = fleet.cluster.jobs_by_id
+    for jobs in (known, restored):
+        within = [job.claim.within_share for job in jobs.values()]
+        assert within == [True, False] * (len(ends) // 2)
+
+
+def test_clock_of_an_entry_takes_no_claims(fleet):
+    """Guards against entries whose clocks differ by more than a second."""
+    for number in range(8):
+        skew_s = 30 * (number % 2)
+        job = submit(fleet, str(number), accepted_s=100 + number + skew_s)
+        assert job.claim.within_share
+
+
 load_tests = functions.loader(__name__, {'fleet': fleet})
