Start no task of a team whose quota the leader does not know

A team that the leader's configuration did not name had no quota. A team that was removed lost its quota at once, though its jobs go on.

The record of a job now names the configuration by which it was accepted. Until the leader has that version, a team that it does not know starts nothing. A removed team keeps its last quota while this leader leads; a later leader, which never knew it, sets no limit. The limit is part of the team's account, so that each decision uses the same one. Both new tests failed before:

test_quota_that_the_leader_does_not_know_yet assert not planned(fleet) -> AssertionError test_removed_team_keeps_its_last_quota assert planned(fleet) == ['known'] * 2 -> AssertionError

and pass now; scheduler _teams 5 passed, unified _teams 4, jobs 7.

--- a/libs/jobs/src/jackdawlatch/jobs/intake.py
+++ b/libs/jobs/src/jackdawlatch/jobs/intake.py
@@ -107,7 +107,9 @@
     ) -> result.Result[None, NotAccepted | OutcomeUnknown]:
         """Store a checked job; a success means that it is stored."""
         stamped = records.replace(
-            job, accepted_s=self._dependencies.clock.wall_s()
+            job,
+            accepted_s=self._dependencies.clock.wall_s(),
+            version=self.catalog.version,
         )
         outcome = await self._write(
             transactions.Transaction(
--- a/libs/jobs/src/jackdawlatch/jobs/model.py
+++ b/libs/jobs/src/jackdawlatch/jobs/model.py
@@ -80,7 +80,8 @@
     ``k`` from ``start_at_s + k * interval_s`` (wall-clock) on.  ``service`` and
     ``max_attempts`` are those of the queue when it was accepted, for a leader
     that doesn't know the queue; earlier releases stored no ``max_attempts``.
-    ``team`` is the one whose key submitted it, empty for open queues.
+    ``team`` is the one whose key submitted it, empty for open queues, and
+    ``version`` the configuration by which it was accepted.
     """
 
     id: str
@@ -94,6 +95,7 @@
     interval_s: float = 0
     accepted_s: float = 0
     team: str = ''
+    version: int = 0
 
     @property
     def occurrences(self) -> int:
--- a/libs/policy/src/jackdawlatch/policy/claims.py
+++ b/libs/policy/src/jackdawlatch/policy/claims.py
@@ -30,7 +30,7 @@
         most = max(1, weight)
         if claimed.count(accepted_s) >= most:
             return False
-        claimed.add(accepted_s, int(KEPT_WINDOWS * most))
+        claimed.add(accepted_s, KEPT_WINDOWS * most)
         return True
 
 
@@ -46,7 +46,7 @@
         first = bisect.bisect_right(self._sorted_s, accepted_s - WINDOW_S)
         return bisect.bisect_right(self._sorted_s, accepted_s) - first
 
-    def add(self, accepted_s: float, kept: int) -> None:
+    def add(self, accepted_s: float, kept: float) -> None:
         """Add a claim; forget the earliest ones beyond ``kept``."""
         bisect.insort(self._sorted_s, accepted_s)
         self._latest_s.append(accepted_s)
--- a/libs/policy/src/jackdawlatch/policy/quotas.py
+++ b/libs/policy/src/jackdawlatch/policy/quotas.py
@@ -4,6 +4,7 @@
 hold at once.  Runs whose end is not certain count as held.
 """
 
+import math
 from typing import NamedTuple
 
 
@@ -15,6 +16,9 @@
     accelerators: float
 
 
+UNLIMITED = Resources(math.inf, math.inf, math.inf)
+
+
 def admits(limit: Resources, held: Resources, need: Resources) -> bool:
     """Return whether ``need`` fits within a limit beside what is held.
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
@@ -72,11 +72,12 @@
         return self.dependencies.clock.monotonic_s()
 
     def replace_catalog(self, catalog: queues.Catalog) -> None:
-        """Replace the configuration, and update the queues of all jobs."""
+        """Replace the configuration, and update all jobs and their teams."""
         self.catalog = catalog
         for job in self.jobs_by_id.values():
             queue = catalog.queues_by_name.get(job.job.queue)
             job.queue = queue or job.queue
+            job.claim.account.configure(catalog, job.job.version)
         self.on_change()
 
     def task(self, task_id: model.TaskId) -> tasks.Task | None:
--- a/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
@@ -36,11 +36,8 @@
         if job.id in self._cluster.jobs_by_id:
             return
         accepted_s = self._cluster.now_s - age_s
-        team = self._cluster.catalog.teams_by_name.get(job.team)
         state = tasks.JobState(
-            job,
-            accepted_s,
-            self._accounts.claim(job.team, team, job.accepted_s),
+            job, accepted_s, self._accounts.claim(job, self._cluster.catalog)
         )
         state.queue = self._cluster.catalog.queues_by_name.get(job.queue)
         self._cluster.jobs_by_id[job.id] = state
--- a/libs/scheduler/src/jackdawlatch/scheduler/planner.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/planner.py
@@ -3,7 +3,6 @@
 import dataclasses
 from collections.abc import Collection, Iterable, Mapping
 
-from jackdawlatch.model import teams
 from jackdawlatch.scheduler import (
     advisor,
     job_order,
@@ -12,7 +11,6 @@
     reservations,
     round_times,
     tasks,
-    team_accounts,
     workers,
 )
 
@@ -63,7 +61,6 @@
         candidates_by_service: Mapping[str, list[workers.Worker]],
         now: round_times.RoundTime,
         withheld: Collection[str] = (),
-        teams_by_name: Mapping[str, teams.Team] | None = None,
     ) -> Plan:
         """Return the placements of this round; no state is changed.
 
@@ -71,10 +68,7 @@
         other services with jobs that can still be in time.
         """
         free = reservations.Reservations(
-            candidates_by_service,
-            now.monotonic_s,
-            withheld,
-            team_accounts.Allowances(teams_by_name or {}),
+            candidates_by_service, now.monotonic_s, withheld
         )
         plan = Plan([], [])
         fitting = []
--- a/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
@@ -65,9 +65,8 @@
         candidates_by_service: Mapping[str, list[workers.Worker]],
         now_s: float,
         withheld: Collection[str] = (),
-        allowances: team_accounts.Allowances | None = None,
     ) -> None:
-        self.allowances = allowances or team_accounts.Allowances({})
+        self.allowances = team_accounts.Allowances()
         self._known_by_service = candidates_by_service
         self._groups_by_service = {
             service: _groups(_available(candidates, now_s), withheld)
--- a/libs/scheduler/src/jackdawlatch/scheduler/rounds.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/rounds.py
@@ -98,7 +98,6 @@
             candidates,
             round_times.RoundTime(clock.monotonic_s(), clock.wall_s()),
             self._dependencies.withheld(),
-            cluster.catalog.teams_by_name,
         )
         self._dependencies.dispatcher.place(plan.placements)
         if self._wait_reporter.due:
--- a/libs/scheduler/src/jackdawlatch/scheduler/team_accounts.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/team_accounts.py
@@ -1,10 +1,9 @@
-"""What the runs of each team hold on all workers."""
+"""What the runs of each team hold on all workers, and may hold."""
 
 import dataclasses
-from collections.abc import Mapping
 
-from jackdawlatch.jobs import model
-from jackdawlatch.model import presets, teams
+from jackdawlatch.jobs import model, queues
+from jackdawlatch.model import presets
 from jackdawlatch.policy import claims, quotas
 
 NO_TEAM = ''
@@ -12,14 +11,17 @@
 
 
 class Account:
-    """The capacity that the runs of one team hold.
+    """The capacity that the runs of one team hold, and its quota.
 
     A run counts from its placement until it is certain that it does not run.
+    ``limit`` is None while a configuration that names the team may be in force
+    that this leader does not have yet: then none of its tasks is started.
     """
 
     def __init__(self, team: str = NO_TEAM) -> None:
         self.team = team
         self.held = model.Room()
+        self.limit = None if team else quotas.UNLIMITED
 
     def add(self, room: model.Room) -> None:
         """Count a run."""
@@ -29,6 +31,19 @@
         """Stop counting a run."""
         self.held = self.held.minus(room)
 
+    def configure(self, catalog: queues.Catalog, version: int) -> None:
+        """Apply the quota in force.
+
+        ``version`` is the configuration by which a job of the team was accepted.
+        A team that was removed since keeps its last quota, as far as this leader
+        knows it.
+        """
+        team = catalog.teams_by_name.get(self.team)
+        if team is not None:
+            self.limit = _limit(team.quota)
+        elif catalog.version >= max(version, queues.NO_VERSION + 1):
+            self.limit = self.limit or quotas.UNLIMITED
+
 
 @dataclasses.dataclass(frozen=True)
 class Claim:
@@ -48,55 +63,47 @@
         self._by_team: dict[str, Account] = {}
         self._claims = claims.Claims()
 
-    def claim(
-        self, name: str, team: teams.Team | None, accepted_s: float
-    ) -> Claim:
+    def claim(self, job: model.Job, catalog: queues.Catalog) -> Claim:
         """Return the claim of a job, by the time in its record.
 
-        Jobs without a team, or with one that is configured no longer, are not
-        limited in number.
+        Jobs without a team, or with one that is not configured, are not limited
+        in number.
         """
-        account = self._by_team.setdefault(name, Account(name))
+        account = self._by_team.setdefault(job.team, Account(job.team))
+        account.configure(catalog, job.version)
+        team = catalog.teams_by_name.get(job.team)
         if team is None:
             return Claim(account)
-        return Claim(account, self._claims.claim(name, team.weight, accepted_s))
+        within_share = self._claims.claim(
+            team.name, team.weight, job.accepted_s
+        )
+        return Claim(account, within_share)
 
 
-@dataclasses.dataclass(frozen=True)
 class Allowances:
     """What each team may still start within one planning round."""
 
-    teams_by_name: Mapping[str, teams.Team]
-    reserved_by_team: dict[str, model.Room] = dataclasses.field(
-        default_factory=dict
-    )
+    def __init__(self) -> None:
+        self._held_by_team: dict[str, model.Room] = {}
 
     def admits(self, account: Account, need: model.Room) -> bool:
         """Whether the quota of a team has room for one more task."""
-        team = self.teams_by_name.get(account.team)
-        if team is None:
-            return True
-        held = account.held.plus(self._reserved(account))
+        if account.limit is None or account.limit is quotas.UNLIMITED:
+            return account.limit is not None
         return quotas.admits(
-            _limit(team.quota), _resources(held), _resources(need)
+            account.limit, _resources(self._held(account)), _resources(need)
         )
 
     def reserve(self, account: Account, need: model.Room) -> None:
         """Count a task that is placed in this round."""
-        if account.team:
-            self.reserved_by_team[account.team] = self._reserved(account).plus(
-                need
-            )
+        self._held_by_team[account.team] = self._held(account).plus(need)
 
     def release(self, account: Account, need: model.Room) -> None:
         """Undo a reservation."""
-        if account.team:
-            self.reserved_by_team[account.team] = self._reserved(account).minus(
-                need
-            )
+        self._held_by_team[account.team] = self._held(account).minus(need)
 
-    def _reserved(self, account: Account) -> model.Room:
-        return self.reserved_by_team.get(account.team, model.Room())
+    def _held(self, account: Account) -> model.Room:
+        return self._held_by_team.get(account.team, account.held)
 
 
 def _limit(quota: presets.Quota) -> quotas.Resources:
--- a/libs/scheduler/tests/test_scheduler_teams.py
+++ b/libs/scheduler/tests/test_scheduler_teams.py
@@ -10,7 +10,9 @@
 from jackdawlatch.model import presets, records, teams
 from jackdawlatch.scheduler import (
     job_loader,
+    job_order,
     lateness,
+    planner,
     round_times,
     tasks,
 )
@@ -50,16 +52,33 @@
     job_id: str,
     accepted_s: float = 0,
     team: str = 'a',
+    version: int = 0,
     **step: object,
 ) -> tasks.JobState:
     """Add a job that arrives now."""
     job = records.replace(
-        benches.job(job_id, **step), team=team, accepted_s=accepted_s
+        benches.job(job_id, **step),
+        team=team,
+        accepted_s=accepted_s,
+        version=version,
     )
     fleet.loader.add(job, None, 0)
     return fleet.cluster.jobs_by_id[job_id]
 
 
+def planned(fleet: fleets.Fleet) -> list[str]:
+    """Return the jobs of the tasks that a round would place now."""
+    judged = lateness.Lateness()
+    plan = planner.Planner(
+        job_order.ObjectiveOrder(judged), judged, None
+    ).plan(
+        fleet.cluster.jobs_by_id.values(),
+        {'photo': list(fleet.cluster.workers_by_id.values())},
+        NOW,
+    )
+    return [placed.task.id.job for placed in plan.placements]
+
+
 def test_lasting_job_beyond_the_share_gives_no_way(fleet):
     """Guards against lasting tasks that wait beside withheld machines."""
     judged = lateness.Lateness()
@@ -102,4 +121,34 @@
         assert job.claim.within_share
 
 
+def test_quota_that_the_leader_does_not_know_yet(fleet):
+    """Guards against a flood of a team that was just added, or a new leader.
+
+    An entry may have a version of the configuration before the leader has it.
+    """
+    configure(fleet, a_cores=0, version=4)
+    submit(fleet, 'added', version=5, count=9)
+    worker = fleet.boot('w')
+    assert not planned(fleet)
+    configure(fleet, a_cores=2, version=5)
+    assert planned(fleet) == ['added'] * 2
+    fleet.cluster.replace_catalog(queues.Catalog())
+    submit(fleet, 'early', team='c', version=5)
+    assert worker.usable
+    assert 'early' not in planned(fleet)
+
+
+def test_removed_team_keeps_its_last_quota(fleet):
+    """Its jobs go on; a leader that never knew the team has no limit."""
+    configure(fleet, a_cores=2, version=5)
+    submit(fleet, 'known', version=5, count=9)
+    fleet.boot('w')
+    configure(fleet, a_cores=0, version=6)
+    assert planned(fleet) == ['known'] * 2
+    submit(fleet, 'renamed', team='former', version=5)
+    assert 'renamed' in planned(fleet)
+    configure(fleet, a_cores=1, version=7)
+    assert planned(fleet).count('known') == 1
+
+
 load_tests = functions.loader(__name__, {'fleet': fleet})
