Count no demand that a quota blocks

Tasks that their team's quota does not admit counted as demand: the leader moved machines to their service, kept machines for the spread of their steps, counted what gangs and lasting tasks lack, and withheld machines from late jobs, beside other teams that wait. A flood of a team at its quota could take most of the fleet that way without running anything.

Each of these now counts the tasks that run and those that the quota admits, in the order in time before late; a gang counts whole or not at all. The new test failed before:

test_tasks_beyond_a_quota_are_no_demand assert counted.in_time['photo'] <= 2 -> AssertionError

and passes now; scheduler _teams 6 passed, pools 13, spread 11.

--- a/libs/jobs/src/jackdawlatch/jobs/model.py
+++ b/libs/jobs/src/jackdawlatch/jobs/model.py
@@ -28,6 +28,14 @@
             accelerators=self.accelerators - need.accelerators,
         )
 
+    def times(self, count: int) -> 'Room':
+        """Return ``count`` times this capacity."""
+        return Room(
+            processors_m=self.processors_m * count,
+            memory_mb=self.memory_mb * count,
+            accelerators=self.accelerators * count,
+        )
+
     def plus(self, more: 'Room') -> 'Room':
         """Return the sum of this capacity and ``more``."""
         return Room(
--- a/libs/policy/src/jackdawlatch/policy/claims.py
+++ b/libs/policy/src/jackdawlatch/policy/claims.py
@@ -52,6 +52,4 @@
         self._latest_s.append(accepted_s)
         while len(self._latest_s) > kept:
             earliest_s = self._latest_s.popleft()
-            self._sorted_s.pop(
-                bisect.bisect_left(self._sorted_s, earliest_s)
-            )
+            self._sorted_s.pop(bisect.bisect_left(self._sorted_s, earliest_s))
--- a/libs/policy/src/jackdawlatch/policy/quotas.py
+++ b/libs/policy/src/jackdawlatch/policy/quotas.py
@@ -30,3 +30,17 @@
         not more or used + more <= most
         for used, more, most in zip(held, need, limit, strict=True)
     )
+
+
+def fitting_count(
+    limit: Resources, held: Resources, need: Resources, wanted: int
+) -> int:
+    """Return how many of ``wanted`` equal tasks fit within a limit."""
+    if not wanted or not admits(limit, held, need):
+        return 0
+    counts = [
+        (most - used) // more
+        for used, more, most in zip(held, need, limit, strict=True)
+        if more and most < math.inf
+    ]
+    return max(1, int(min((wanted, *counts))))
--- a/libs/scheduler/src/jackdawlatch/scheduler/demand.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/demand.py
@@ -6,7 +6,13 @@
 from collections.abc import Iterable, Mapping
 
 from jackdawlatch.jobs import model
-from jackdawlatch.scheduler import lateness, round_times, shortages, tasks
+from jackdawlatch.scheduler import (
+    lateness,
+    round_times,
+    shortages,
+    tasks,
+    team_accounts,
+)
 
 # Tasks of different sizes leave part of a machine unused.
 PACKING_FACTOR = 1.3
@@ -31,65 +37,89 @@
     job_lateness: lateness.Lateness,
     machine: model.Room,
 ) -> Demand:
-    """Return the demand of the open jobs."""
+    """Return the demand of the open jobs, as far as quotas let them start."""
     in_time: list[tasks.JobState] = []
     late: list[tasks.JobState] = []
     for job in jobs:
         if not job.ended:
             (late if job_lateness.gives_way(job, now) else in_time).append(job)
+    allowances = team_accounts.Allowances()
     return Demand(
-        machines_by_service(in_time, machine),
-        machines_by_service(late, machine),
+        machines_by_service(in_time, machine, allowances),
+        machines_by_service(late, machine, allowances),
         frozenset(_ready_services(in_time, now.wall_s)),
     )
 
 
 def _ready_services(jobs: Iterable[tasks.JobState], wall_s: float) -> set[str]:
     ready: set[str] = set()
+    allowances = team_accounts.Allowances()
     for job in jobs:
         if not job.lasting and job.service not in ready:
-            if tasks.waiting_steps(job, wall_s):
+            waiting = tasks.waiting_steps(job, wall_s)
+            if any(map(allowances.startable_count, waiting)):
                 ready.add(job.service)
     return ready
 
 
 def machines_by_service(
-    jobs: Iterable[tasks.JobState], machine: model.Room
+    jobs: Iterable[tasks.JobState],
+    machine: model.Room,
+    allowances: team_accounts.Allowances | None = None,
 ) -> dict[str, int]:
     """Return how many machines of a size the open jobs would fill.
 
     Each job counts with the largest remaining demand of its steps, since the
     steps that wait for others will need capacity next.
     """
+    allowances = allowances or team_accounts.Allowances()
     shares: dict[str, float] = collections.defaultdict(float)
     for job in jobs:
         if not job.ended:
-            shares[job.service] += _largest_share(job, machine)
+            shares[job.service] += _largest_share(job, machine, allowances)
     return {
         service: math.ceil(share * PACKING_FACTOR)
         for service, share in shares.items()
     }
 
 
-def _largest_share(job: tasks.JobState, machine: model.Room) -> float:
+def _largest_share(
+    job: tasks.JobState,
+    machine: model.Room,
+    allowances: team_accounts.Allowances,
+) -> float:
+    """Return the share of machines that a job needs; reserve it of its quota."""
     largest: float = 0
+    reserved = model.Room()
     for state in job.steps:
-        open_count = state.step.count - state.done_count
-        if open_count:
-            needed = open_count * share(state.step.reserved_room, machine)
-            largest = max(largest, needed)
+        if not state.done:
+            startable = allowances.startable_count(state)
+            used = startable + _placed_count(state)
+            needed = used * share(state.step.reserved_room, machine)
+            if needed > largest:
+                largest = needed
+                reserved = state.step.room.times(startable)
+    allowances.reserve(job.claim.account, reserved)
     return largest
 
 
+def _placed_count(state: tasks.StepState) -> int:
+    return state.step.count - state.done_count - state.waiting_count
+
+
 def spread_by_service(jobs: Iterable[tasks.JobState]) -> dict[str, int]:
     """Return how many workers the widest spread of the open jobs needs."""
     needed: dict[str, int] = collections.defaultdict(int)
+    allowances = team_accounts.Allowances()
     for job in jobs:
         if not job.ended:
-            for step in job.job.steps:
-                if step.max_per_worker:
+            for state in job.steps:
+                if state.step.max_per_worker:
+                    kept = _placed_count(state) + state.done_count
+                    kept += allowances.startable_count(state)
                     needed[job.service] = max(
-                        needed[job.service], shortages.spread_count(step)
+                        needed[job.service],
+                        shortages.spread_count(state.step, kept),
                     )
     return needed
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/shortages.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/shortages.py
@@ -68,11 +68,11 @@
     return (step.lasting or step.gang) and not step.required_label
 
 
-def spread_count(step: model.Step) -> int:
-    """Return how many workers a step needs at once because of its spread."""
+def spread_count(step: model.Step, count: int) -> int:
+    """Return how many workers ``count`` tasks need because of their spread."""
     if not is_bound(step) or not step.max_per_worker:
         return 0
-    return math.ceil(step.count / step.max_per_worker)
+    return math.ceil(count / step.max_per_worker)
 
 
 class _AddedMachine:
@@ -104,16 +104,16 @@
 
     def place(self, service: str, state: tasks.StepState) -> int:
         """Reserve capacity for a step; return how many tasks found none."""
-        waiting = state.waiting_count
-        if not waiting or not is_bound(state.step):
+        if not is_bound(state.step):
             return 0
         if not self._machines.largest.fits(state.step.reserved_room):
             return 0
-        if state.step.gang:
+        waiting = self._reserve_quota(state)
+        if waiting and state.step.gang:
             # Gangs without a spread are limited by capacity, as demand is.
             usable = self._machines.usable_by_service.get(service, ())
-            missing = max(0, spread_count(state.step) - len(usable))
-            return missing * state.step.max_per_worker
+            needed = spread_count(state.step, state.step.count)
+            return max(0, needed - len(usable)) * state.step.max_per_worker
         return waiting - self._reserve(service, state, waiting)
 
     def add_machines(self, service: str, step: model.Step, count: int) -> None:
@@ -135,6 +135,15 @@
             for service, added in self._added_by_service.items()
         }
 
+    def _reserve_quota(self, state: tasks.StepState) -> int:
+        """Return how many waiting tasks their team's quota admits."""
+        job = state.tasks[0].job
+        waiting = self._free.allowances.startable_count(state)
+        self._free.allowances.reserve(
+            job.claim.account, state.step.room.times(waiting)
+        )
+        return waiting
+
     def _reserve(
         self, service: str, state: tasks.StepState, waiting: int
     ) -> int:
--- a/libs/scheduler/src/jackdawlatch/scheduler/team_accounts.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/team_accounts.py
@@ -1,11 +1,15 @@
 """What the runs of each team hold on all workers, and may hold."""
 
 import dataclasses
+import typing
 
 from jackdawlatch.jobs import model, queues
 from jackdawlatch.model import presets
 from jackdawlatch.policy import claims, quotas
 
+if typing.TYPE_CHECKING:
+    from jackdawlatch.scheduler import tasks
+
 NO_TEAM = ''
 MILLICORES_PER_CORE = 1000
 
@@ -88,19 +92,43 @@
 
     def admits(self, account: Account, need: model.Room) -> bool:
         """Whether the quota of a team has room for one more task."""
-        if account.limit is None or account.limit is quotas.UNLIMITED:
+        if account.limit is None or account.limit == quotas.UNLIMITED:
             return account.limit is not None
         return quotas.admits(
             account.limit, _resources(self._held(account)), _resources(need)
         )
 
+    def startable_count(self, state: 'tasks.StepState') -> int:
+        """Return how many waiting tasks of a step may start; gangs start whole."""
+        job = state.tasks[0].job
+        account = job.claim.account
+        waiting = state.waiting_count
+        fitting = waiting
+        if account.limit != quotas.UNLIMITED:
+            fitting = self._fitting_count(account, state.step.room, waiting)
+        return 0 if state.step.gang and fitting < waiting else fitting
+
     def reserve(self, account: Account, need: model.Room) -> None:
         """Count a task that is placed in this round."""
-        self._held_by_team[account.team] = self._held(account).plus(need)
+        if account.limit != quotas.UNLIMITED:
+            self._held_by_team[account.team] = self._held(account).plus(need)
 
     def release(self, account: Account, need: model.Room) -> None:
         """Undo a reservation."""
-        self._held_by_team[account.team] = self._held(account).minus(need)
+        if account.limit != quotas.UNLIMITED:
+            self._held_by_team[account.team] = self._held(account).minus(need)
+
+    def _fitting_count(
+        self, account: Account, need: model.Room, wanted: int
+    ) -> int:
+        if account.limit is None:
+            return 0
+        return quotas.fitting_count(
+            account.limit,
+            _resources(self._held(account)),
+            _resources(need),
+            wanted,
+        )
 
     def _held(self, account: Account) -> model.Room:
         return self._held_by_team.get(account.team, account.held)
--- a/libs/scheduler/tests/test_scheduler_teams.py
+++ b/libs/scheduler/tests/test_scheduler_teams.py
@@ -6,14 +6,16 @@
 import scheduler_bench as benches
 import scheduler_fleets as fleets
 
-from jackdawlatch.jobs import model, queues
+from jackdawlatch.jobs import queues, stored
 from jackdawlatch.model import presets, records, teams
 from jackdawlatch.scheduler import (
+    demand,
     job_loader,
     job_order,
     lateness,
     planner,
     round_times,
+    shortages,
     tasks,
 )
 from jackdawlatch.testing import functions
@@ -33,16 +35,16 @@
     fleet: fleets.Fleet, a_cores: float = 4, version: int = 2
 ) -> None:
     """Put a configuration in force; without cores there is no team ``a``."""
-    a = teams.Team(
+    limited = teams.Team(
         name='a', weight=1, quota=presets.Quota(processors=a_cores)
     )
-    b = teams.Team(name='b', weight=100)
+    other = teams.Team(name='b', weight=100)
     fleet.cluster.replace_catalog(
         queues.Catalog(
             version,
             (benches.QUEUE,),
             (queues.Service('photo'),),
-            (a, b) if a_cores else (b,),
+            (limited, other) if a_cores else (other,),
         )
     )
 
@@ -69,9 +71,7 @@
 def planned(fleet: fleets.Fleet) -> list[str]:
     """Return the jobs of the tasks that a round would place now."""
     judged = lateness.Lateness()
-    plan = planner.Planner(
-        job_order.ObjectiveOrder(judged), judged, None
-    ).plan(
+    plan = planner.Planner(job_order.ObjectiveOrder(judged), judged, None).plan(
         fleet.cluster.jobs_by_id.values(),
         {'photo': list(fleet.cluster.workers_by_id.values())},
         NOW,
@@ -94,23 +94,20 @@
 
     The next leader reads them all at once, those that have ended included.
     """
-    ends = (None, None, 'cancelled', None, None, 'done', None, None)
-    for number, end in enumerate(ends):
-        job = submit(fleet, str(number), accepted_s=number / 2)
-        if end == 'cancelled':
-            fleet.loader.cancel(job.job.id)
-        elif end:
-            job.phase = job.phase.DONE
+    for number in range(8):
+        submit(fleet, str(number), accepted_s=number / 2)
+    fleet.loader.cancel('2')
+    fleet.cluster.jobs_by_id['5'].phase = stored.JobPhase.DONE
     known = fleet.cluster.jobs_by_id.copy()
     fleet.cluster.jobs_by_id.clear()
     fleet.clock.advance(60)
     fleet.loader = job_loader.JobLoader(fleet.cluster)
-    for job in known.values():
-        fleet.loader.add(job.job, job.progress(), 1, age_s=7.3)
+    for before in known.values():
+        fleet.loader.add(before.job, before.progress(), 1, age_s=7.3)
     restored = fleet.cluster.jobs_by_id
     for jobs in (known, restored):
-        within = [job.claim.within_share for job in jobs.values()]
-        assert within == [True, False] * (len(ends) // 2)
+        within = [one.claim.within_share for one in jobs.values()]
+        assert within == [number % 2 == 0 for number in range(8)]
 
 
 def test_clock_of_an_entry_takes_no_claims(fleet):
@@ -131,7 +128,7 @@
     worker = fleet.boot('w')
     assert not planned(fleet)
     configure(fleet, a_cores=2, version=5)
-    assert planned(fleet) == ['added'] * 2
+    assert planned(fleet) == ['added', 'added']
     fleet.cluster.replace_catalog(queues.Catalog())
     submit(fleet, 'early', team='c', version=5)
     assert worker.usable
@@ -144,11 +141,40 @@
     submit(fleet, 'known', version=5, count=9)
     fleet.boot('w')
     configure(fleet, a_cores=0, version=6)
-    assert planned(fleet) == ['known'] * 2
+    assert planned(fleet) == ['known', 'known']
     submit(fleet, 'renamed', team='former', version=5)
     assert 'renamed' in planned(fleet)
     configure(fleet, a_cores=1, version=7)
     assert planned(fleet).count('known') == 1
 
 
+def test_tasks_beyond_a_quota_are_no_demand(fleet):
+    """Guards against machines that move or wait for a team at its quota."""
+    flood = submit(fleet, 'flood', count=90).steps[0]
+    jobs = [
+        flood.tasks[0].job,
+        submit(fleet, 'gang', count=9, gang=True, max_per_worker=1),
+        submit(fleet, 'spread', count=9, lasting=True, max_per_worker=1),
+    ]
+    worker = fleet.boot('w')
+    now_s = NOW.monotonic_s
+    machine = worker.entry.room
+    usable = shortages.Machines({'photo': [worker]}, machine)
+    for held in range(1, 5):
+        fleet.start(flood.tasks[held], worker)
+        # One core is held by one worker each; four may be.
+        counted = demand.by_lateness(jobs, NOW, lateness.Lateness(), machine)
+        assert counted.in_time['photo'] <= 2
+        assert (counted.ready_in_time == {'photo'}) is (held < 4)
+        assert demand.spread_by_service(jobs).get('photo', 0) == 4 - held
+        lacking = shortages.Shortages()
+        for later_s in (0, 1):
+            missing = lacking.update(
+                [('photo', job.steps[0]) for job in jobs[1:]],
+                usable,
+                now_s + later_s,
+            )
+        assert len(missing.get('photo', ())) == max(0, 3 - held)
+
+
 load_tests = functions.loader(__name__, {'fleet': fleet})
