Check the quota of a gang as a whole

A gang whose members fit one by one, but not together, passed the first check of each round: it was ordered, tried and given back, requested tickets it could not use, and its long wait was logged as step-restricted. Steps of advised queues also requested tickets for tasks that their quota did not admit. The new test failed before:

test_gang_beyond_a_quota_waits_for_it assert not placer.may_fit -> AssertionError

Open: a gang larger than its team's quota waits for ever with the reason team-quota, since the quota allows one task beyond it, not a gang.

--- a/libs/scheduler/src/jackdawlatch/scheduler/placing.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/placing.py
@@ -164,7 +164,11 @@
 
     def _request_tickets(self) -> None:
         """Request tickets for the workers that still have capacity, if any."""
-        if self._advisor is not None and self._tickets and self.candidates:
+        if self._advisor is None or not _within_quota(
+            self._reservations, self.state
+        ):
+            return
+        if self._tickets and self.candidates:
             self._advisor.request_more(self.state)
 
     def _assign_step(self, waiting: list[tasks.Task]) -> Assignments:
@@ -220,7 +224,8 @@
         trials = self._reservations.trials
         if task.suspected and trials.is_full(task):
             return None
-        if not _within_quota(self._reservations, self.state):
+        allowances = self._reservations.allowances
+        if not allowances.admits(self._account, self._step.room):
             return None
         admitted = [
             worker
@@ -258,7 +263,9 @@
 def _within_quota(
     reserved: reservations.Reservations, state: tasks.StepState
 ) -> bool:
-    """Whether the quota of the team has room for one more task of a step."""
+    """Whether a team's quota admits one more task, or the whole gang."""
+    if state.step.gang:
+        return reserved.allowances.startable_count(state) > 0
     job = state.tasks[0].job
     return reserved.allowances.admits(job.claim.account, state.step.room)
 
--- a/libs/scheduler/tests/test_scheduler_teams.py
+++ b/libs/scheduler/tests/test_scheduler_teams.py
@@ -2,6 +2,7 @@
 
 import contextlib
 from collections.abc import Iterator
+from unittest import mock
 
 import scheduler_bench as benches
 import scheduler_fleets as fleets
@@ -13,6 +14,7 @@
     job_loader,
     job_order,
     lateness,
+    placing,
     planner,
     round_times,
     shortages,
@@ -177,4 +179,22 @@
         assert len(missing.get('photo', ())) == max(0, 3 - held)
 
 
+def test_gang_beyond_a_quota_waits_for_it(fleet):
+    """Guards against a wrong reason, and tickets that are never used."""
+    fleet.boot('w')
+    gang = submit(fleet, 'gang', count=2, gang=True).steps[0]
+    small = submit(fleet, 'small', count=3)
+    advice = mock.Mock()
+    assert planned(fleet) == ['gang', 'gang', 'small', 'small']
+    other = fleet.boot('v')
+    for task in small.steps[0].tasks:
+        fleet.start(task, other)
+    reserved = fleet.reserve(*fleet.cluster.workers_by_id.values())
+    placer = placing.StepPlacer(gang, reserved, advice)
+    assert not placer.may_fit
+    assert not placer.place()
+    assert placer.wait().reason is placing.WaitReason.QUOTA
+    advice.request_more.assert_not_called()
+
+
 load_tests = functions.loader(__name__, {'fleet': fleet})
