Count runs that are not wanted any more towards the quota

A run that a late request has begun, or that goes on after its lease was thought to be over, is stopped once its worker reports it. Until then it was in no account, while the next attempt at its task was, so the team could hold more than its quota. Such runs now count while the last answer of their worker shows them, and on a worker that is cut off until its lease has ended. The new test failed before:

test_unwanted_run_counts_until_it_is_gone assert len(planned(fleet)) == admitted -> AssertionError

--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -51,6 +51,7 @@
                 self._note_gap(worker, end.number)
                 self._apply_end(worker, end)
         reported = set()
+        worker.health.unwanted = []
         for report in status.running:
             reported.add(report.run_id.task)
             self._apply_report(worker, report)
@@ -88,6 +89,8 @@
         if run is None or run.attempt != report.run_id.attempt:
             run = self._adopt(worker, report.run_id)
         if run is None:
+            task = self._cluster.task(report.run_id.task)
+            worker.health.unwanted.extend([task] if task else [])
             self._cluster.on_unwanted_run(worker, report.run_id)
             return
         run.task.job.begun = True
--- a/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
@@ -1,10 +1,11 @@
 """Tentative reservations of capacity within one planning round."""
 
 import dataclasses
-from collections.abc import Collection, Iterable, Mapping
+import itertools
+from collections.abc import Collection, Iterable, Iterator, Mapping
 
 from jackdawlatch.jobs import model
-from jackdawlatch.scheduler import team_accounts, trials, workers
+from jackdawlatch.scheduler import tasks, team_accounts, trials, workers
 
 
 @dataclasses.dataclass(frozen=True)
@@ -67,6 +68,9 @@
         withheld: Collection[str] = (),
     ) -> None:
         self.allowances = team_accounts.Allowances()
+        pool = itertools.chain.from_iterable(candidates_by_service.values())
+        for task in _unwanted_tasks(pool, now_s):
+            self.allowances.reserve(task.job.claim.account, task.step.room)
         self._known_by_service = candidates_by_service
         self._groups_by_service = {
             service: _groups(_available(candidates, now_s), withheld)
@@ -171,6 +175,16 @@
         return self._groups_by_service.get(service, self._no_workers)
 
 
+def _unwanted_tasks(
+    pool: Iterable[workers.Worker], now_s: float
+) -> Iterator[tasks.Task]:
+    """Return the tasks of runs that have to be stopped and may go on."""
+    for worker in pool:
+        if worker.health.unwanted:
+            if worker.reachable or now_s <= worker.lease.end_s:
+                yield from worker.health.unwanted
+
+
 def _largest(rooms: Iterable[model.Room]) -> model.Room:
     """Return the largest of each quantity."""
     largest = model.Room()
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import enum
+import typing
 from collections.abc import Callable
 
 from jackdawlatch.jobs import model
@@ -14,6 +15,9 @@
     team_accounts,
 )
 
+if typing.TYPE_CHECKING:
+    from jackdawlatch.scheduler import tasks
+
 # Long enough to survive a change of leaders after a lost lease, short enough
 # that the tasks of a lost worker are restarted soon.
 LEASE_S = 6.0
@@ -41,7 +45,8 @@
 
     ``lost_s`` is when it stopped answering, None while it answers.  ``silent``
     tells whether this leader is known to get no answer.  ``suspects`` are its
-    runs of tasks that may crash it.
+    runs of tasks that may crash it, ``unwanted`` the tasks of the runs in its
+    last answer that are not its own any more and have to be stopped.
     """
 
     def __init__(self) -> None:
@@ -51,6 +56,7 @@
         self.lost_s: float | None = None
         self.silent = False
         self.suspects: set[runs.Run] = set()
+        self.unwanted: list[tasks.Task] = []
 
     def suspend(self, until_s: float) -> None:
         """Place nothing on the worker until ``until_s``."""
--- a/libs/scheduler/tests/test_scheduler_teams.py
+++ b/libs/scheduler/tests/test_scheduler_teams.py
@@ -1,7 +1,7 @@
 """What the jobs of a team may hold and claim, with flooding teams."""
 
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from unittest import mock
 
 import scheduler_bench as benches
@@ -10,15 +10,18 @@
 from jackdawlatch.jobs import queues, stored
 from jackdawlatch.model import presets, records, teams
 from jackdawlatch.scheduler import (
+    calls,
     demand,
     job_loader,
     job_order,
     lateness,
     placing,
     planner,
+    reports,
     round_times,
     shortages,
     tasks,
+    workers,
 )
 from jackdawlatch.testing import functions
 
@@ -81,6 +84,18 @@
     return [placed.task.id.job for placed in plan.placements]
 
 
+def report(
+    fleet: fleets.Fleet,
+    worker: workers.Worker,
+    running: Iterable[calls.RunId],
+) -> None:
+    """Apply an answer of a worker that runs these."""
+    status = reports.WorkerStatus(
+        0, 0, tuple(reports.RunReport(one, '', 0) for one in running), ()
+    )
+    fleet.reconciler.reconcile(worker, status, fleet.clock.monotonic_s())
+
+
 def test_lasting_job_beyond_the_share_gives_no_way(fleet):
     """Guards against lasting tasks that wait beside withheld machines."""
     judged = lateness.Lateness()
@@ -197,4 +212,22 @@
     advice.request_more.assert_not_called()
 
 
+def test_unwanted_run_counts_until_it_is_gone(fleet):
+    """Guards against a late start that runs beside the next attempt."""
+    first = submit(fleet, 'flood', count=9).steps[0].tasks[0]
+    worker, other = fleet.boot('w'), fleet.boot('v')
+    late = fleet.start(first, worker).run_id
+    fleet.cluster.release(first.run, 'lease-over')
+    fleet.start(first, other)
+    for reported, admitted in (((late,), 2), ((), 3)):
+        report(fleet, worker, reported)
+        assert len(planned(fleet)) == admitted
+    # Its lease limits how long it may run on a worker that is cut off.
+    report(fleet, worker, (late,))
+    fleet.lose(worker)
+    assert len(planned(fleet)) == 2
+    worker.lease.end_s = NOW.monotonic_s - 1
+    assert len(planned(fleet)) == 3
+
+
 load_tests = functions.loader(__name__, {'fleet': fleet})
