--- a/libs/scheduler/tests/scheduler_bench.py
+++ b/libs/scheduler/tests/scheduler_bench.py
@@ -112,7 +112,12 @@
 
 
 class Bench:
-    """One deployment; ``lead`` runs a leader for as long as a test needs it."""
+    """One deployment; ``lead`` runs a leader for as long as a test needs it.
+
+    Leaders begin with ``catalog`` as their configuration.
+    """
+
+    catalog = CATALOG
 
     def __init__(
         self,
@@ -240,7 +245,7 @@
                 ),
             ),
             persistence.Term('leader', entry.revision),
-            CATALOG,
+            self.catalog,
         )
 
     def _reboot(self, name: str) -> int:
--- a/libs/scheduler/tests/scheduler_oracle.py
+++ b/libs/scheduler/tests/scheduler_oracle.py
@@ -6,6 +6,7 @@
 import enum
 import functools
 import itertools
+import math
 from collections.abc import Callable, Iterable
 
 import scheduler_boots as boots
@@ -42,6 +43,7 @@
         self.done: set[model.TaskId] = set()
         self.failures: collections.Counter[model.TaskId] = collections.Counter()
         self.crashes: collections.Counter[model.TaskId] = collections.Counter()
+        self.quota_m: float = math.inf
         self._max_attempts = max_attempts
         self.order = itertools.count(1)
         self._last_starts: dict[model.TaskId, Start] = {}
@@ -74,6 +76,21 @@
                     f'{task.name} was started before {needed.name} was done'
                 )
 
+    def check_quota(self, sent: int, fleet: Iterable['Worker']) -> None:
+        """Check what runs after a start that was ``sent``.
+
+        A team may hold a tenth more than its quota, and one task.
+        """
+        counted = [
+            (self.jobs_by_id[task.job], task.step)
+            for one in fleet
+            for task in one.running
+            if one.is_counted(task, sent)
+        ]
+        held_m = [job.steps[step].room.processors_m for job, step in counted]
+        most_m = 1.1 * self.quota_m + max(held_m, default=0)
+        assert sum(held_m) <= most_m, f'{held_m} run beyond the quota'
+
     def ended(self, end: reports.EndReport) -> int:
         """Record an end on a worker; return its place among all events."""
         if end.kind is reports.EndKind.DONE:
@@ -201,9 +218,9 @@
             if self.knowledge.excuses(self._fleet.request.late):
                 self._excused_runs.add(self.started_runs[-1])
             else:
-                self._fleet.oracle.started(
-                    request.task, self._fleet.request.sent, others
-                )
+                sent = self._fleet.request.sent
+                self._fleet.oracle.started(request.task, sent, others)
+                self._fleet.oracle.check_quota(sent, self._fleet.alive())
         return refusal
 
     def is_counted(self, task: model.TaskId, sent: int) -> bool:
--- a/libs/scheduler/tests/test_scheduler_fuzz.py
+++ b/libs/scheduler/tests/test_scheduler_fuzz.py
@@ -79,6 +79,7 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self.until_s = float('inf')
         self.unconfirmed_until_s: float = 0
+        self.leader: leader.Leader | None = None
         self.running: asyncio.Task[None] | None = None
         self._clock = clock
 
@@ -140,6 +141,7 @@
             lambda: term.held,
             None if just_started else next(self.daemons),
         )
+        term.leader = led
         term.running = self.loop.create_task(led.run())
         return term
 
