Show what each team holds, may hold, waits for and is refused

The leader exports team_held and team_limit by resource and team_waiting_tasks, computed from its jobs at each export; every daemon exports team_refusals by reason and configuration_version. Lines: key-refused has a reason, also when the store can't be read, job-seen and task-waits name the team.

The new tests run a daemon against fakes: of two tasks one runs at the limit and one waits; a job that is resent with another team's key stays with its team.

--- a/libs/jobs/src/jackdawlatch/jobs/intake.py
+++ b/libs/jobs/src/jackdawlatch/jobs/intake.py
@@ -12,10 +12,10 @@
 from absl import logging
 from returns import result
 
-from jackdawlatch.jobs import model, queues, stored
+from jackdawlatch.jobs import model, queues, refusals, stored
 from jackdawlatch.model import clocks, failures, records
 from jackdawlatch.store import keyvalue, monitored, transactions
-from jackdawlatch.telemetry import decisions
+from jackdawlatch.telemetry import decisions, meters
 
 # The store documents answers in milliseconds; a slow one takes about 0.25 s.
 RETRY_AFTER_S = 1
@@ -45,6 +45,9 @@
     code: ClassVar[str] = 'key-unknown'
 
 
+_KEY_UNKNOWN = KeyUnknown(message='no team of the configuration holds this key')
+
+
 class NoSuchJob(failures.Problem, frozen=True, kw_only=True):
     """No job with this id was accepted, or it was removed after its end."""
 
@@ -61,6 +64,7 @@
     store: monitored.MonitoredStore
     clock: clocks.Clock
     log: decisions.DecisionLog
+    meters: meters.Meters
 
 
 class Intake:
@@ -75,6 +79,9 @@
         self.draining = False
         self.in_flight = 0
         self._dependencies = dependencies
+        self._refusals = refusals.Refusals(
+            dependencies.log, dependencies.meters
+        )
 
     def authorize(
         self, queue: queues.Queue, header: str, request_id: str
@@ -89,18 +96,14 @@
         team = self.catalog.team_of_key(key.strip())
         if team is not None and scheme.lower() == BEARER:
             return result.Success(team.name)
+        refusal: KeyUnknown | NotAccepted = _KEY_UNKNOWN
         if not self._dependencies.store.answering:
             # A newer configuration may hold the key.
-            return result.Failure(_STORE_UNAVAILABLE)
-        self._dependencies.log.note(
-            'key-refused',
-            request=request_id,
-            queue=queue.name,
-            version=self.catalog.version,
-        )
-        return result.Failure(
-            KeyUnknown(message='no team of the configuration holds this key')
+            refusal = _STORE_UNAVAILABLE
+        self._refusals.note_key(
+            request_id, queue.name, self.catalog.version, refusal.code
         )
+        return result.Failure(refusal)
 
     async def submit(
         self, job: model.Job, request_id: str
@@ -128,6 +131,8 @@
             )
         )
         self._note('submit', job.id, request_id, outcome, job.team)
+        if isinstance(outcome, result.Failure):
+            self._refusals.count(job.team, outcome.failure().code)
         return outcome
 
     async def cancel(
--- a/libs/jobs/tests/test_jobs_intake.py
+++ b/libs/jobs/tests/test_jobs_intake.py
@@ -28,6 +28,7 @@
                 monitored.MonitoredStore(self.store, self.watchdog),
                 self.clock,
                 decisions.DecisionLog('t', self.clock, instruments, stream),
+                instruments,
             )
         )
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
@@ -48,7 +48,12 @@
                 if progress.worker and not progress.done:
                     self._restore_run(state, progress)
         self._cluster.dependencies.log.note(
-            'job-seen', job=job.id, queue=job.queue, phase=state.phase
+            'job-seen',
+            job=job.id,
+            queue=job.queue,
+            phase=state.phase,
+            team=job.team,
+            within_share=state.claim.within_share,
         )
         self._cluster.on_change()
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/waiting.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waiting.py
@@ -56,6 +56,7 @@
         self._cluster.dependencies.log.note(
             'task-waits',
             task=first.id.name,
+            team=first.job.job.team,
             tasks=state.waiting_count,
             lasting=state.step.lasting,
             service=first.job.service,
--- a/libs/scheduler/tests/test_scheduler_team_takeovers.py
+++ b/libs/scheduler/tests/test_scheduler_team_takeovers.py
@@ -149,8 +149,8 @@
             worker.down = True
         simulation.run(ROUND_S)
         # The starts were not answered; nothing is started beside them.
-        flood = simulation.term.leader.cluster.jobs_by_id['flood']
-        account = flood.claim.account
+        cluster = simulation.term.leader.cluster
+        account = cluster.jobs_by_id['flood'].claim.account
         assert account.held.processors_m == QUOTA_CORES * CORE_M
         takeovers.hand_over(simulation)
         simulation.run(ROUND_S)
--- a/libs/telemetry/src/jackdawlatch/telemetry/meters.py
+++ b/libs/telemetry/src/jackdawlatch/telemetry/meters.py
@@ -1,6 +1,6 @@
 """OpenTelemetry metrics of a process, exported in the Prometheus format."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import prometheus_client
 from opentelemetry import metrics
@@ -8,9 +8,28 @@
 from opentelemetry.sdk import metrics as sdk_metrics
 from opentelemetry.sdk import resources
 
+OTHER = 'other'
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
 
 
+# A value and its labels.
+Sample = tuple[float, Mapping[str, str]]
+
+
+class BoundedLabels:
+    """Limits how many values a label takes in the life of a process."""
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._known: set[str] = set()
+
+    def label(self, name: str) -> str:
+        """Return a name, or ``OTHER`` once there are too many of them."""
+        if name not in self._known and len(self._known) < self._most:
+            self._known.add(name)
+        return name if name in self._known else OTHER
+
+
 class Meters:
     """The counters, histograms and gauges of one process.
 
@@ -48,11 +67,18 @@
 
     def gauge(self, name: str, read: Callable[[], float]) -> None:
         """Register a gauge whose value is ``read()`` at each export."""
+        self.labelled_gauge(name, lambda: ((read(), {}),))
+
+    def labelled_gauge(
+        self, name: str, read: Callable[[], Iterable[Sample]]
+    ) -> None:
+        """Register a gauge that ``read()`` returns the samples of."""
 
         def observe(
             _options: metrics.CallbackOptions,
         ) -> Iterable[metrics.Observation]:  # noqa: WPS430 closes over ``read``.
-            yield metrics.Observation(read())
+            for amount, labels in read():
+                yield metrics.Observation(amount, labels)
 
         self._meter.create_observable_gauge(name, [observe])
 
--- a/libs/unified/src/jackdawlatch/unified/root.py
+++ b/libs/unified/src/jackdawlatch/unified/root.py
@@ -29,7 +29,7 @@
 from jackdawlatch.scheduler import observers as scheduler_observers
 from jackdawlatch.store import following, monitored
 from jackdawlatch.telemetry import decisions, meters
-from jackdawlatch.unified import connections, metrics, observers
+from jackdawlatch.unified import connections, gauges, metrics, observers
 from jackdawlatch.unified import settings as unified_settings
 
 MILLISECONDS_PER_SECOND = 1000
@@ -78,7 +78,9 @@
             )
         )
         self._intake = intake.Intake(
-            intake.Dependencies(self._store, self._clock, self._log)
+            intake.Dependencies(
+                self._store, self._clock, self._log, instruments
+            )
         )
         self._lease_sightings = scheduler_observers.LeaseSightings(self._clock)
         self._leader: leader.Leader | None = None
@@ -87,6 +89,7 @@
         )
         self._front = ingress.create_front_server(self._intake)
         self._ready = ingress.create_ready_server(self._is_ready)
+        gauges.register(instruments, self._intake, lambda: self._leader)
 
     def listen(self) -> None:
         """Listen on all addresses; raises ``OSError`` if one is not available."""
--- a/libs/unified/tests/test_unified_teams.py
+++ b/libs/unified/tests/test_unified_teams.py
@@ -1,9 +1,12 @@
 """Keys of teams over HTTP, against fakes of the platform."""
 
+import re
 import types
 
 import unified_bench
 
+from jackdawlatch.jobs import model
+from jackdawlatch.model import records
 from jackdawlatch.testing import functions, waiting
 
 ALPHA = types.MappingProxyType(
@@ -11,6 +14,17 @@
 )
 
 
+EXPECTED_LINES = frozenset(
+    (
+        'configuration_version{} 7.0',
+        'team_held{resource="processors_m",team="alpha"} 500.0',
+        'team_limit{resource="processors_m",team="alpha"} 500.0',
+        'team_waiting_tasks{resource="tasks",team="alpha"} 1.0',
+        'team_refusals_total{reason="key-unknown",team="unknown"} 1.0',
+    )
+)
+
+
 async def test_call_without_a_valid_key_is_refused(bench):
     _configure(bench, 1, ALPHA)
     await bench.until_ready()
@@ -55,7 +69,33 @@
     assert (await _call(bench, 'GET', 'any')).status == 410
 
 
-def _configure(bench, version, team, no_auth=False) -> None:
+async def test_resent_job_stays_with_its_team(bench):
+    _configure(bench, 1, ALPHA, {'name': 'beta', 'api-keys': ['key-b']})
+    await bench.until_ready()
+    for key in ('key-1', 'key-b'):
+        assert (await _call(bench, 'POST', key)).status == 200
+    entry = bench.store.content.get(f'work/jobs/{unified_bench.JOB}')
+    job = records.decode(entry.value, model.Job)
+    assert (job.team, job.version) == ('alpha', 1)
+
+
+async def test_metrics_name_team_version_and_reason(bench):
+    limited = {**ALPHA, 'max-count': {'cpu': 500}}
+    _configure(bench, 7, limited)
+    await bench.until_ready()
+    await _call(bench, 'POST', 'key-1')
+    await _call(bench, 'GET', 'key-9')
+
+    async def shown() -> bool:
+        exposition = (await bench.get(bench.metrics)).body.decode()
+        lines = re.sub(r'otel_\w+="[^"]*",?', '', exposition).splitlines()
+        # One of the two tasks runs, and the quota blocks the other.
+        return set(lines) >= EXPECTED_LINES
+
+    await waiting.until(shown)
+
+
+def _configure(bench, version, *teams, no_auth=False) -> None:
     manifest = unified_bench.standins.manifest()
     routes = [{**route, 'no-auth': no_auth} for route in manifest['routes']]
     bench.store.write(
@@ -64,7 +104,7 @@
             **manifest,
             'version': version,
             'routes': routes,
-            'tenants': [dict(team)],
+            'tenants': [dict(team) for team in teams],
         },
     )
 
