Wait for a configuration before competing for the leadership

A daemon that had not read the configuration could lead. It knew no teams when it read the jobs, so all of them were within their teams' shares for its whole term, and a flood went before other jobs. A daemon now competes once it has a configuration, and after 3 s without one at the latest, since lasting tasks need a leader if the configuration can't be read by any host. The new test failed before:

test_daemon_without_configuration_does_not_lead assert bench.store.content.get(stored.LEADER_KEY) is None -> AssertionError

and passes now; unified: 23 passed.

--- a/libs/unified/src/jackdawlatch/unified/root.py
+++ b/libs/unified/src/jackdawlatch/unified/root.py
@@ -37,6 +37,10 @@
 # The load balancer checks readiness once a second and stops sending requests
 # after two failed checks.
 BALANCER_REMOVAL_S = 2.5
+# Hosts apply a configuration within this time.  If no host has one, lasting tasks
+# need a leader all the same.
+CONFIGURATION_WAIT_S = 3.0
+CONFIGURATION_POLL_S = 0.02
 DRAIN_IDLE_S = 0.3
 DRAIN_POLL_S = 0.05
 # Draining has to end before the platform kills the process, which it does at
@@ -137,6 +141,8 @@
         loop.add_signal_handler(signal.SIGHUP, self._on_reload)
 
     async def _lead(self) -> None:
+        # Others lead meanwhile, who know the teams of the jobs they read.
+        await _wait_for_configuration(self._intake, self._clock)
         while True:
             term = await self._election.win()
             self._log.note('leading', token=term.token)
@@ -244,3 +250,13 @@
             logging.error('background task failed', exc_info=task.exception())
             self.failed = True
             self._stopping.set()
+
+
+async def _wait_for_configuration(
+    job_intake: intake.Intake, clock: clocks.Clock
+) -> None:
+    deadline_s = clock.monotonic_s() + CONFIGURATION_WAIT_S
+    while job_intake.catalog.version == queues.NO_VERSION:
+        if clock.monotonic_s() >= deadline_s:
+            return
+        await asyncio.sleep(CONFIGURATION_POLL_S)
--- a/libs/unified/tests/test_unified_teams.py
+++ b/libs/unified/tests/test_unified_teams.py
@@ -1,13 +1,16 @@
 """Keys of teams over HTTP, against fakes of the platform."""
 
+import asyncio
 import re
 import types
+from unittest import mock
 
 import unified_bench
 
-from jackdawlatch.jobs import model
+from jackdawlatch.jobs import model, stored
 from jackdawlatch.model import records
 from jackdawlatch.testing import functions, waiting
+from jackdawlatch.unified import root
 
 ALPHA = types.MappingProxyType(
     {'name': 'alpha', 'api-keys': ['key-1', 'key-2'], 'weight': 5}
@@ -79,6 +82,16 @@
     assert (job.team, job.version) == ('alpha', 1)
 
 
+async def test_daemon_without_configuration_does_not_lead(bench):
+    """Guards against a leader that knows no team when it reads the jobs."""
+    with mock.patch.object(root, 'CONFIGURATION_WAIT_S', 60, create=True):
+        # Longer than a vacant leadership lasts.
+        await asyncio.sleep(1)
+        assert bench.store.content.get(stored.LEADER_KEY) is None
+        _configure(bench, 1, ALPHA)
+        await waiting.until(lambda: bench.store.content.get(stored.LEADER_KEY))
+
+
 async def test_metrics_name_team_version_and_reason(bench):
     limited = {**ALPHA, 'max-count': {'cpu': 500}}
     _configure(bench, 7, limited)
