--- a/libs/unified/src/jackdawlatch/unified/gauges.py
+++ b/libs/unified/src/jackdawlatch/unified/gauges.py
@@ -42,7 +42,7 @@
     read: Read,
 ) -> Iterable[meters.Sample]:
     """Return the sums of the teams with one label."""
-    sums: collections.Counter[tuple[str, str]] = collections.Counter()
+    sums: dict[tuple[str, str], float] = collections.defaultdict(float)
     for usage in usages:
         team = labels.label(usage.team or NO_TEAM)
         for resource, more in read(usage).items():
