--- a/libs/jobs/src/jackdawlatch/jobs/intake.py
+++ b/libs/jobs/src/jackdawlatch/jobs/intake.py
@@ -131,8 +131,9 @@
             )
         )
         self._note('submit', job.id, request_id, outcome, job.team)
-        if isinstance(outcome, result.Failure):
-            self._refusals.count(job.team, outcome.failure().code)
+        failure = outcome.swap().value_or(None)
+        if isinstance(failure, NotAccepted):
+            self._refusals.count(job.team, failure.code)
         return outcome
 
     async def cancel(
