--- a/libs/jobs/src/jackdawlatch/jobs/model.py
+++ b/libs/jobs/src/jackdawlatch/jobs/model.py
@@ -28,6 +28,14 @@
             accelerators=self.accelerators - need.accelerators,
         )
 
+    def times(self, count: int) -> 'Room':
+        """Return ``count`` times this capacity."""
+        return Room(
+            processors_m=self.processors_m * count,
+            memory_mb=self.memory_mb * count,
+            accelerators=self.accelerators * count,
+        )
+
     def plus(self, more: 'Room') -> 'Room':
         """Return the sum of this capacity and ``more``."""
         return Room(
@@ -80,7 +88,8 @@
     ``k`` from ``start_at_s + k * interval_s`` (wall-clock) on.  ``service`` and
     ``max_attempts`` are those of the queue when it was accepted, for a leader
     that doesn't know the queue; earlier releases stored no ``max_attempts``.
-    ``team`` is the one whose key submitted it, empty for open queues.
+    ``team`` is the one whose key submitted it, empty for open queues, and
+    ``version`` the configuration by which it was accepted.
     """
 
     id: str
@@ -94,6 +103,7 @@
     interval_s: float = 0
     accepted_s: float = 0
     team: str = ''
+    version: int = 0
 
     @property
     def occurrences(self) -> int:
--- a/libs/scheduler/src/jackdawlatch/scheduler/demand.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/demand.py
@@ -7,7 +7,13 @@
 
 from jackdawlatch.jobs import model
 from jackdawlatch.policy import arrivals, occupancy
-from jackdawlatch.scheduler import lateness, round_times, shortages, tasks
+from jackdawlatch.scheduler import (
+    lateness,
+    round_times,
+    shortages,
+    tasks,
+    team_accounts,
+)
 
 # Tasks of different sizes leave part of a machine unused.
 PACKING_FACTOR = 1.2
@@ -32,37 +38,81 @@
     job_lateness: lateness.Lateness,
     machine: model.Room,
 ) -> Demand:
-    """Return the demand of the open jobs."""
+    """Return the demand of the open jobs, as far as quotas let them start."""
     in_time: list[tasks.JobState] = []
     late: list[tasks.JobState] = []
     for job in jobs:
         if not job.ended:
             (late if job_lateness.gives_way(job, now) else in_time).append(job)
-    present = machines_by_service(in_time, machine, job_lateness)
+    needs = Needs(machine, job_lateness, team_accounts.Allowances())
+    present = machines_by_service(in_time, needs)
     arriving = _arriving_by_service(in_time, machine, now.monotonic_s)
     return Demand(
         {
             service: max(number, arriving.get(service, 0))
             for service, number in present.items()
         },
-        machines_by_service(late, machine, job_lateness),
+        machines_by_service(late, needs),
         frozenset(_ready_services(in_time, now.wall_s)),
     )
 
 
 def _ready_services(jobs: Iterable[tasks.JobState], wall_s: float) -> set[str]:
     ready: set[str] = set()
+    allowances = team_accounts.Allowances()
     for job in jobs:
         if not job.lasting and job.service not in ready:
-            if tasks.waiting_steps(job, wall_s):
+            waiting = tasks.waiting_steps(job, wall_s)
+            if any(map(allowances.startable_count, waiting)):
                 ready.add(job.service)
     return ready
 
 
+@dataclasses.dataclass(frozen=True)
+class Needs:
+    """Finds out how many machines of a size a job needs.
+
+    ``allowances`` are what the quotas of the teams leave; what a job needs
+    beyond its runs is reserved there.
+    """
+
+    machine: model.Room
+    job_lateness: lateness.Lateness
+    allowances: team_accounts.Allowances
+
+    def machines(self, job: tasks.JobState) -> float:
+        """Return how many machines the first open occurrence needs."""
+        states = lateness.open_steps(job)
+        steps = [self._step_work(state, job.job.queue) for state in states]
+        for state in states:
+            if all(states[position].done for position in state.step.after):
+                self._reserve(state)
+        if job.lasting or any(step.gang for step in job.job.steps):
+            return occupancy.widest_machines(steps)
+        return occupancy.needed_machines(steps)
+
+    def _step_work(
+        self, state: tasks.StepState, queue: str
+    ) -> occupancy.StepWork:
+        startable = self.allowances.startable_count(state)
+        return occupancy.StepWork(
+            open_count=startable + _placed_count(state),
+            share=share(state.step.reserved_room, self.machine),
+            task_s=state.step.estimate_s,
+            step_s=self.job_lateness.expected_s(state.step, queue),
+            after=state.step.after,
+        )
+
+    def _reserve(self, state: tasks.StepState) -> None:
+        startable = self.allowances.startable_count(state)
+        job = state.tasks[0].job
+        self.allowances.reserve(
+            job.claim.account, state.step.room.times(startable)
+        )
+
+
 def machines_by_service(
-    jobs: Iterable[tasks.JobState],
-    machine: model.Room,
-    job_lateness: lateness.Lateness,
+    jobs: Iterable[tasks.JobState], needs: Needs
 ) -> dict[str, int]:
     """Return how many machines of a size the open jobs would fill.
 
@@ -72,7 +122,7 @@
     shares: dict[str, float] = collections.defaultdict(float)
     for job in jobs:
         if not job.ended:
-            shares[job.service] += _machines(job, machine, job_lateness)
+            shares[job.service] += needs.machines(job)
     return {
         service: math.ceil(share * PACKING_FACTOR)
         for service, share in shares.items()
@@ -101,34 +151,23 @@
     )
 
 
-def _machines(
-    job: tasks.JobState, machine: model.Room, job_lateness: lateness.Lateness
-) -> float:
-    """Return how many machines the first open occurrence of a job needs."""
-    steps = [
-        occupancy.StepWork(
-            open_count=state.step.count - state.done_count,
-            share=share(state.step.reserved_room, machine),
-            task_s=state.step.estimate_s,
-            step_s=job_lateness.expected_s(state.step, job.job.queue),
-            after=state.step.after,
-        )
-        for state in lateness.open_steps(job)
-    ]
-    if job.lasting or any(step.gang for step in job.job.steps):
-        return occupancy.widest_machines(steps)
-    return occupancy.needed_machines(steps)
+def _placed_count(state: tasks.StepState) -> int:
+    return state.step.count - state.done_count - state.waiting_count
 
 
 def spread_by_service(jobs: Iterable[tasks.JobState]) -> dict[str, int]:
     """Return how many workers the widest spread of the open jobs needs."""
     needed: dict[str, int] = collections.defaultdict(int)
+    allowances = team_accounts.Allowances()
     for job in jobs:
         if not job.ended:
-            for step in job.job.steps:
-                if step.max_per_worker:
+            for state in job.steps:
+                if state.step.max_per_worker:
+                    kept = _placed_count(state) + state.done_count
+                    kept += allowances.startable_count(state)
                     needed[job.service] = max(
-                        needed[job.service], shortages.spread_count(step)
+                        needed[job.service],
+                        shortages.spread_count(state.step, kept),
                     )
     return needed
 
--- a/libs/scheduler/tests/test_scheduler_decisions.py
+++ b/libs/scheduler/tests/test_scheduler_decisions.py
@@ -23,6 +23,7 @@
     round_times,
     runs,
     tasks,
+    team_accounts,
     workers,
 )
 from jackdawlatch.scheduler import planner as planners
@@ -234,10 +235,12 @@
         model.Step(count=8, room=CORE, after=(0,)),
     )
     machine = model.Room(processors_m=4000, memory_mb=4000)
-    judged = lateness.Lateness()
-    assert demand.machines_by_service([job], machine, judged) == {'s': 3}
+    needs = demand.Needs(
+        machine, lateness.Lateness(), team_accounts.Allowances()
+    )
+    assert demand.machines_by_service([job], needs) == {'s': 3}
     job.phase = job.phase.CANCELLED
-    assert not demand.machines_by_service([job], machine, judged)
+    assert not demand.machines_by_service([job], needs)
 
 
 def test_late_job_waits_while_machines_are_withheld():
--- a/libs/unified/src/jackdawlatch/unified/root.py
+++ b/libs/unified/src/jackdawlatch/unified/root.py
@@ -29,7 +29,7 @@
 from jackdawlatch.scheduler import observers as scheduler_observers
 from jackdawlatch.store import following, monitored
 from jackdawlatch.telemetry import decisions, meters
-from jackdawlatch.unified import connections, metrics, observers
+from jackdawlatch.unified import connections, gauges, metrics, observers
 from jackdawlatch.unified import settings as unified_settings
 
 MILLISECONDS_PER_SECOND = 1000
@@ -37,6 +37,10 @@
 # The load balancer checks readiness once a second and stops sending requests
 # after two failed checks.
 BALANCER_REMOVAL_S = 2.5
+# Hosts apply a configuration within this time.  If no host has one, lasting tasks
+# need a leader all the same.
+CONFIGURATION_WAIT_S = 3.0
+CONFIGURATION_POLL_S = 0.02
 DRAIN_IDLE_S = 0.3
 DRAIN_POLL_S = 0.05
 # Draining has to end before the platform kills the process, which it does at
@@ -78,7 +82,9 @@
             )
         )
         self._intake = intake.Intake(
-            intake.Dependencies(self._store, self._clock, self._log)
+            intake.Dependencies(
+                self._store, self._clock, self._log, instruments
+            )
         )
         self._lease_sightings = scheduler_observers.LeaseSightings(self._clock)
         self._leader: leader.Leader | None = None
@@ -87,6 +93,7 @@
         )
         self._front = ingress.create_front_server(self._intake)
         self._ready = ingress.create_ready_server(self._is_ready)
+        gauges.register(instruments, self._intake, lambda: self._leader)
 
     def listen(self) -> None:
         """Listen on all addresses; raises ``OSError`` if one is not available."""
@@ -134,6 +141,8 @@
         loop.add_signal_handler(signal.SIGHUP, self._on_reload)
 
     async def _lead(self) -> None:
+        # Others lead meanwhile, who know the teams of the jobs they read.
+        await _wait_for_configuration(self._intake, self._clock)
         while True:
             term = await self._election.win()
             self._log.note('leading', token=term.token)
@@ -241,3 +250,13 @@
             logging.error('background task failed', exc_info=task.exception())
             self.failed = True
             self._stopping.set()
+
+
+async def _wait_for_configuration(
+    job_intake: intake.Intake, clock: clocks.Clock
+) -> None:
+    deadline_s = clock.monotonic_s() + CONFIGURATION_WAIT_S
+    while job_intake.catalog.version == queues.NO_VERSION:
+        if clock.monotonic_s() >= deadline_s:
+            return
+        await asyncio.sleep(CONFIGURATION_POLL_S)
