Keep jobs in time off workers that turned slow

A worker whose tasks take 4 to 7 times as long for some seconds delays every wide step that has a task on it. Reports of progress are now compared with the runs of the same step on other workers, and with the earlier pace of the same run; a worker counts as slow while nearly all of its recent runs are, so that single tasks of a long tail do not make it slow. Placing prefers the others for jobs in time and for lasting tasks. Nothing changes while none is slow.

--- a/libs/scheduler/src/jackdawlatch/scheduler/paces.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/paces.py
@@ -1,15 +1,23 @@
 """The pace of the tasks of a step."""
 
+from jackdawlatch.policy import worker_pace
 from jackdawlatch.scheduler import calls
 
 
 class StepPace:
     """How fast the runs of a step progress, and how often each task stalled.
 
-    ``stalled`` tells whether any task has.
+    ``stalled`` tells whether any task has.  ``by_worker`` compares the workers
+    that the runs are on.
     """
 
-    __slots__ = ('_elapsed_s', '_percents', '_stalls_by_index', 'stalled')
+    __slots__ = (
+        '_by_worker',
+        '_elapsed_s',
+        '_percents',
+        '_stalls_by_index',
+        'stalled',
+    )
 
     def __init__(self) -> None:
         self.stalled = False
@@ -17,6 +25,14 @@
         self._percents = 0
         # The last attempt that stalled, and how many did.
         self._stalls_by_index: dict[int, tuple[int, int]] = {}
+        self._by_worker: worker_pace.StepPaces | None = None
+
+    @property
+    def by_worker(self) -> worker_pace.StepPaces:
+        """The paces on the workers; most steps wait and have none."""
+        if self._by_worker is None:
+            self._by_worker = worker_pace.StepPaces()
+        return self._by_worker
 
     @property
     def shown_s(self) -> float:
--- a/libs/scheduler/src/jackdawlatch/scheduler/placing.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/placing.py
@@ -61,7 +61,8 @@
 class StepPlacer:
     """Places the tasks of one step on the workers of its service.
 
-    Tasks of a ``late`` job get none of the withheld machines.
+    Tasks of a ``late`` job get none of the withheld machines.  ``avoids_slow``
+    tells that slow workers get tasks only once no other one has room.
     """
 
     def __init__(
@@ -72,6 +73,7 @@
         late: bool = False,
     ) -> None:
         self.state = state
+        self.avoids_slow = False
         self._step = state.step
         job = state.tasks[0].job
         self._service = job.service
@@ -247,12 +249,14 @@
         if task.suspected:
             # A crash should hurt as few other tasks as possible.
             return (len(worker.runs_by_task), -free, remote)
+        slow_workers = self._reservations.slow_workers
+        slow = self.avoids_slow and worker.entry.id in slow_workers
         if not self._step.lasting:
-            return (remote, free)
+            return (slow, remote, free)
         # Packing keeps whole machines free for other services.
         lasting = workers.lasting_count(worker)
         leaves = self._reservations.may_leave(worker)
-        return (leaves, remote, -lasting, free)
+        return (leaves, slow, remote, -lasting, free)
 
 
 def _within_quota(
--- a/libs/scheduler/src/jackdawlatch/scheduler/planner.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/planner.py
@@ -88,9 +88,22 @@
         # Orders only what may fit: under overload most jobs do not.
         fitting.sort(key=lambda ready: self._order.key(ready.job, now))
         for ready in fitting:
+            if free.slow_workers:
+                self._avoid_slow_workers(ready, now)
             plan.place(ready.placers)
         return plan
 
+    def _avoid_slow_workers(
+        self, ready: _Ready, now: round_times.RoundTime
+    ) -> None:
+        """Keep a job off slow workers if it can still be in time.
+
+        A late one takes any, so that it leaves the others to jobs in time.
+        """
+        in_time = not self._lateness.is_late(ready.job, now)
+        for placer in ready.placers:
+            placer.avoids_slow = in_time
+
     def _placers(
         self,
         job: tasks.JobState,
--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -12,6 +12,7 @@
     reports,
     runs,
     tasks,
+    worker_paces,
     workers,
 )
 
@@ -57,6 +58,7 @@
         # A run in neither list may be among the ends that were left out.
         if status.complete:
             self._release_absent(worker, reported, requested_s)
+        worker_paces.judge(worker, self._cluster)
         self._cluster.on_change()
 
     def _note_gap(self, worker: workers.Worker, number: int) -> None:
@@ -92,6 +94,7 @@
             return
         run.task.job.begun = True
         run.update(report, self._cluster.now_s)
+        worker_paces.record_report(run, self._cluster.now_s)
         if run.phase in runs.UNCONFIRMED:
             run.phase = runs.RunPhase.RUNNING
             run.last_progress_s = self._cluster.now_s
@@ -136,7 +139,7 @@
             return
         task.job.begun = True
         if end.kind is reports.EndKind.DONE and _is_current(task, end):
-            self._lateness.record_end(task, self._cluster.now_s)
+            self._record_done(task)
         run = worker.runs_by_task.get(task.id)
         if run is not None and run.attempt == end.run_id.attempt:
             worker.drop(run)
@@ -157,6 +160,10 @@
             task.job, acknowledge
         )
 
+    def _record_done(self, task: tasks.Task) -> None:
+        self._lateness.record_end(task, self._cluster.now_s)
+        worker_paces.record_end(task, self._cluster.now_s)
+
     def _apply_kind(
         self, worker: workers.Worker, task: tasks.Task, end: reports.EndReport
     ) -> None:
--- a/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
@@ -57,7 +57,8 @@
     """Free capacity by worker id; the workers themselves are not changed.
 
     The machines in ``withheld`` are not available to late jobs.  ``allowances``
-    are what the quotas of the teams leave.
+    are what the quotas of the teams leave, ``slow_workers`` the ids of those
+    whose tasks take several times as long.
     """
 
     def __init__(
@@ -76,6 +77,7 @@
         self._no_workers = _groups([], ())
         self._free_by_worker: dict[str, model.Room] = {}
         self._leaving_born_ms_by_service: dict[str, int] = {}
+        self.slow_workers = _slow_workers(candidates_by_service, now_s)
         self.trials = trials.Trials(candidates_by_service, now_s)
 
     def may_leave(self, worker: workers.Worker) -> bool:
@@ -194,6 +196,17 @@
     ]
 
 
+def _slow_workers(
+    candidates_by_service: Mapping[str, list[workers.Worker]], now_s: float
+) -> frozenset[str]:
+    return frozenset(
+        worker.entry.id
+        for candidates in candidates_by_service.values()
+        for worker in candidates
+        if worker.health.pace.is_slow(now_s)
+    )
+
+
 def _groups(
     available: list[workers.Worker], withheld: Collection[str]
 ) -> tuple[_Group, _Group]:
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from jackdawlatch.jobs import model
+from jackdawlatch.policy import worker_pace
 from jackdawlatch.scheduler import (
     calls,
     reports,
@@ -41,7 +42,7 @@
 
     ``lost_s`` is when it stopped answering, None while it answers.  ``silent``
     tells whether this leader is known to get no answer.  ``suspects`` are its
-    runs of tasks that may crash it.
+    runs of tasks that may crash it.  ``pace`` tells whether it is slow.
     """
 
     def __init__(self) -> None:
@@ -51,6 +52,7 @@
         self.lost_s: float | None = None
         self.silent = False
         self.suspects: set[runs.Run] = set()
+        self.pace = worker_pace.WorkerPace()
 
     def suspend(self, until_s: float) -> None:
         """Place nothing on the worker until ``until_s``."""
