--- a/libs/scheduler/src/jackdawlatch/scheduler/demand.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/demand.py
@@ -44,7 +44,7 @@
     for job in jobs:
         if not job.ended:
             (late if job_lateness.gives_way(job, now) else in_time).append(job)
-    needs = Needs(machine, job_lateness, team_accounts.Allowances())
+    needs = Needs(machine, job_lateness)
     present = machines_by_service(in_time, needs)
     arriving = _arriving_by_service(in_time, machine, now.monotonic_s)
     return Demand(
@@ -78,7 +78,9 @@
 
     machine: model.Room
     job_lateness: lateness.Lateness
-    allowances: team_accounts.Allowances
+    allowances: team_accounts.Allowances = dataclasses.field(
+        default_factory=team_accounts.Allowances
+    )
 
     def machines(self, job: tasks.JobState) -> float:
         """Return how many machines the first open occurrence needs."""
--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -12,6 +12,7 @@
     reports,
     runs,
     tasks,
+    worker_paces,
     workers,
 )
 
@@ -58,6 +59,7 @@
         # A run in neither list may be among the ends that were left out.
         if status.complete:
             self._release_absent(worker, reported, requested_s)
+        worker_paces.judge(worker, self._cluster)
         self._cluster.on_change()
 
     def _note_gap(self, worker: workers.Worker, number: int) -> None:
@@ -89,12 +91,11 @@
         if run is None or run.attempt != report.run_id.attempt:
             run = self._adopt(worker, report.run_id)
         if run is None:
-            task = self._cluster.task(report.run_id.task)
-            worker.health.unwanted.extend([task] if task else [])
-            self._cluster.on_unwanted_run(worker, report.run_id)
+            self._stop_unwanted(worker, report.run_id)
             return
         run.task.job.begun = True
         run.update(report, self._cluster.now_s)
+        worker_paces.record_report(run, self._cluster.now_s)
         if run.phase in runs.UNCONFIRMED:
             run.phase = runs.RunPhase.RUNNING
             run.last_progress_s = self._cluster.now_s
@@ -110,6 +111,15 @@
         if run.task.job.ended and run.phase is runs.RunPhase.RUNNING:
             self._cluster.stop(run)
 
+    def _stop_unwanted(
+        self, worker: workers.Worker, run_id: calls.RunId
+    ) -> None:
+        """Stop a run, which counts towards the quota until it has ended."""
+        task = self._cluster.task(run_id.task)
+        if task is not None:
+            worker.health.unwanted.append(task)
+        self._cluster.on_unwanted_run(worker, run_id)
+
     def _adopt(
         self, worker: workers.Worker, run_id: calls.RunId
     ) -> runs.Run | None:
@@ -139,7 +149,7 @@
             return
         task.job.begun = True
         if end.kind is reports.EndKind.DONE and _is_current(task, end):
-            self._lateness.record_end(task, self._cluster.now_s)
+            self._record_done(task)
         run = worker.runs_by_task.get(task.id)
         if run is not None and run.attempt == end.run_id.attempt:
             worker.drop(run)
@@ -160,6 +170,10 @@
             task.job, acknowledge
         )
 
+    def _record_done(self, task: tasks.Task) -> None:
+        self._lateness.record_end(task, self._cluster.now_s)
+        worker_paces.record_end(task, self._cluster.now_s)
+
     def _apply_kind(
         self, worker: workers.Worker, task: tasks.Task, end: reports.EndReport
     ) -> None:
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from jackdawlatch.jobs import model
+from jackdawlatch.policy import worker_pace
 from jackdawlatch.scheduler import (
     calls,
     reports,
@@ -46,7 +47,8 @@
     ``lost_s`` is when it stopped answering, None while it answers.  ``silent``
     tells whether this leader is known to get no answer.  ``suspects`` are its
     runs of tasks that may crash it, ``unwanted`` the tasks of the runs in its
-    last answer that are not its own any more and have to be stopped.
+    last answer that are not its own any more and have to be stopped.  ``pace``
+    tells whether it is slow.
     """
 
     def __init__(self) -> None:
@@ -57,6 +59,7 @@
         self.silent = False
         self.suspects: set[runs.Run] = set()
         self.unwanted: list[tasks.Task] = []
+        self.pace = worker_pace.WorkerPace()
 
     def suspend(self, until_s: float) -> None:
         """Place nothing on the worker until ``until_s``."""
--- a/libs/scheduler/tests/test_scheduler_decisions.py
+++ b/libs/scheduler/tests/test_scheduler_decisions.py
@@ -23,7 +23,6 @@
     round_times,
     runs,
     tasks,
-    team_accounts,
     workers,
 )
 from jackdawlatch.scheduler import planner as planners
@@ -235,9 +234,7 @@
         model.Step(count=8, room=CORE, after=(0,)),
     )
     machine = model.Room(processors_m=4000, memory_mb=4000)
-    needs = demand.Needs(
-        machine, lateness.Lateness(), team_accounts.Allowances()
-    )
+    needs = demand.Needs(machine, lateness.Lateness())
     assert demand.machines_by_service([job], needs) == {'s': 3}
     job.phase = job.phase.CANCELLED
     assert not demand.machines_by_service([job], needs)
