--- a/libs/policy/src/jackdawlatch/policy/objectives.py
+++ b/libs/policy/src/jackdawlatch/policy/objectives.py
@@ -40,6 +40,11 @@
         return max(0, self.duration_s - (self.elapsed_s or 0))
 
 
+def chain_s(steps: Sequence[StepTiming]) -> float:
+    """Return the duration of the longest chain of steps."""
+    return _longest_chain_s(steps, lambda step: step.duration_s)
+
+
 def slack_s(
     steps: Sequence[StepTiming], objective: Objective, age_s: float
 ) -> float:
@@ -47,9 +52,8 @@
 
     ``age_s`` is the time since the job was accepted or due.
     """
-    chain_s = _longest_chain_s(steps, lambda step: step.duration_s)
     remaining_s = _longest_chain_s(steps, lambda step: step.remaining_s)
-    allowed_s = objective.slack_factor * chain_s + objective.target_s
+    allowed_s = objective.slack_factor * chain_s(steps) + objective.target_s
     return allowed_s - age_s - remaining_s
 
 
