Refuse at the intake what can't be done in time to be of use

The intake asks policy.shedding for each request, also whether the store answers. A job is refused for the backlog after a read has shown that it has no record, and without any write; if the read fails, the write decides as before. Without a fresh forecast of the leader in office nothing changes.

--- a/libs/jobs/src/jackdawlatch/jobs/intake.py
+++ b/libs/jobs/src/jackdawlatch/jobs/intake.py
@@ -12,25 +12,26 @@
 from absl import logging
 from returns import result
 
-from jackdawlatch.jobs import model, queues, stored
+from jackdawlatch.jobs import load_sightings, model, queues, stored
 from jackdawlatch.model import clocks, failures, records
+from jackdawlatch.policy import shedding
 from jackdawlatch.store import keyvalue, monitored, transactions
 from jackdawlatch.telemetry import decisions
 
-# The store documents answers in milliseconds; a slow one takes about 0.25 s.
-RETRY_AFTER_S = 1
+RETRY_AFTER_S = shedding.STORE_RETRY_S
 BEARER = 'bearer'
 
 
 class NotAccepted(failures.NotRun, frozen=True, kw_only=True):
-    """The store refused the write: the job is not stored and never runs."""
+    """The job is not stored and never runs.
 
-    code: ClassVar[str] = 'job-not-accepted'
+    ``reason`` is why it was refused before any write, empty if the store
+    refused the write.
+    """
 
+    code: ClassVar[str] = 'job-not-accepted'
 
-_STORE_UNAVAILABLE = NotAccepted(
-    message='the store does not answer', retry_after_s=RETRY_AFTER_S
-)
+    reason: str = ''
 
 
 class OutcomeUnknown(failures.OutcomeUnknown, frozen=True, kw_only=True):
@@ -52,6 +53,7 @@
 
 
 Failure = NotAccepted | OutcomeUnknown | KeyUnknown | NoSuchJob
+Submitted = result.Result[None, NotAccepted | OutcomeUnknown]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -67,6 +69,7 @@
     """Answers callers; ``catalog`` is replaced with each configuration version.
 
     ``in_flight`` counts the requests that were received and not answered yet.
+    ``load_sightings`` has the forecast by which jobs are refused.
     """
 
     def __init__(self, dependencies: Dependencies) -> None:
@@ -74,6 +77,7 @@
         self.pending_by_queue: dict[str, int] = {}
         self.draining = False
         self.in_flight = 0
+        self.load_sightings = load_sightings.LoadSightings(dependencies.clock)
         self._dependencies = dependencies
 
     def authorize(
@@ -89,9 +93,10 @@
         team = self.catalog.team_of_key(key.strip())
         if team is not None and scheme.lower() == BEARER:
             return result.Success(team.name)
-        if not self._dependencies.store.answering:
+        refusal = self._refusal()
+        if refusal is not None:
             # A newer configuration may hold the key.
-            return result.Failure(_STORE_UNAVAILABLE)
+            return result.Failure(refusal)
         self._dependencies.log.note(
             'key-refused',
             request=request_id,
@@ -102,29 +107,18 @@
             KeyUnknown(message='no team of the configuration holds this key')
         )
 
-    async def submit(
-        self, job: model.Job, request_id: str
-    ) -> result.Result[None, NotAccepted | OutcomeUnknown]:
-        """Store a checked job; a success means that it is stored."""
-        stamped = records.replace(
-            job, accepted_s=self._dependencies.clock.wall_s()
-        )
-        outcome = await self._write(
-            transactions.Transaction(
-                conditions=(
-                    transactions.Condition(
-                        key=f'{stored.JOBS_PREFIX}{job.id}',
-                        revision=keyvalue.ABSENT,
-                    ),
-                ),
-                puts=(
-                    transactions.Put(
-                        key=f'{stored.JOBS_PREFIX}{job.id}',
-                        content=records.pack(stamped),
-                    ),
-                ),
-            )
-        )
+    async def submit(self, job: model.Job, request_id: str) -> Submitted:
+        """Store a checked job; a success means that it is stored.
+
+        A job whose record is stored already is not refused.
+        """
+        refusal = self._refusal(job)
+        outcome: Submitted | None = None
+        if refusal is not None:
+            outcome = await self._refuse(job, refusal)
+        if outcome is None:
+            wall_s = self._dependencies.clock.wall_s()
+            outcome = await self._write(_creation(job, wall_s))
         self._note('submit', job.id, request_id, outcome, job.team)
         return outcome
 
@@ -172,17 +166,49 @@
         """Return the last known number of jobs of a queue not yet begun."""
         return self.pending_by_queue.get(queue.name, 0)
 
+    def _refusal(self, job: model.Job | None = None) -> NotAccepted | None:
+        """Return why a request is refused at once, None if it is not."""
+        described = None
+        load = self.load_sightings.of_service(job.service) if job else None
+        if job is not None and load is not None:
+            queue = self.catalog.queues_by_name.get(job.queue)
+            described = load_sightings.describe(job, queue)
+        refusal = shedding.decide(
+            self._dependencies.store.answering, described, load
+        )
+        if refusal is None:
+            return None
+        return NotAccepted(
+            message=refusal.message,
+            retry_after_s=refusal.retry_after_s,
+            reason=refusal.reason.value,
+        )
+
+    async def _refuse(
+        self, job: model.Job, refusal: NotAccepted
+    ) -> Submitted | None:
+        """Refuse a job, unless an earlier copy of it was accepted.
+
+        Return None if that is not known: a write of its record finds out.
+        """
+        if refusal.reason == shedding.Reason.STORE:
+            return result.Failure(refusal)
+        found = await self._get(f'{stored.JOBS_PREFIX}{job.id}')
+        if isinstance(found, result.Failure):
+            return None
+        known = found.unwrap() is not None
+        return result.Success(None) if known else result.Failure(refusal)
+
     async def _get(
         self, key: str
     ) -> result.Result[keyvalue.Entry | None, NotAccepted]:
-        if not self._dependencies.store.answering:
-            return result.Failure(_STORE_UNAVAILABLE)
+        refusal = self._refusal()
+        if refusal is not None:
+            return result.Failure(refusal)
         found = await self._dependencies.store.get(key)
         return found.alt(_not_accepted)
 
-    async def _write(
-        self, transaction: transactions.Transaction
-    ) -> result.Result[None, NotAccepted | OutcomeUnknown]:
+    async def _write(self, transaction: transactions.Transaction) -> Submitted:
         written = await self._attempt(transaction)
         uncertain = isinstance(written.swap().value_or(None), OutcomeUnknown)
         if uncertain and self._dependencies.store.answering:
@@ -194,9 +220,10 @@
 
     async def _attempt(
         self, transaction: transactions.Transaction
-    ) -> result.Result[None, NotAccepted | OutcomeUnknown]:
-        if not self._dependencies.store.answering:
-            return result.Failure(_STORE_UNAVAILABLE)
+    ) -> Submitted:
+        refusal = self._refusal()
+        if refusal is not None:
+            return result.Failure(refusal)
         written = await self._dependencies.store.commit(transaction)
         if isinstance(written, result.Success):
             return result.Success(None)
@@ -216,8 +243,11 @@
         team: str = '',
     ) -> None:
         outcome_text = 'stored'
+        reason = ''
         if isinstance(outcome, result.Failure):
-            outcome_text = outcome.failure().line()
+            failure = outcome.failure()
+            outcome_text = failure.line()
+            reason = failure.reason if isinstance(failure, NotAccepted) else ''
         self._dependencies.log.note(
             name,
             request=request_id,
@@ -225,7 +255,20 @@
             team=team,
             version=self.catalog.version,
             outcome=outcome_text,
+            **({'reason': reason} if reason else {}),
         )
+        if reason:
+            self._dependencies.log.count(f'{name}-refused-{reason}')
+
+
+def _creation(job: model.Job, wall_s: float) -> transactions.Transaction:
+    """Return the write of a job's record, if there is none."""
+    key = f'{stored.JOBS_PREFIX}{job.id}'
+    stamped = records.replace(job, accepted_s=wall_s)
+    return transactions.Transaction(
+        conditions=(transactions.Condition(key=key, revision=keyvalue.ABSENT),),
+        puts=(transactions.Put(key=key, content=records.pack(stamped)),),
+    )
 
 
 def _phase_of(
--- a/libs/jobs/src/jackdawlatch/jobs/stored.py
+++ b/libs/jobs/src/jackdawlatch/jobs/stored.py
@@ -15,6 +15,7 @@
 LEADER_KEY = 'fleet/leader'
 PENDING_KEY = 'fleet/pending'
 LEASES_KEY = 'fleet/leases'
+LOAD_KEY = 'fleet/load'
 # No process watches it.
 FENCE_KEY = 'fence'
 
--- a/libs/telemetry/src/jackdawlatch/telemetry/decisions.py
+++ b/libs/telemetry/src/jackdawlatch/telemetry/decisions.py
@@ -86,6 +86,10 @@
         except BlockingIOError:
             self.dropped += 1
 
+    def count(self, event: str) -> None:
+        """Count an event that has no line of its own."""
+        self._meters.count('decisions', event=event)
+
     def _take_line(self, event: str) -> bool:
         now_s = self._clock.monotonic_s()
         reserved = self._reserved_by_event.setdefault(
