Publish the forecast of the load while a service is overloaded

The leader writes fleet/load once a second while work of a service waits over a second, and once when that ends, under the leadership and the revision of the last write; entries ignore what they did not see through the watch, of another leader, or more than 3 s ago. Without overload nothing is written.

--- a/libs/scheduler/src/jackdawlatch/scheduler/housekeeping.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/housekeeping.py
@@ -10,6 +10,8 @@
 from jackdawlatch.model import records
 from jackdawlatch.scheduler import (
     cluster_state,
+    load_forecasts,
+    load_reports,
     persistence,
     tasks,
     worker_registry,
@@ -24,7 +26,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Dependencies:
-    """Collaborators of the housekeeping."""
+    """Collaborators of the housekeeping.
+
+    ``machines`` returns the machines that services will get.
+    """
 
     cluster: cluster_state.ClusterState
     registry: worker_registry.WorkerRegistry
@@ -32,12 +37,22 @@
     leading: Callable[[], bool]
     retention_s: float
     term: persistence.Term
+    machines: Callable[[], load_forecasts.Machines]
 
 
 class Housekeeping:
     """The periodic loops of a leader."""
 
     def __init__(self, dependencies: Dependencies) -> None:
+        self.load_reporter = load_reports.LoadReporter(
+            load_reports.Dependencies(
+                dependencies.cluster,
+                dependencies.store,
+                dependencies.term,
+                dependencies.leading,
+                dependencies.machines,
+            )
+        )
         self._dependencies = dependencies
         self._pending_revision = keyvalue.ABSENT
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -220,6 +220,7 @@
                 self._leading,
                 self._dependencies.settings.retention_s,
                 self._term,
+                self._pools.forecast,
             )
         )
         self._spawn(self._progress_writer.run())
@@ -227,6 +228,7 @@
             self._lease_records.run,
             housekeeper.tick,
             housekeeper.publish_pending,
+            housekeeper.load_reporter.run,
             self.waves.run,
             self._pools.run,
             *self._rounds.loops(),
--- a/libs/scheduler/src/jackdawlatch/scheduler/pools.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/pools.py
@@ -17,6 +17,7 @@
     demand,
     fleet,
     lateness,
+    load_forecasts,
     machine_moves,
     persistence,
     supply,
@@ -69,6 +70,7 @@
             self._cluster, dependencies.job_lateness, self._fleet, self._mover
         )
         self._peak = forecasts.PeakDemand()
+        self._wanted_by_service: Mapping[str, int] = {}
 
     def undersupplied(self) -> frozenset[str]:
         """Return the services that have fewer machines than they could use.
@@ -88,6 +90,12 @@
             if number < 0
         )
 
+    def forecast(self) -> load_forecasts.Machines:
+        """Return the machines that services will get, as of the last round."""
+        return load_forecasts.Machines(
+            self._wanted_by_service, self._mover.available_count()
+        )
+
     @property
     def lacking(self) -> frozenset[str]:
         """The services with steps that wait for machines."""
@@ -110,6 +118,7 @@
         open_demand = self._supply.open_demand()
         by_capacity = self._supply.by_capacity(open_demand)
         demand_by_service = self._supply.with_lacked(by_capacity)
+        self._wanted_by_service = demand_by_service
         surplus = self._supply.surplus(demand_by_service)
         self._withhold(surplus, open_demand)
         if min(surplus.values(), default=0) < 0:
--- a/libs/unified/src/jackdawlatch/unified/observers.py
+++ b/libs/unified/src/jackdawlatch/unified/observers.py
@@ -4,7 +4,7 @@
 
 from returns import result
 
-from jackdawlatch.jobs import intake, queues, stored
+from jackdawlatch.jobs import intake, queues, stored, stored_load
 from jackdawlatch.platform import operator
 from jackdawlatch.scheduler import election, leader, observers, waves
 from jackdawlatch.store import following, keyvalue
@@ -67,7 +67,7 @@
 
 
 class FleetObserver(following.Observer):
-    """Observes the leadership, the pending jobs per queue and the leases."""
+    """Observes the leadership, the leases, and the load of the queues."""
 
     def __init__(
         self,
@@ -83,17 +83,33 @@
         """Apply all entries; without a leadership key there is no leader."""
         entries_by_key = {entry.key: entry for entry in entries}
         self._election.record_vacancy(stored.LEADER_KEY not in entries_by_key)
+        if stored.LEADER_KEY not in entries_by_key:
+            self._intake.load_sightings.observe_leader(keyvalue.ABSENT)
         for entry in entries_by_key.values():
             self.observe(entry)
+        # When it was written is not known, since the watch was interrupted.
+        self._intake.load_sightings.forget()
 
     def change(self, entry: keyvalue.Entry) -> None:
         """Apply one entry."""
         if entry.key == stored.LEADER_KEY:
             self._election.observe(entry)
+            self._intake.load_sightings.observe_leader(
+                keyvalue.ABSENT if entry.deleted else entry.revision
+            )
             self._lease_sightings.observe_leader(entry)
-        elif entry.key == stored.PENDING_KEY and not entry.deleted:
+        elif entry.key == stored.LEASES_KEY:
+            self._lease_sightings.observe(entry)
+        elif not entry.deleted:
+            self._observe_load(entry)
+
+    def _observe_load(self, entry: keyvalue.Entry) -> None:
+        """Apply the pending jobs, or the forecast of the load."""
+        if entry.key == stored.PENDING_KEY:
             pending = observers.decode(entry, stored.Pending)
             if pending is not None:
                 self._intake.pending_by_queue = pending.counts_by_queue
-        elif entry.key == stored.LEASES_KEY:
-            self._lease_sightings.observe(entry)
+        elif entry.key == stored.LOAD_KEY:
+            load = observers.decode(entry, stored_load.Load)
+            if load is not None:
+                self._intake.load_sightings.observe(load)
