Accept jobs without an estimate, and spare empty work in the forecast

A job that gives no estimate of a step has no known objective, so the forecast says nothing about it.

--- a/libs/jobs/src/jackdawlatch/jobs/load_sightings.py
+++ b/libs/jobs/src/jackdawlatch/jobs/load_sightings.py
@@ -62,11 +62,12 @@
 def describe(job: model.Job, queue: queues.Queue | None) -> shedding.Job | None:
     """Return what a job needs, None if it is accepted whatever waits.
 
-    Those are jobs that last until they are cancelled, that are repeated, or
-    whose queue is not configured.
+    Those are jobs that last until they are cancelled, that are repeated, that
+    give no estimate of a step, or whose queue is not configured.
     """
-    lasting = any(step.lasting for step in job.steps)
-    if queue is None or lasting or job.repeat_count:
+    if queue is None or job.repeat_count:
+        return None
+    if any(step.lasting or step.estimate_s <= 0 for step in job.steps):
         return None
     chain_s = estimated_chain_s(job)
     return shedding.Job(
--- a/libs/jobs/tests/test_jobs_shedding.py
+++ b/libs/jobs/tests/test_jobs_shedding.py
@@ -125,6 +125,7 @@
     for number, job in enumerate(
         (
             records.replace(JOB, steps=(lasting,)),
+            records.replace(JOB, steps=(STEP, model.Step(count=1))),
             records.replace(JOB, repeat_count=3, interval_s=10),
             records.replace(JOB, queue='removed'),
             records.replace(JOB, queue='urgent', steps=(small,)),
--- a/libs/policy/src/jackdawlatch/policy/backlog.py
+++ b/libs/policy/src/jackdawlatch/policy/backlog.py
@@ -120,8 +120,8 @@
     def __init__(self) -> None:
         self.core_s: float = 0
         self._running_cores: dict[int, float] = collections.defaultdict(float)
-        self._in_time: dict[tuple[int, int], _Timeline] = {}
-        self._useful: dict[tuple[int, int], _Timeline] = {}
+        self._in_time: _Timelines = collections.defaultdict(_Timeline)
+        self._useful: _Timelines = collections.defaultdict(_Timeline)
 
     def add_running(self, cores: float, duration_s: float) -> None:
         """Add tasks in progress, which keep their cores until they end.
@@ -141,7 +141,7 @@
             (self._in_time, job.in_time_s),
             (self._useful, job.useful_s),
         ):
-            timelines.setdefault(key, _Timeline()).add(job, until_s)
+            timelines[key].add(job, until_s)
         self.core_s += job.ready_core_s + job.blocked_core_s
 
     def levels(self, expected: Capacity) -> tuple[Level, ...]:
@@ -200,9 +200,10 @@
             self._rises[done] -= job.ready_cores
             self._sums[done] += job.ready_core_s
             self._sums[end] -= job.ready_core_s
-        done = min(end, _position(job.chain_s))
-        self._sums[done] += job.blocked_core_s
-        self._sums[end] -= job.blocked_core_s
+        if job.blocked_core_s > 0:
+            done = min(end, _position(job.chain_s))
+            self._sums[done] += job.blocked_core_s
+            self._sums[end] -= job.blocked_core_s
 
     def add_all(self, other: '_Timeline') -> None:
         """Add the work of another timeline."""
@@ -228,6 +229,9 @@
         return busy_s
 
 
+_Timelines = dict[tuple[int, int], _Timeline]
+
+
 def _added(ours: Sequence[float], others: Sequence[float]) -> list[float]:
     return [one + other for one, other in zip(ours, others, strict=True)]
 
--- a/libs/policy/tests/test_policy_shedding.py
+++ b/libs/policy/tests/test_policy_shedding.py
@@ -70,9 +70,11 @@
         known.add(backlog.OpenJob(0, 12, 2, 0, 0, 4, 25))
     alone = shedding.Load(known.levels(backlog.Capacity(CORES / 4)), 0)
     share = backlog.Share(CORES / 4, CORES, CORES)
-    by_share = shedding.Load(known.levels(backlog.capacity(share, 0)), 0)
-    assert shedding.decide(True, SHORT, alone) is not None
-    assert shedding.decide(True, shedding_replay.job(1, 2), by_share) is None
+    expected = backlog.capacity(share, others_core_s=20 * CORES)
+    by_share = shedding.Load(known.levels(expected), 0)
+    later = shedding_replay.job(priority=1, chain_s=2)
+    assert shedding.decide(True, later, alone) is not None
+    assert shedding.decide(True, later, by_share) is None
     share = backlog.Share(CORES / 4, CORES / 4, CORES)
     free = backlog.capacity(share, others_core_s=0)
     busy = backlog.capacity(share, others_core_s=20 * CORES)
--- a/libs/scheduler/src/jackdawlatch/scheduler/load_forecasts.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/load_forecasts.py
@@ -71,11 +71,11 @@
         queue = job.queue
         if queue is None:
             return None
-        ready = tasks.waiting_steps(job, wall_s)
-        ready_core_s = sum(map(_waiting_core_s, ready))
         waiting_core_s = sum(map(_waiting_core_s, job.steps))
         if not waiting_core_s:
             return None
+        ready = tasks.waiting_steps(job, wall_s)
+        ready_core_s = sum(map(_waiting_core_s, ready))
         chain_s = self._chains_s_by_job.get(job)
         if chain_s is None:
             chain_s = load_sightings.estimated_chain_s(job.job)
--- a/libs/unified/tests/test_unified_load.py
+++ b/libs/unified/tests/test_unified_load.py
@@ -101,7 +101,8 @@
     )
     bench.store.write(stored.LOAD_KEY, records.encode(load))
     path = f'/photos/{bench.store.content.revision:016x}'
-    reply = await bench.call('POST', path, unified_bench.BODY)
+    step = {'count': 2, 'cpu': 500, 'mem-mb': 10, 'estimate-ms': 100}
+    reply = await bench.call('POST', path, {'spec': 'x', 'steps': [step]})
     if reply.status != 503:
         return False
     assert 55 <= int(reply.headers['Retry-After']) <= 120
