--- a/libs/policy/src/jackdawlatch/policy/backlog.py
+++ b/libs/policy/src/jackdawlatch/policy/backlog.py
@@ -23,7 +23,7 @@
 TIMES_S = tuple(FIRST_S * STEP_RATIO**number for number in range(24))
 # No job is refused for a shorter wait.
 MIN_WAIT_S = 1.0
-# Sizes of jobs are told apart by factors of two, from 1/16 to 4,096 core-s.
+# Sizes of jobs are distinguished by factors of two, 1/16 to 4,096 core-s.
 MIN_SIZE_CLASS = -4
 MAX_SIZE_CLASS = 12
 
