--- a/libs/unified/tests/test_unified_load.py
+++ b/libs/unified/tests/test_unified_load.py
@@ -78,6 +78,12 @@
     assert not entry.used()
 
 
+def test_malformed_forecast_changes_nothing(entry):
+    entry.observer.reset((LEADER,))
+    entry.observer.change(records.replace(_load(), value=b'\xc1'))
+    assert not entry.used()
+
+
 async def test_published_forecast_refuses_over_http(bench):
     bench.store.write('op/config', unified_bench.standins.manifest())
     await bench.until_ready()
