Show that nothing bounds what clients may hold of a daemon

A crowd of 150 clients that stay open without finishing their requests makes the daemon use more memory than a small host has: every body that is being received is kept, up to 1 MiB each, without a common bound. The settings that will hold the limits exist with defaults and are not enforced.

--- a/libs/unified/src/jackdawlatch/unified/settings.py
+++ b/libs/unified/src/jackdawlatch/unified/settings.py
@@ -30,12 +30,15 @@
 class Host(records.StrictRecord, frozen=True, kw_only=True):
     """Resources of the daemon's host.
 
-    The daemon may use the fraction ``processor_share`` of each processor.
+    The daemon may use the fraction ``processor_share`` of each processor,
+    ``memory_mb`` of memory, and ``descriptors`` open files and connections.
     """
 
     processors: int
     processor_share: float
     link_mbps: float
+    memory_mb: float = 300
+    descriptors: int = 4100
 
     @property
     def cores(self) -> float:
@@ -43,6 +46,27 @@
         return self.processors * self.processor_share
 
 
+class Limits(records.StrictRecord, frozen=True, kw_only=True):
+    """What clients may use; the defaults exceed the documented limits.
+
+    ``reserve_mb`` and ``reserved_descriptors`` are kept for everything else in
+    the daemon.  A client has ``header_timeout_s`` from the first byte of a
+    request to the end of its headers, and may then be silent for
+    ``idle_timeout_s``, as between two requests.  A body that takes longer than
+    that has to arrive with ``min_bytes_per_s`` on average.
+    ``receive_buffer_bytes`` is the size of a connection's kernel buffer.
+    """
+
+    reserve_mb: float = 120
+    reserved_descriptors: int = 1200
+    max_body_bytes: int = 262_144
+    max_header_bytes: int = 20_480
+    header_timeout_s: float = 5
+    idle_timeout_s: float = 20
+    min_bytes_per_s: float = 1024
+    receive_buffer_bytes: int = 16_384
+
+
 class Unified(records.StrictRecord, frozen=True, kw_only=True):
     """Settings of the daemon; addresses are ``host:port``.
 
@@ -60,6 +84,7 @@
     advice_address: str = ''
     host: Host
     bounds: Bounds
+    limits: Limits = Limits()
 
 
 def check(
--- a/libs/unified/tests/unified_bench.py
+++ b/libs/unified/tests/unified_bench.py
@@ -143,7 +143,7 @@
             store.write(key, entry_body)
         free_ports = ports.Ports(random.Random())
         stack.callback(free_ports.close)
-        settings = _settings(
+        settings = new_settings(
             store_address,
             (free_ports.take(), free_ports.take(), free_ports.take()),
         )
@@ -162,7 +162,7 @@
     await asyncio.gather(running, return_exceptions=True)
 
 
-def _settings(
+def new_settings(
     store: str, http_ports: tuple[int, ...]
 ) -> unified_settings.Unified:
     front, ready, metrics = http_ports
