Hold the clients of the unified daemon to limits

Every body was kept while it was received, without a common bound, and every connection for as long as its client liked. The new library listeners serves the front, ready and metrics addresses: a budget of bytes for all requests, a bound on connections below the descriptor limit, 413 over the body limit, small receive buffers, and times for headers, silence and a minimum rate.

--- /dev/null
+++ b/libs/listeners/src/jackdawlatch/listeners/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP servers whose clients are held to limits."""
--- a/libs/unified/src/jackdawlatch/unified/metrics.py
+++ b/libs/unified/src/jackdawlatch/unified/metrics.py
@@ -1,6 +1,6 @@
-"""HTTP server for the metrics of this process."""
+"""HTTP handler for the metrics of this process."""
 
-from tornado import httpserver, web
+from tornado import web
 
 from jackdawlatch.telemetry import meters
 
@@ -18,12 +18,3 @@
         """Write the current values of all metrics."""
         self.set_header('Content-Type', meters.CONTENT_TYPE)
         self.write(self._meters.exposition())
-
-
-def create_server(instruments: meters.Meters) -> httpserver.HTTPServer:
-    """Return a server that has the metrics under ``/metrics``."""
-    return httpserver.HTTPServer(
-        web.Application(
-            [('/metrics', MetricsHandler, {'instruments': instruments})]
-        )
-    )
--- a/libs/unified/src/jackdawlatch/unified/root.py
+++ b/libs/unified/src/jackdawlatch/unified/root.py
@@ -12,7 +12,6 @@
 from jackdawlatch.model import clocks
 from jackdawlatch.platform import (
     advice,
-    ingress,
     machines,
     operator,
     store,
@@ -29,7 +28,7 @@
 from jackdawlatch.scheduler import observers as scheduler_observers
 from jackdawlatch.store import following, monitored
 from jackdawlatch.telemetry import decisions, meters
-from jackdawlatch.unified import connections, metrics, observers
+from jackdawlatch.unified import connections, observers, servers
 from jackdawlatch.unified import settings as unified_settings
 
 MILLISECONDS_PER_SECOND = 1000
@@ -55,7 +54,6 @@
         self._settings = settings
         self._clock = clocks.SuspendAwareClock()
         instruments = meters.Meters('unified', settings.name)
-        self._metrics = metrics.create_server(instruments)
         self._log = decisions.DecisionLog(
             settings.name, self._clock, instruments
         )
@@ -85,19 +83,20 @@
         self._operator_observer = observers.OperatorObserver(
             self._intake, lambda: self._leader, self._log
         )
-        self._front = ingress.create_front_server(self._intake)
-        self._ready = ingress.create_ready_server(self._is_ready)
+        self._servers = servers.Servers(
+            settings,
+            servers.Dependencies(
+                self._intake,
+                self._is_ready,
+                self._clock,
+                instruments,
+                self._log,
+            ),
+        )
 
     def listen(self) -> None:
         """Listen on all addresses; raises ``OSError`` if one is not available."""
-        for server, address in (
-            (self._front, self._settings.front_address),
-            (self._ready, self._settings.ready_address),
-        ):
-            host, _, port = address.rpartition(':')
-            server.listen(int(port), host)
-        host = self._settings.front_address.rpartition(':')[0]
-        self._metrics.listen(self._settings.metrics_port, host)
+        self._servers.listen()
 
     async def run(self) -> None:
         """Run until SIGTERM, then drain and close."""
@@ -122,8 +121,7 @@
 
     def close(self) -> None:
         """Stop listening and cancel all background tasks."""
-        for server in (self._front, self._ready, self._metrics):
-            server.stop()
+        self._servers.stop()
         for task in tuple(self._tasks):
             task.cancel()
 
@@ -215,7 +213,7 @@
         )
         await self._election.step_aside()
         await asyncio.sleep(BALANCER_REMOVAL_S)
-        self._front.stop()
+        self._servers.front.stop()
         idle_since_s = self._clock.monotonic_s()
         while self._clock.monotonic_s() < min(
             idle_since_s + DRAIN_IDLE_S, deadline_s
@@ -223,7 +221,7 @@
             await asyncio.sleep(DRAIN_POLL_S)
             if self._intake.in_flight:
                 idle_since_s = self._clock.monotonic_s()
-        await self._front.close_all_connections()
+        await self._servers.front.close_all_connections()
         await self._election.withdraw()
 
     def _on_reload(self) -> None:
--- a/libs/unified/src/jackdawlatch/unified/settings.py
+++ b/libs/unified/src/jackdawlatch/unified/settings.py
@@ -1,10 +1,16 @@
 """Settings of the unified daemon, which are read from a JSON file."""
 
+from typing import Annotated
+
+import msgspec
 from returns import result
 
 from jackdawlatch.model import records
 from jackdawlatch.settings import loading
 
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+Bytes = Annotated[int, msgspec.Meta(ge=1024)]
+
 
 class Bounds(records.StrictRecord, frozen=True, kw_only=True):
     """The documented limits of the platform.
@@ -37,8 +43,8 @@
     processors: int
     processor_share: float
     link_mbps: float
-    memory_mb: float = 300
-    descriptors: int = 4100
+    memory_mb: Positive = 300
+    descriptors: Annotated[int, msgspec.Meta(ge=1)] = 4100
 
     @property
     def cores(self) -> float:
@@ -57,14 +63,14 @@
     ``receive_buffer_bytes`` is the size of a connection's kernel buffer.
     """
 
-    reserve_mb: float = 120
-    reserved_descriptors: int = 1200
-    max_body_bytes: int = 262_144
-    max_header_bytes: int = 20_480
-    header_timeout_s: float = 5
-    idle_timeout_s: float = 20
-    min_bytes_per_s: float = 1024
-    receive_buffer_bytes: int = 16_384
+    reserve_mb: Positive = 120
+    reserved_descriptors: Annotated[int, msgspec.Meta(ge=0)] = 1200
+    max_body_bytes: Bytes = 262_144
+    max_header_bytes: Bytes = 20_480
+    header_timeout_s: Positive = 5
+    idle_timeout_s: Positive = 20
+    min_bytes_per_s: Positive = 1024
+    receive_buffer_bytes: Bytes = 16_384
 
 
 class Unified(records.StrictRecord, frozen=True, kw_only=True):
--- a/libs/unified/tests/test_unified_core.py
+++ b/libs/unified/tests/test_unified_core.py
@@ -16,7 +16,16 @@
     ('ready_address', '127.0.0.1:2'),
     ('metrics_port', 3),
     ('store_address', '127.0.0.1:4'),
-    ('host', {'processors': 2, 'processor_share': 0.5, 'link_mbps': 1000}),
+    (
+        'host',
+        {
+            'processors': 2,
+            'processor_share': 0.5,
+            'link_mbps': 1000,
+            'memory_mb': 200,
+            'descriptors': 4100,
+        },
+    ),
     (
         'bounds',
         {
@@ -50,6 +59,8 @@
         ('front_address', 'nowhere'),
         ('metrics_port', 'x'),
         ('unknown_field', 1),
+        ('limits', {'max_body_bytes': 0}),
+        ('limits', {'idle_timeout_s': -1}),
     ):
         status, _, output = _check({**dict(VALID_SETTINGS), field: value})
         assert status is launching.ExitStatus.USAGE
