--- a/libs/listeners/src/jackdawlatch/listeners/bounds.py
+++ b/libs/listeners/src/jackdawlatch/listeners/bounds.py
@@ -6,7 +6,7 @@
 
 # Python objects and buffers of a connection besides the kernel's buffer; an
 # open connection that sends nothing takes about 15 KB.
-CONNECTION_BYTES = 49_152
+CONNECTION_BYTES = 32_768
 # The kernel doubles the size that is set for a receive buffer.
 KERNEL_FACTOR = 2
 # Servers for the load balancer and the operator have few clients.
--- a/libs/unified/src/jackdawlatch/unified/settings.py
+++ b/libs/unified/src/jackdawlatch/unified/settings.py
@@ -63,7 +63,7 @@
     ``receive_buffer_bytes`` is the size of a connection's kernel buffer.
     """
 
-    reserve_mb: Positive = 120
+    reserve_mb: Positive = 100
     reserved_descriptors: Annotated[int, msgspec.Meta(ge=0)] = 1200
     max_body_bytes: Bytes = 262_144
     max_header_bytes: Bytes = 20_480
