Keep the declared entries of a catalog

Cause: a catalog maps entries by name, so that two entries of one name, which a check has to report, can't be told apart after decoding. Change: Catalog.declared keeps queues, services and teams as listed.

--- a/libs/jobs/src/jackdawlatch/jobs/queues.py
+++ b/libs/jobs/src/jackdawlatch/jobs/queues.py
@@ -39,6 +39,15 @@
     enforces_room: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class Declared:
+    """All entries as they were listed, also several of the same name."""
+
+    queues: tuple[Queue, ...] = ()
+    services: tuple[Service, ...] = ()
+    teams: tuple[model_teams.Team, ...] = ()
+
+
 class Catalog:
     """All queues, services and teams of one version of the configuration.
 
@@ -54,15 +63,18 @@
         teams: Iterable[model_teams.Team] | None = None,
     ) -> None:
         self.version = version
+        self.requires_keys = teams is not None
+        self.declared = Declared(
+            tuple(queues), tuple(services), tuple(teams or ())
+        )
         self.queues_by_name: Mapping[str, Queue] = {
-            queue.name: queue for queue in queues
+            queue.name: queue for queue in self.declared.queues
         }
         self.services_by_name: Mapping[str, Service] = {
-            service.name: service for service in services
+            service.name: service for service in self.declared.services
         }
-        self.requires_keys = teams is not None
         self.teams_by_name: Mapping[str, model_teams.Team] = {
-            team.name: team for team in teams or ()
+            team.name: team for team in self.declared.teams
         }
         self._teams_by_key = {
             key: team
