--- a/libs/config/src/jackdawlatch/config/difference.py
+++ b/libs/config/src/jackdawlatch/config/difference.py
@@ -57,7 +57,7 @@
 ) -> Difference:
     """Return the changes that lead from ``before`` to ``after``."""
     pair = ValuePair(_editable_fields(before), _editable_fields(after))
-    return tuple(_changes('', pair))
+    return tuple(changes('', pair))
 
 
 def within(difference: Difference, path: str) -> Difference:
@@ -82,7 +82,8 @@
     }
 
 
-def _changes(path: str, pair: ValuePair) -> Iterator[FieldChange]:
+def changes(path: str, pair: ValuePair) -> Iterator[FieldChange]:
+    """Yield the changes below a path."""
     if pair.before == pair.after:
         return
     if isinstance(pair.before, dict) and isinstance(pair.after, dict):
@@ -113,7 +114,7 @@
             )
         else:
             child_pair = ValuePair(pair.before[name], pair.after[name])
-            yield from _changes(child_path, child_pair)
+            yield from changes(child_path, child_pair)
 
 
 def _json_text(json_value: Any) -> str:
--- a/libs/config/src/jackdawlatch/config/files.py
+++ b/libs/config/src/jackdawlatch/config/files.py
@@ -24,19 +24,26 @@
     file: pathlib.Path, record_type: type[RecordType]
 ) -> result.Result[RecordType, FileInvalid]:
     """Return the validated record in a JSON file."""
+    json_value = read_json(file)
+    if isinstance(json_value, result.Failure):
+        return json_value
+    converted = paths.convert(json_value.unwrap(), record_type)
+    if isinstance(converted, result.Failure):
+        failure = converted.failure()
+        return _failure(file, failure.path, failure.expected)
+    return result.Success(converted.unwrap())
+
+
+def read_json(file: pathlib.Path) -> result.Result[object, FileInvalid]:
+    """Return the content of a JSON file."""
     try:
-        json_value = decoding.from_json(file.read_bytes(), object)
+        return result.Success(decoding.from_json(file.read_bytes(), object))
     except OSError as error:
         return _failure(
             file, '', f'expected a readable file ({error.strerror})'
         )
     except msgspec.DecodeError as error:
         return _failure(file, '', f'expected JSON ({error})')
-    converted = paths.convert(json_value, record_type)
-    if isinstance(converted, result.Failure):
-        failure = converted.failure()
-        return _failure(file, failure.path, failure.expected)
-    return result.Success(converted.unwrap())
 
 
 def write(
--- a/libs/config/src/jackdawlatch/config/validation.py
+++ b/libs/config/src/jackdawlatch/config/validation.py
@@ -23,12 +23,26 @@
     converted = paths.convert(json_value, presets.Configuration)
     if isinstance(converted, result.Failure):
         return converted
-    invalid = next(_failures(configuration, constraints), None)
+    invalid = next(violations(configuration, constraints), None)
     if invalid:
         return result.Failure(invalid)
     return result.Success(configuration)
 
 
+def violations(
+    configuration: presets.Configuration, constraints: Constraints
+) -> Iterator[failures.Invalid]:
+    """Yield a failure for each field that contradicts another one."""
+    yield from _check_names('pools_by_name', configuration.pools_by_name)
+    yield from _check_names('services_by_name', configuration.services_by_name)
+    yield from _check_names('presets_by_name', configuration.presets_by_name)
+    yield from _check_in_force(configuration)
+    yield from _check_spare_pool(configuration)
+    yield from _check_services(configuration)
+    for preset in configuration.presets_by_name.values():
+        yield from preset_checks.check(preset, configuration, constraints)
+
+
 def check_edit(
     current: presets.Configuration,
     edited: presets.Configuration,
@@ -43,19 +57,6 @@
     return check(edited, constraints)
 
 
-def _failures(
-    configuration: presets.Configuration, constraints: Constraints
-) -> Iterator[failures.Invalid]:
-    yield from _check_names('pools_by_name', configuration.pools_by_name)
-    yield from _check_names('services_by_name', configuration.services_by_name)
-    yield from _check_names('presets_by_name', configuration.presets_by_name)
-    yield from _check_in_force(configuration)
-    yield from _check_spare_pool(configuration)
-    yield from _check_services(configuration)
-    for preset in configuration.presets_by_name.values():
-        yield from preset_checks.check(preset, configuration, constraints)
-
-
 def _check_names(
     field: str,
     named: Mapping[str, presets.Pool | presets.Service | presets.Preset],
