Add the command config check

Cause: operators learn of a mistake only from the daemons that apply it. It runs without settings on files alone.

--- a/libs/command/src/jackdawlatch/command/core.py
+++ b/libs/command/src/jackdawlatch/command/core.py
@@ -69,10 +69,7 @@
 async def _run_invocation(
     parsed: invocation.Invocation, environment: Environment
 ) -> exit_statuses.ExitStatus:
-    loaded = _load_settings(parsed.options, environment)
-    if isinstance(loaded, result.Failure):
-        return _print_problem(environment, loaded.failure())
-    reported = await _run_operation(parsed, loaded.unwrap())
+    reported = await _run_operation(parsed, environment)
     if isinstance(reported, result.Failure):
         return _print_problem(environment, reported.failure())
     report = reported.unwrap()
@@ -85,16 +82,27 @@
 
 
 async def _run_operation(
-    parsed: invocation.Invocation, operator_settings: settings.Operator
+    parsed: invocation.Invocation, environment: Environment
 ) -> operation.Outcome:
-    client = fleet_client.FleetClient(operator_settings)
+    path = _settings_path(parsed.options, environment)
+    if not path and isinstance(parsed.operation, operation.Detached):
+        return await parsed.operation.run_detached()
+    loaded = _load_settings(path)
+    if isinstance(loaded, result.Failure):
+        return loaded
+    client = fleet_client.FleetClient(loaded.unwrap())
     return await parsed.operation.run(client)
 
 
-def _load_settings(
+def _settings_path(
     options: invocation.Options, environment: Environment
+) -> str:
+    return options.settings or environment.variables.get(SETTINGS_VARIABLE, '')
+
+
+def _load_settings(
+    path: str,
 ) -> result.Result[settings.Operator, failures.Problem]:
-    path = options.settings or environment.variables.get(SETTINGS_VARIABLE)
     if path:
         return loading.load(path, settings.Operator)
     return result.Failure(
--- a/libs/command/src/jackdawlatch/command/definition.py
+++ b/libs/command/src/jackdawlatch/command/definition.py
@@ -10,6 +10,7 @@
 from rich import console as consoles
 
 from jackdawlatch.command import (
+    checking,
     configuration,
     daemon_status,
     definition_fleet,
@@ -96,6 +97,18 @@
         """Validate a file without applying it."""
         return invocation.Invocation(configuration.ValidateFile(file), options)
 
+    @app.command(name='check')
+    def check(
+        file: invocation.File,
+        /,
+        *,
+        sources: checking.Sources = checking.DEFAULT_SOURCES,
+        options: invocation.Options = invocation.DEFAULT_OPTIONS,
+    ) -> invocation.Invocation:
+        """Report errors, entries of no use and changes, before sending a file."""
+        operation = checking.CheckFile(file, sources)
+        return invocation.Invocation(operation, options)
+
     @app.command(name='diff')
     def diff(
         file: invocation.File,
--- a/libs/command/src/jackdawlatch/command/operation.py
+++ b/libs/command/src/jackdawlatch/command/operation.py
@@ -28,3 +28,11 @@
     @abc.abstractmethod
     async def run(self, client: fleet_client.FleetClient) -> Outcome:
         """Run the command and return its report, or the failure."""
+
+
+class Detached(Operation):
+    """A command that also runs without settings, on files alone."""
+
+    @abc.abstractmethod
+    async def run_detached(self) -> Outcome:
+        """Run the command without access to the fleet."""
