--- a/libs/policy/src/jackdawlatch/policy/objectives.py
+++ b/libs/policy/src/jackdawlatch/policy/objectives.py
@@ -45,6 +45,11 @@
     return _longest_chain_s(steps, lambda step: step.duration_s)
 
 
+def allowed_s(steps: Sequence[StepTiming], objective: Objective) -> float:
+    """Return how long a job may take from when it was accepted or due."""
+    return objective.slack_factor * chain_s(steps) + objective.target_s
+
+
 def slack_s(
     steps: Sequence[StepTiming], objective: Objective, age_s: float
 ) -> float:
@@ -53,8 +58,7 @@
     ``age_s`` is the time since the job was accepted or due.
     """
     remaining_s = _longest_chain_s(steps, lambda step: step.remaining_s)
-    allowed_s = objective.slack_factor * chain_s(steps) + objective.target_s
-    return allowed_s - age_s - remaining_s
+    return allowed_s(steps, objective) - age_s - remaining_s
 
 
 def _longest_chain_s(
--- a/libs/scheduler/src/jackdawlatch/scheduler/lateness.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/lateness.py
@@ -12,10 +12,15 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class _Verdict:
-    """Whether a job was late at ``judged_s``."""
+class Standing:
+    """How long a job may wait without missing its objective.
 
-    late: bool
+    ``slack_s`` is negative if it would miss it even if it continued at
+    ``judged_s``.
+    """
+
+    slack_s: float
+    objective_s: float
     judged_s: float
 
     def expired(self, now: round_times.RoundTime) -> bool:
@@ -28,13 +33,13 @@
 
     def __init__(self) -> None:
         self._ratios = durations.DurationRatios()
-        self._verdicts_by_job: weakref.WeakKeyDictionary[
-            tasks.JobState, _Verdict
+        self._standings_by_job: weakref.WeakKeyDictionary[
+            tasks.JobState, Standing
         ] = weakref.WeakKeyDictionary()
 
     def record_end(self, task: tasks.Task, now_s: float) -> None:
         """Record that the placed run of a task ended as done."""
-        self._verdicts_by_job.pop(task.job, None)
+        self._standings_by_job.pop(task.job, None)
         if task.started_s is not None and not task.step.lasting:
             task.state.longest_run_s = max(
                 task.state.longest_run_s, now_s - task.started_s
@@ -61,24 +66,34 @@
 
     def is_late(self, job: tasks.JobState, now: round_times.RoundTime) -> bool:
         """Whether a job would miss its objective if it continued now."""
-        if job.lasting:
-            return False
-        verdict = self._verdicts_by_job.get(job)
-        if verdict is None or verdict.expired(now):
-            verdict = _Verdict(self._slack_s(job, now) < 0, now.monotonic_s)
-            self._verdicts_by_job[job] = verdict
-        return verdict.late
+        return not job.lasting and self.standing(job, now).slack_s < 0
 
-    def _slack_s(
+    def standing(
         self, job: tasks.JobState, now: round_times.RoundTime
-    ) -> float:
+    ) -> Standing:
+        """Return how long a job may wait, as judged a short time ago."""
+        standing = self._standings_by_job.get(job)
+        if standing is None or standing.expired(now):
+            standing = self._judge(job, now)
+            self._standings_by_job[job] = standing
+        return standing
+
+    def _judge(
+        self, job: tasks.JobState, now: round_times.RoundTime
+    ) -> Standing:
         if job.queue is None:
-            return -1
+            return Standing(-1, 0, now.monotonic_s)
         states = open_steps(job)
-        return objectives.slack_s(
-            [self._timing(state, job.queue.name, now) for state in states],
-            objectives.Objective(job.queue.slack_factor, job.queue.target_s),
-            _age_s(job, states[0].occurrence, now),
+        steps = [self._timing(state, job.queue.name, now) for state in states]
+        objective = objectives.Objective(
+            job.queue.slack_factor, job.queue.target_s
+        )
+        return Standing(
+            objectives.slack_s(
+                steps, objective, _age_s(job, states[0].occurrence, now)
+            ),
+            objectives.allowed_s(steps, objective),
+            now.monotonic_s,
         )
 
     def _timing(
