--- a/libs/unified/tests/test_unified_load.py
+++ b/libs/unified/tests/test_unified_load.py
@@ -26,7 +26,9 @@
 
     def __init__(self) -> None:
         clock = clocks.ManualClock(start_s=10)
-        intake = job_intake.Intake(job_intake.Dependencies(None, clock, None))
+        intake = job_intake.Intake(
+            job_intake.Dependencies(None, clock, None, None)
+        )
         self.observer = observers.FleetObserver(
             election.Election(election.Candidate('b', None, clock)),
             intake,
