Stop counting malformed requests that no handler answers

A request whose headers the application rejects, such as one with two Host headers, was counted as being handled for ever, at 36 times its size. A few of them used up the budget: every later submission got 503 until the daemon was started again.

The test failed before with: assert bench.clients.held_bytes == 0 AssertionError (1440000 after one request of 40,000 bytes; the next ordinary request got HTTP/1.1 503)

--- a/libs/listeners/src/jackdawlatch/listeners/server.py
+++ b/libs/listeners/src/jackdawlatch/listeners/server.py
@@ -59,10 +59,15 @@
 
         def handle(reader: reading.Reader) -> None:
             self._sizes_by_reply[request_conn] = len(reader.body)
-            application.headers_received(reader.start_line, reader.headers)
-            application.data_received(bytes(reader.body))
-            reader.body = bytearray()
-            application.finish()
+            try:
+                application.headers_received(reader.start_line, reader.headers)
+                application.data_received(bytes(reader.body))
+                reader.body = bytearray()
+                application.finish()
+            except Exception:
+                # Such as a malformed host name: no handler has begun.
+                self._stop_counting(request_conn)
+                raise
 
         return reading.Reader(connection, request_conn, self._clients, handle)
 
@@ -74,7 +79,9 @@
 
     def finished(self, handler: web.RequestHandler) -> None:
         """Stop counting a request that was answered."""
-        reply_to = handler.request.connection
+        self._stop_counting(handler.request.connection)
+
+    def _stop_counting(self, reply_to: httputil.HTTPConnection | None) -> None:
         if reply_to in self._sizes_by_reply:
             self._clients.answered(self._sizes_by_reply.pop(reply_to))
 
--- a/libs/listeners/tests/test_listeners_server.py
+++ b/libs/listeners/tests/test_listeners_server.py
@@ -142,6 +142,16 @@
     assert bench.clients.held_bytes == 0
 
 
+async def test_malformed_request_is_not_counted_for_ever(bench):
+    """Guards against requests that no handler ends, and stay counted."""
+    length = b'Content-Length: %d' % LIMIT
+    for malformed in (b'Host: b', b'Content-Type: multipart/form-data'):
+        refused = await bench.open(malformed, length, b'', b' ' * LIMIT)
+        assert await refused.readline() == b'HTTP/1.1 400 Bad Request\r\n'
+        assert bench.clients.held_bytes == 0
+    assert not bench.runs
+
+
 async def test_new_connection_replaces_the_slowest(bench):
     crowd = [await bench.open(b'') for _ in range(8)]
     await waiting.until(lambda: len(bench.clients.roster) == 4)
