--- a/libs/policy/tests/test_policy_claims.py
+++ b/libs/policy/tests/test_policy_claims.py
@@ -1,5 +1,7 @@
 """A team's flood claims no more than its share, and its quota holds."""
 
+import pickle
+
 from jackdawlatch.policy import claims, quotas
 from jackdawlatch.testing import functions
 
@@ -28,6 +30,16 @@
     ]
 
 
+def test_old_claims_are_dropped_whatever_the_weight():
+    """Guards against counting all jobs of a term for each new one."""
+    known = claims.Claims()
+    sizes = []
+    for number in range(5000):
+        assert known.claim('a', 1e6, number / 100)
+        sizes.append(len(pickle.dumps(known)))
+    assert sizes[-1] <= 1.1 * sizes[1000]
+
+
 def test_quota_bounds_each_resource():
     limit = QUOTA._replace(accelerators=2)
     need = TASK._replace(accelerators=1)
