Refuse jobs whose estimates add up to infinity

An estimate was accepted in any size. One job of 2,000 tasks with an estimate of 1.7e308 ms made the load forecast raise ValueError: cannot convert float NaN to integer at each period, and the demand for machines may fail alike. A loop that fails five times ends the term, and so does each next leader's, until the job ends.

The test failed before with: assert isinstance(checks.check(job).failure(), checks.JobInvalid) returns.primitives.exceptions.UnwrapFailedError

--- a/libs/jobs/src/jackdawlatch/jobs/checks.py
+++ b/libs/jobs/src/jackdawlatch/jobs/checks.py
@@ -11,6 +11,8 @@
 MAX_SPEC_BYTES = 4000
 # Keeps the progress record of a job well below the store's value limit.
 MAX_TASKS = 10_000
+# About 30 years; sums and products of estimates stay finite.
+MAX_ESTIMATE_S = 1e9
 
 
 class JobInvalid(failures.Invalid, frozen=True, kw_only=True):
@@ -39,16 +41,27 @@
 
 
 def _violation(number: int, step: model.Step) -> str:
-    if step.count < 1:
-        return 'a count of 1 or more'
-    if any(before not in range(number) for before in step.after):
-        return 'dependencies on earlier steps only'
     room = step.room
-    if min(room.processors_m, room.memory_mb, room.accelerators) < 0:
-        return 'sizes that are not negative'
-    if min(step.max_per_worker, step.max_unavailable) < 0:
-        return 'limits that are not negative'
-    return ''
+    sizes = (room.processors_m, room.memory_mb, room.accelerators)
+    limits = (step.max_per_worker, step.max_unavailable)
+    unknown = any(before not in range(number) for before in step.after)
+    return next(
+        (
+            expected
+            for violated, expected in (
+                (step.count < 1, 'a count of 1 or more'),
+                (unknown, 'dependencies on earlier steps only'),
+                (min(sizes) < 0, 'sizes that are not negative'),
+                (
+                    abs(step.estimate_s) > MAX_ESTIMATE_S,
+                    f'an estimate of at most {MAX_ESTIMATE_S:.0f} s',
+                ),
+                (min(limits) < 0, 'limits that are not negative'),
+            )
+            if violated
+        ),
+        '',
+    )
 
 
 def _invalid(path: str, expected: str) -> Checked:
--- a/libs/jobs/tests/test_jobs_intake.py
+++ b/libs/jobs/tests/test_jobs_intake.py
@@ -108,6 +108,8 @@
         ),
         records.replace(JOB, steps=(model.Step(count=1, max_per_worker=-1),)),
         records.replace(JOB, steps=(model.Step(count=1, max_unavailable=-1),)),
+        # Sums of such estimates are infinite, and ended each leader's term.
+        records.replace(JOB, steps=(model.Step(count=1, estimate_s=1e305),)),
     ):
         assert isinstance(checks.check(job).failure(), checks.JobInvalid)
     assert checks.check(JOB).unwrap() == JOB
