Count long jobs that arrive for the near future only

The machines that arriving jobs keep busy were their whole work at the rate of the last 0.6 s, as if they arrived so for as long as they take. Two jobs of one task of 600 s that came together asked for 703 machines in time, so the machines of all services were divided by that. Jobs whose chain is shorter count as before.

The test fails before with: AttributeError: module 'arrivals' has no attribute 'near_work_s'

--- a/libs/policy/src/jackdawlatch/policy/arrivals.py
+++ b/libs/policy/src/jackdawlatch/policy/arrivals.py
@@ -11,6 +11,19 @@
 # Shorter than a move, and long enough for a significant number of jobs of a
 # queue in its turn.
 WINDOW_S = 0.6
+# Twice as long as a turn: the jobs of a turn count with all their work.
+HORIZON_S = 9.0
+
+
+def near_work_s(work_s: float, chain_s: float) -> float:
+    """Return the work of a job within the horizon.
+
+    A job whose longest chain of tasks takes ``chain_s`` is taken to work evenly
+    until its end.
+    """
+    if chain_s <= HORIZON_S:
+        return work_s
+    return work_s * HORIZON_S / chain_s
 
 
 def expected_machines(works_s: Sequence[float]) -> float:
--- a/libs/policy/tests/test_policy_arrivals.py
+++ b/libs/policy/tests/test_policy_arrivals.py
@@ -25,6 +25,14 @@
     assert sum(expected) / len(expected) < 2
 
 
+def test_long_jobs_count_for_the_near_future():
+    """Guards against two long jobs that get the machines of all services."""
+    assert arrivals.near_work_s(2.0, 4) == 2
+    assert arrivals.near_work_s(1.0, 0) == 1
+    long_jobs = [arrivals.near_work_s(600, 600) for _ in range(2)]
+    assert arrivals.expected_machines(long_jobs) < 10
+
+
 def _works(count: int) -> list[float]:
     """Return the work of some jobs of one machine-second."""
     return list(itertools.repeat(1.0, count))
--- a/libs/scheduler/src/jackdawlatch/scheduler/demand.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/demand.py
@@ -5,7 +5,7 @@
 import math
 from collections.abc import Iterable, Mapping
 
-from jackdawlatch.jobs import model
+from jackdawlatch.jobs import load_sightings, model
 from jackdawlatch.policy import arrivals, occupancy
 from jackdawlatch.scheduler import (
     lateness,
@@ -146,11 +146,12 @@
 
 
 def _machine_seconds(job: model.Job, machine: model.Room) -> float:
-    """Return the work of one occurrence of a job."""
-    return sum(
+    """Return the work of one occurrence of a job in the near future."""
+    work_s = sum(
         step.count * share(step.reserved_room, machine) * step.estimate_s
         for step in job.steps
     )
+    return arrivals.near_work_s(work_s, load_sightings.estimated_chain_s(job))
 
 
 def _placed_count(state: tasks.StepState) -> int:
