Count no steps behind those that a quota blocks

If the rest of a team's quota had room for a task of a later step, but none for those it waits for, each waiting job of the team counted with the later step as if it were ready. Nothing was reserved for it, so a flood asked for machines that it could not use.

The test failed before with: assert not any((*counted.in_time.values(), *counted.late.values())) AssertionError

--- a/libs/scheduler/src/jackdawlatch/scheduler/demand.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/demand.py
@@ -85,7 +85,14 @@
     def machines(self, job: tasks.JobState) -> float:
         """Return how many machines the first open occurrence needs."""
         states = lateness.open_steps(job)
-        steps = [self._step_work(state, job.job.queue) for state in states]
+        steps: list[occupancy.StepWork] = []
+        for state in states:
+            # A quota may have no room for the tasks that it waits for.
+            blocked = any(
+                not states[position].done and not steps[position].open_count
+                for position in state.step.after
+            )
+            steps.append(self._step_work(state, job.job.queue, blocked))
         for state in states:
             if all(states[position].done for position in state.step.after):
                 self._reserve(state)
@@ -94,9 +101,9 @@
         return occupancy.needed_machines(steps)
 
     def _step_work(
-        self, state: tasks.StepState, queue: str
+        self, state: tasks.StepState, queue: str, blocked: bool
     ) -> occupancy.StepWork:
-        startable = self.allowances.startable_count(state)
+        startable = 0 if blocked else self.allowances.startable_count(state)
         return occupancy.StepWork(
             open_count=startable + _placed_count(state),
             share=share(state.step.reserved_room, self.machine),
--- a/libs/scheduler/tests/test_scheduler_teams.py
+++ b/libs/scheduler/tests/test_scheduler_teams.py
@@ -7,7 +7,7 @@
 import scheduler_bench as benches
 import scheduler_fleets as fleets
 
-from jackdawlatch.jobs import queues, stored
+from jackdawlatch.jobs import model, queues, stored
 from jackdawlatch.model import presets, records, teams
 from jackdawlatch.scheduler import (
     calls,
@@ -194,6 +194,29 @@
         assert len(missing.get('photo', ())) == max(0, 3 - held)
 
 
+def test_steps_behind_a_quota_are_no_demand(fleet):
+    """Guards against machines for small steps after those that can't start."""
+    running = submit(fleet, 'running', count=3).steps[0]
+    worker = fleet.boot('w')
+    for task in running.tasks:
+        fleet.start(task, worker)
+    large = model.Step(count=2, room=model.Room(processors_m=2000))
+    small = model.Step(
+        count=9, room=model.Room(processors_m=1000), after=(0,), estimate_s=1
+    )
+    jobs = []
+    for number in range(5):
+        waiting = records.replace(
+            benches.job(f'waiting-{number}'), team='a', steps=(large, small)
+        )
+        fleet.loader.add(waiting, None, 0)
+        jobs.append(fleet.cluster.jobs_by_id[waiting.id])
+    counted = demand.by_lateness(
+        jobs, NOW, lateness.Lateness(), model.Room(processors_m=1000)
+    )
+    assert not any((*counted.in_time.values(), *counted.late.values()))
+
+
 def test_gang_beyond_a_quota_waits_for_it(fleet):
     """Guards against a wrong reason, and tickets that are never used."""
     fleet.boot('w')
