--- a/libs/policy/tests/test_policy_worker_pace.py
+++ b/libs/policy/tests/test_policy_worker_pace.py
@@ -106,7 +106,7 @@
         assert fleet.forgotten_s <= SLOW_TO_S + 1, case
         spells_s += SLOW_TO_S - SLOW_FROM_S
         seen_s += fleet.slow_s_by_worker[SLOW]
-    # Beside several tasks of the long tail a slow worker is not told apart.
+    # Beside several tasks of the long tail a slow worker is not recognized.
     assert seen_s >= spells_s * 0.8, seen_s / spells_s
 
 
--- a/libs/unified/tests/test_unified_load.py
+++ b/libs/unified/tests/test_unified_load.py
@@ -10,6 +10,7 @@
 from jackdawlatch.scheduler import election
 from jackdawlatch.scheduler import observers as sightings
 from jackdawlatch.store import keyvalue
+from jackdawlatch.telemetry import meters
 from jackdawlatch.testing import functions, waiting
 from jackdawlatch.unified import observers
 
@@ -26,7 +27,9 @@
 
     def __init__(self) -> None:
         clock = clocks.ManualClock(start_s=10)
-        intake = job_intake.Intake(job_intake.Dependencies(None, clock, None))
+        intake = job_intake.Intake(
+            job_intake.Dependencies(None, clock, None, meters.Meters('t', 't'))
+        )
         self.observer = observers.FleetObserver(
             election.Election(election.Candidate('b', None, clock)),
             intake,
