--- a/libs/jobs/tests/test_jobs_shedding.py
+++ b/libs/jobs/tests/test_jobs_shedding.py
@@ -37,6 +37,7 @@
                 decisions.DecisionLog(
                     't', self.clock, self.instruments, stream
                 ),
+                self.instruments,
             )
         )
         self.intake.catalog = queues.Catalog(1, (QUEUE,))
