--- a/libs/policy/src/jackdawlatch/policy/claims.py
+++ b/libs/policy/src/jackdawlatch/policy/claims.py
@@ -5,18 +5,21 @@
 that its flood delays itself only.
 """
 
-import collections
+import itertools
+import math
 
 WINDOW_S = 1.0
-# The clocks of hosts differ, so the times of acceptance are not in order.
-KEPT_WINDOWS = 8
+# The clocks of hosts differ, so the times of acceptance are not in order.  A job
+# from a clock that is ahead by less than this drops no claims of others.
+KEPT_S = 60.0
 
 
 class Claims:
     """The latest claims of each team."""
 
     def __init__(self) -> None:
-        self._times_s_by_team: dict[str, collections.deque[float]] = {}
+        # In ascending order, since a leader that begins counts all jobs.
+        self._times_s_by_team: dict[str, list[float]] = {}
 
     def claim(self, team: str, weight: float, accepted_s: float) -> bool:
         """Return whether a job lies within the share of its team.
@@ -25,12 +28,16 @@
         time on the clock of the host that accepted it.  So each leader decides
         alike, whenever it learns of a job.
         """
-        times_s = self._times_s_by_team.setdefault(team, collections.deque())
-        most = max(1, weight)
-        begun_s = accepted_s - WINDOW_S
-        if sum(begun_s < time_s <= accepted_s for time_s in times_s) >= most:
+        times_s = self._times_s_by_team.setdefault(team, [])
+        # Few are later: only those of hosts whose clocks are ahead.
+        later = itertools.takewhile(
+            lambda time_s: time_s > accepted_s, reversed(times_s)
+        )
+        end = len(times_s) - sum(1 for _ in later)
+        first = end - math.ceil(max(1, weight))
+        if first >= 0 and times_s[first] > accepted_s - WINDOW_S:
             return False
-        times_s.append(accepted_s)
-        if len(times_s) > KEPT_WINDOWS * most:
-            times_s.popleft()
+        times_s.insert(end, accepted_s)
+        while times_s[0] < accepted_s - KEPT_S:
+            times_s.pop(0)
         return True
