Start no task beside a listed run of it

Callers saw a task that ran twice at the same time.

Cause: a later boot of a worker may carry out a start after the leader has given it up and started the task elsewhere. The worker then lists a run that the leader does not expect. The leader requested its stop, but kept no record of it: the polls went on to extend its lease, and once the expected run ended, the next attempt was started beside it if the stop had got no answer.

Change: such a run is recorded as an unwanted run of its task until its worker reports its end, lists it no longer, is replaced by a later boot, or its lease is over. Until then the task (for a gang: all of it) is not placed, and a placement that is being written is withdrawn. The run holds its capacity, and its worker gets a lease record when it is lost. The stored progress of a task without an expected run names the worker of the unwanted one, so that the next leader waits as well. Tasks without unwanted runs are placed as before.

Evidence: test_task_is_started_beside_a_listed_run_of_it failed before (`long.0.0.0 is running already on ['w1']`), and passes. The related paths (a lost worker, a change of leaders, a start that is not sent yet, on another worker and on the same one) are tested in test_scheduler_unwanted_runs.

--- a/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
@@ -122,12 +122,15 @@
 
     def release(self, run: runs.Run, reason: str) -> None:
         """Requeue the task of a run that is known not to run."""
-        run.worker.drop(run)
         task = run.task
+        unwanted = run in task.state.unwanted_runs
+        run.worker.drop(run)
         if task.step.gang and run.phase in runs.UNCONFIRMED:
             self._stop_gang(run)
-        if task.run is run:
+        current = task.run is run
+        if current:
             task.release()
+        if current or unwanted:
             self.dependencies.progress_writer.enqueue(task.job)
         self.note('released', run, reason)
         self.on_change()
--- a/libs/scheduler/src/jackdawlatch/scheduler/placing.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/placing.py
@@ -108,6 +108,7 @@
             task
             for task in self.state.tasks
             if task.phase is tasks.TaskPhase.WAITING
+            and not self.state.unwanted_runs.of(task.id)
         ]
         if self._advisor is not None:
             self._tickets = self._advisor.tickets(self.state)
--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -88,6 +88,8 @@
         if run is None or run.attempt != report.run_id.attempt:
             run = self._adopt(worker, report.run_id)
         if run is None:
+            self._hold(worker, report)
+        if run is None or run in run.task.state.unwanted_runs:
             self._cluster.on_unwanted_run(worker, report.run_id)
             return
         run.task.job.begun = True
@@ -126,6 +128,29 @@
         self._cluster.note('adopted', run, 'running-on-worker')
         return run
 
+    def _hold(self, worker: workers.Worker, report: reports.RunReport) -> None:
+        """Let the task of an unwanted run wait for its end."""
+        task = self._cluster.task(report.run_id.task)
+        if task is None or task.done or task.job.ended:
+            return
+        present = worker.runs_by_task.get(task.id)
+        if present is not None and present.unsent:
+            self._cluster.release(present, 'other-run')
+        elif present is not None:
+            # Answers of the worker settle the start that was sent there.
+            return
+        now_s = self._cluster.now_s
+        run = runs.Run(
+            task, worker, report.run_id.attempt, runs.RunPhase.STOPPING
+        )
+        run.mark_sent(now_s)
+        run.update(report, now_s)
+        run.last_progress_s = now_s
+        task.state.unwanted_runs.add(run)
+        worker.add(run)
+        self._cluster.dependencies.progress_writer.enqueue(task.job)
+        self._cluster.note('held', run, 'unwanted-run')
+
     def _apply_end(
         self, worker: workers.Worker, end: reports.EndReport
     ) -> None:
--- a/libs/scheduler/src/jackdawlatch/scheduler/runs.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/runs.py
@@ -100,9 +100,11 @@
     def obstacle(self) -> str:
         """What has come up against its start, empty if nothing has."""
         worker = self.worker
+        unwanted = self.task.state.unwanted_runs
         obstacles = (
             ('job-ended', self.task.job.ended),
             ('task-done', self.task.done),
+            ('other-run', bool(unwanted.of(self.task.id))),
             ('lease-recorded', worker.lease.record is not None),
             ('worker-draining', worker.entry.draining),
             ('worker-unreachable', not worker.reachable),
--- a/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/tasks.py
@@ -11,6 +11,7 @@
     paces,
     runs,
     team_accounts,
+    unwanted_runs,
     workers,
 )
 
@@ -123,7 +124,8 @@
 
     def progress(self) -> stored.TaskProgress:
         """Return the stored form."""
-        run = self.run
+        # The next leader must not start the task beside an unwanted run either.
+        run = self.run or next(iter(self.state.unwanted_runs.of(self.id)), None)
         # Built for each task of a job with each write: few crash or stall.
         crashed: tuple[int, ...] = ()
         proven: tuple[int, ...] = ()
@@ -155,8 +157,9 @@
 
     ``longest_run_s`` is the time that the longest of its done tasks took, 0
     if none is known.  ``stopped_attempt`` is the last one at a gang that was
-    stopped, since a member did not start.  ``waiting_count`` is how many tasks
-    wait to be placed.
+    stopped, since a member did not start.  ``unwanted_runs`` are other runs of
+    the tasks, beside which these are not started.  ``waiting_count`` is how many
+    tasks wait to be placed.
     """
 
     __slots__ = (
@@ -168,6 +171,7 @@
         'step',
         'stopped_attempt',
         'tasks',
+        'unwanted_runs',
         'waiting_count',
     )
 
@@ -176,6 +180,7 @@
         self.step = step
         self.checkpoints = checkpoints.Checkpoints(step.gang)
         self.pace = paces.StepPace()
+        self.unwanted_runs = unwanted_runs.UnwantedRuns()
         self.tasks: list[Task] = []
         # Counted by the tasks: each round asks every step that is not done.
         self.waiting_count = 0
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -194,6 +194,7 @@
             self.free = self.free.plus(run.task.step.reserved_room)
             _account(run).remove(run.task.step.room)
             self.health.suspects.discard(run)
+            run.task.state.unwanted_runs.discard(run)
 
     def update(self, entry: reports.WorkerEntry) -> None:
         """Apply a newer entry of the same boot."""
