Count the longest lease for starts without an answer

Callers saw a task that ran twice at the same time.

Cause: a worker starts again under its id, and before an answer or an entry shows the new boot, it carries out a start. It takes the deadline of the start, a time on the clock of the boot before, for one on its own clock, which has just begun, so that it gets the longest lease. If the answer is lost and the worker is cut off just then, the leader knew only the former boot, counted the 6 s that it grants, and started the task elsewhere after that.

Change: a run whose start got no answer keeps its task until the longest lease, counted from when the leader gave up the wait for the answer, is over as well. This counts for each run alone: all other runs of the lost worker, which an answer has shown there, are released at the end of the granted lease as before. An answer of the worker that shows what became of the start ends it.

Cost: where workers accept longer leases than the leader grants, the tasks whose start got no answer from a worker that is then lost wait for the longest lease (10 s in the tests in place of 6 s). Where both are equal they wait longer by the time between the last poll and the end of the wait for the answer. Not covered: a start that a later boot carries out after the leader has given up the wait; that would have to keep such a task for another 12 s. The next leader does not know of these runs yet.

Evidence: test_lease_of_an_unknown_boot_is_not_counted failed before (`long.0.0.0 is running already on ['w1']`), and passes.

--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -155,6 +155,10 @@
         run.phase = runs.RunPhase.UNSETTLED
         # An answer of another boot of the worker does not settle this run.
         run.settled_after_s = None
+        cluster = self._dependencies.cluster
+        run.worker.lease.expect_unknown_boot(
+            run, cluster.dependencies.bounds.lease_s, self._clock.monotonic_s()
+        )
         if run not in self._settling:
             self._settling.add(run)
             self._dependencies.spawn(self._settle(run))
--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -95,12 +95,7 @@
         run.task.job.begun = True
         run.update(report, self._cluster.now_s)
         if run.phase in runs.UNCONFIRMED:
-            run.phase = runs.RunPhase.RUNNING
-            run.last_progress_s = self._cluster.now_s
-            # It was not lost with an earlier boot.
-            run.task.crash_record.withdraw(run.attempt)
-            if worker.lease.longest_left_s:
-                self._cluster.dependencies.progress_writer.enqueue(run.task.job)
+            self._confirm(worker, run)
         health.record_serving(run, self._cluster.now_s)
         record = run.task.crash_record
         if record.suspicious and crashes.survives(run.confirmed_s):
@@ -109,6 +104,16 @@
         if run.task.job.ended and run.phase is runs.RunPhase.RUNNING:
             self._cluster.stop(run)
 
+    def _confirm(self, worker: workers.Worker, run: runs.Run) -> None:
+        """Record that a start took effect on this boot of a worker."""
+        run.phase = runs.RunPhase.RUNNING
+        run.last_progress_s = self._cluster.now_s
+        worker.lease.forget(run)
+        # It was not lost with an earlier boot.
+        run.task.crash_record.withdraw(run.attempt)
+        if worker.lease.longest_left_s:
+            self._cluster.dependencies.progress_writer.enqueue(run.task.job)
+
     def _adopt(
         self, worker: workers.Worker, run_id: calls.RunId
     ) -> runs.Run | None:
--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -1,13 +1,14 @@
 """Tracks which workers exist, and releases the runs of lost ones."""
 
 import dataclasses
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 
 from jackdawlatch.scheduler import (
     boots,
     cluster_state,
     crash_blame,
     reports,
+    runs,
     tasks,
     workers,
 )
@@ -67,15 +68,23 @@
         """Release the runs of an unreachable worker whose lease has ended."""
         if worker.reachable or not worker.runs_by_task:
             return
-        slack_s = 2 * self._cluster.dependencies.bounds.stop_s
-        if self._cluster.now_s > worker.lease.end_s + slack_s:
-            self._release_all(worker, 'lease-over', ended=False)
+        latest_s = (
+            self._cluster.now_s - 2 * self._cluster.dependencies.bounds.stop_s
+        )
+        expired = [
+            run
+            for run in worker.runs_by_task.values()
+            if worker.lease.run_end_s(run) < latest_s
+        ]
+        if expired:
+            self._release(worker, expired, 'lease-over', ended=False)
 
     def end(self, worker: workers.Worker) -> None:
         """Release the runs of a boot that is known to have ended."""
         worker.registered = False
         worker.reachable = False
-        self._release_all(worker, 'worker-ended', ended=True)
+        ended_runs = tuple(worker.runs_by_task.values())
+        self._release(worker, ended_runs, 'worker-ended', ended=True)
 
     def remove_gone_workers(self) -> None:
         """Remove the workers that are not registered and have no runs."""
@@ -85,13 +94,17 @@
                 by_id.pop(worker.entry.id)
                 self._cluster.gone_workers.add(worker)
 
-    def _release_all(
-        self, worker: workers.Worker, reason: str, ended: bool
+    def _release(
+        self,
+        worker: workers.Worker,
+        released: Iterable[runs.Run],
+        reason: str,
+        ended: bool,
     ) -> None:
         doomed: list[tasks.JobState] = []
         if not worker.registered:
             doomed = self._crash_blame.blame(worker, ended)
-        for run in tuple(worker.runs_by_task.values()):
+        for run in released:
             self._cluster.release(run, reason)
         self._crash_blame.give_up(doomed)
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -81,6 +81,7 @@
         self.record: LeaseRecord | None = None
         self.longest_left_s: float = 0
         self._late_expected = False
+        self._unanswered_end_s_by_run: dict[runs.Run, float] = {}
 
     def extend(self, lease_s: float, now_s: float) -> None:
         """Record the latest end of a lease requested at ``now_s``."""
@@ -95,6 +96,26 @@
         self.longest_left_s = _lease_end_s(longest_s, LATE_REQUEST_S)
         self.extend(longest_s, now_s + LATE_REQUEST_S)
 
+    def expect_unknown_boot(
+        self, run: runs.Run, longest_s: float, now_s: float
+    ) -> None:
+        """Count the lease that an unknown boot may have given a run.
+
+        Its start got no answer until ``now_s``.  A later boot that carried it out
+        took its deadline for one on its own clock, which gives the longest lease.
+        """
+        end_s = _lease_end_s(longest_s, now_s)
+        self._unanswered_end_s_by_run[run] = end_s
+
+    def run_end_s(self, run: runs.Run) -> float:
+        """Return when the lease of a run ends at the latest."""
+        unanswered_end_s = self._unanswered_end_s_by_run.get(run, self.end_s)
+        return max(self.end_s, unanswered_end_s)
+
+    def forget(self, run: runs.Run) -> None:
+        """Forget an unanswered start, since an answer has shown its effect."""
+        self._unanswered_end_s_by_run.pop(run, None)
+
     def record_answer(self, longest_s: float, now_s: float) -> None:
         """Expect no late requests any more, since the boot has answered.
 
@@ -195,6 +216,7 @@
             _account(run).remove(run.task.step.room)
             self.health.suspects.discard(run)
             run.task.state.unwanted_runs.discard(run)
+            self.lease.forget(run)
 
     def update(self, entry: reports.WorkerEntry) -> None:
         """Apply a newer entry of the same boot."""
