Record starts without an answer for next leaders

Callers saw a task that ran twice at the same time.

The leader keeps the task until the longest lease is over, but if the leadership changed, the next leader knew only that the run was sent to the former boot. It counted the granted lease, from its start or from the lease record, and started the task elsewhere beside the run.

Change: `fleet/leases` also lists the runs whose start got no answer, with the time that is left, written at once and refreshed with the lease records, once a second, until an answer settles the run. Each process notes on its own clock until when they last and keeps the lowest value, so that leaders which change often do not each wait for the longest lease. The next leader applies it to these runs alone.

Not covered: a leader that stops before it has given up the wait for the answer (1 s), or before the write.

--- a/libs/jobs/src/jackdawlatch/jobs/stored.py
+++ b/libs/jobs/src/jackdawlatch/jobs/stored.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from jackdawlatch.jobs import start_rests
 from jackdawlatch.model import records
 
 WORK_PREFIX = 'work/'
@@ -106,9 +107,10 @@
 
 
 class Leases(records.Record, frozen=True, kw_only=True):
-    """The leases that the leader does not extend."""
+    """The leases that the leader does not extend, and unanswered starts."""
 
     rests: tuple[LeaseRest, ...] = ()
+    starts: tuple[start_rests.StartRest, ...] = ()
 
 
 class Maintenance(msgspec.Struct, frozen=True, array_like=True):
--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -34,7 +34,8 @@
     """Collaborators of the dispatcher.
 
     ``leading`` tells whether requests may be sent now, ``held`` whether they
-    may be sent now or later in this term.
+    may be sent now or later in this term.  ``on_unanswered`` is called with each
+    run whose start got no answer.
     """
 
     cluster: cluster_state.ClusterState
@@ -46,6 +47,7 @@
     leading: Callable[[], bool]
     held: Callable[[], bool]
     spawn: Callable[[Coroutine[Any, Any, None]], Any]
+    on_unanswered: Callable[[runs.Run], None]
 
 
 class Dispatcher:
@@ -155,10 +157,7 @@
         run.phase = runs.RunPhase.UNSETTLED
         # An answer of another boot of the worker does not settle this run.
         run.settled_after_s = None
-        cluster = self._dependencies.cluster
-        run.worker.lease.expect_unknown_boot(
-            run, cluster.dependencies.bounds.lease_s, self._clock.monotonic_s()
-        )
+        self._dependencies.on_unanswered(run)
         if run not in self._settling:
             self._settling.add(run)
             self._dependencies.spawn(self._settle(run))
--- a/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
@@ -1,7 +1,10 @@
 """Loads accepted jobs and cancellations into the cluster state."""
 
+from collections.abc import Mapping
+
 from jackdawlatch.jobs import model, stored
 from jackdawlatch.scheduler import (
+    calls,
     cluster_state,
     reports,
     runs,
@@ -18,8 +21,14 @@
 class JobLoader:
     """Applies job records of the store to the cluster state."""
 
-    def __init__(self, cluster: cluster_state.ClusterState) -> None:
+    def __init__(
+        self,
+        cluster: cluster_state.ClusterState,
+        start_ends_s: Mapping[calls.RunId, float] | None = None,
+    ) -> None:
+        """Take the ends of the leases of unanswered starts, by run."""
         self._cluster = cluster
+        self._start_ends_s = start_ends_s or {}
         self._accounts = team_accounts.Accounts()
 
     def add(
@@ -85,6 +94,9 @@
             runs.RunPhase.UNSETTLED,
         )
         run.settled_after_s = self._cluster.now_s
+        end_s = self._start_ends_s.get(run.run_id)
+        if end_s is not None:
+            run.worker.lease.unanswered_end_s_by_run[run] = end_s
 
     def _worker_of(
         self, progress: stored.TaskProgress, service: str
--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -106,6 +106,16 @@
                 self._progress_writer.deposed,
             )
         )
+        self._lease_records = leases.LeaseRecords(
+            leases.Dependencies(
+                self.cluster,
+                dependencies.store,
+                term,
+                dependencies.lease_sightings,
+                self._progress_writer,
+                self._leading,
+            )
+        )
         dispatcher = dispatch.Dispatcher(
             dispatch.Dependencies(
                 self.cluster,
@@ -117,20 +127,11 @@
                 self._leading,
                 self._held,
                 self._spawn,
+                self._lease_records.add_unanswered,
             )
         )
         self.cluster.on_unwanted_run = dispatcher.stop
         self._dispatcher = dispatcher
-        self._lease_records = leases.LeaseRecords(
-            leases.Dependencies(
-                self.cluster,
-                dependencies.store,
-                term,
-                dependencies.lease_sightings,
-                self._progress_writer,
-                self._leading,
-            )
-        )
         self._poller = polling.WorkerPoller(
             self.cluster, dispatcher, self._lease_records, self._spawn
         )
@@ -201,7 +202,10 @@
             self._dependencies.store,
             stored.WORK_PREFIX,
             observers.JobObserver(
-                job_loader.JobLoader(self.cluster),
+                job_loader.JobLoader(
+                    self.cluster,
+                    dict(self._dependencies.lease_sightings.start_ends_s),
+                ),
                 await self._load_progress(),
                 self._dependencies.clock,
             ),
--- a/libs/scheduler/src/jackdawlatch/scheduler/lease_records.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/lease_records.py
@@ -5,6 +5,9 @@
 tasks of a lost worker.  While a record stands, the lease is not extended and
 nothing is started on the worker.
 
+The starts that got no answer are recorded as well: an unknown boot may have
+their runs, with the longest lease.
+
 One key holds the records of all workers.  It is never deleted, so that a
 delayed write cannot find the revision that it requires once more.
 """
@@ -17,12 +20,14 @@
 from absl import logging
 from returns import result
 
-from jackdawlatch.jobs import stored
+from jackdawlatch.jobs import start_rests, stored
 from jackdawlatch.model import records
 from jackdawlatch.scheduler import (
+    calls,
     cluster_state,
     observers,
     persistence,
+    runs,
     workers,
 )
 from jackdawlatch.store import keyvalue, transactions
@@ -59,6 +64,7 @@
         self._cluster = dependencies.cluster
         self._revision = keyvalue.ABSENT
         self._written_s: float = 0
+        self._recorded_starts: set[calls.RunId] = set()
         self._episodes = 0
         self._pending = False
         self._wake = asyncio.Event()
@@ -82,6 +88,13 @@
         """Clear the records of the workers that answer again."""
         self._wake.set()
 
+    def add_unanswered(self, run: runs.Run) -> None:
+        """Count and record the lease that an unknown boot may give a run."""
+        run.worker.lease.expect_unknown_boot(
+            run, self._cluster.dependencies.bounds.lease_s, self._cluster.now_s
+        )
+        self._wake.set()
+
     async def run(self) -> None:
         """Update the records until cancelled."""
         while True:
@@ -99,9 +112,11 @@
             for worker in self._cluster.workers_by_id.values()
         ):
             return True
+        if self._recorded_starts != _start_ends_s(self._cluster).keys():
+            return True
         age_s = self._cluster.now_s - self._written_s
-        recorded = bool(self._cluster.lease_records_by_boot)
-        return recorded and age_s >= REFRESH_PERIOD_S
+        recorded = self._cluster.lease_records_by_boot or self._recorded_starts
+        return bool(recorded) and age_s >= REFRESH_PERIOD_S
 
     def _current(self) -> dict[workers.Boot, workers.LeaseRecord]:
         """Return the records of all lost workers, of which some are new."""
@@ -132,11 +147,13 @@
             # runs would wait for a whole lease.
             await self._dependencies.progress_writer.flush()
         recorded.update(current)
+        start_ends_s = _start_ends_s(self._cluster)
         written = await self._dependencies.store.commit(
-            self._transaction(current)
+            self._transaction(current, start_ends_s)
         )
         if isinstance(written, result.Success):
             self._revision = written.unwrap()
+            self._recorded_starts = set(start_ends_s)
             self._written_s = self._cluster.now_s
             self._pending = False
             self._forget_others(current)
@@ -150,7 +167,9 @@
             await asyncio.sleep(persistence.RETRY_S)
 
     def _transaction(
-        self, current: dict[workers.Boot, workers.LeaseRecord]
+        self,
+        current: dict[workers.Boot, workers.LeaseRecord],
+        start_ends_s: dict[calls.RunId, float],
     ) -> transactions.Transaction:
         now_s = self._cluster.now_s
         # The time until it is read is not subtracted: the rest is an upper
@@ -161,6 +180,17 @@
             )
             for (worker_id, born_ms), record in current.items()
         )
+        starts = tuple(
+            start_rests.StartRest(
+                run_id.task.job,
+                run_id.task.occurrence,
+                run_id.task.step,
+                run_id.task.index,
+                run_id.attempt,
+                end_s - now_s,
+            )
+            for run_id, end_s in start_ends_s.items()
+        )
         return transactions.Transaction(
             conditions=(
                 transactions.Condition(
@@ -174,7 +204,9 @@
             puts=(
                 transactions.Put(
                     key=stored.LEASES_KEY,
-                    content=records.pack(stored.Leases(rests=rests)),
+                    content=records.pack(
+                        stored.Leases(rests=rests, starts=starts)
+                    ),
                 ),
             ),
         )
@@ -204,6 +236,17 @@
             self._dependencies.progress_writer.deposed.set()
 
 
+def _start_ends_s(
+    cluster: cluster_state.ClusterState,
+) -> dict[calls.RunId, float]:
+    """Return until when unknown boots may have the runs of unanswered starts."""
+    return {
+        run.run_id: end_s
+        for worker in cluster.workers_by_id.values()
+        for run, end_s in worker.lease.unanswered_end_s_by_run.items()
+    }
+
+
 def _is_changed(worker: workers.Worker) -> bool:
     """Whether the record of a worker is missing, or has to be cleared."""
     return _is_unrecorded(worker) or (
--- a/libs/scheduler/src/jackdawlatch/scheduler/observers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/observers.py
@@ -9,9 +9,15 @@
 from absl import logging
 from returns import result
 
-from jackdawlatch.jobs import model, stored
+from jackdawlatch.jobs import model, start_rests, stored
 from jackdawlatch.model import clocks, failures, records
-from jackdawlatch.scheduler import job_loader, reports, worker_registry, workers
+from jackdawlatch.scheduler import (
+    calls,
+    job_loader,
+    reports,
+    worker_registry,
+    workers,
+)
 from jackdawlatch.store import following, keyvalue
 
 Record = TypeVar('Record', bound=records.Record)
@@ -116,10 +122,12 @@
     """Notes when this process first saw each record of a lease.
 
     A process that leads next counts from there, on its own clock.
+    ``start_ends_s`` holds the ends of the leases of unanswered starts.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
         self.records_by_boot: dict[workers.Boot, workers.LeaseRecord] = {}
+        self.start_ends_s: dict[calls.RunId, float] = {}
         self._clock = clock
         self._void_before = keyvalue.ABSENT
 
@@ -134,9 +142,17 @@
         void = entry.deleted or entry.revision < self._void_before
         leases = None if void else decode(entry, stored.Leases)
         rests = leases.rests if leases else ()
+        starts = leases.starts if leases else ()
         self.records_by_boot = {
             (rest.worker, rest.born_ms): self._sighting(rest) for rest in rests
         }
+        now_s = self._clock.monotonic_s()
+        ends_s = {_run_id(start): now_s + start.left_s for start in starts}
+        # A start is sent once: its lease does not get longer.
+        self.start_ends_s = {
+            run_id: min(end_s, self.start_ends_s.get(run_id, end_s))
+            for run_id, end_s in ends_s.items()
+        }
 
     def _sighting(self, rest: stored.LeaseRest) -> workers.LeaseRecord:
         end_s = self._clock.monotonic_s() + rest.left_s
@@ -155,5 +171,10 @@
         return None
 
 
+def _run_id(start: start_rests.StartRest) -> calls.RunId:
+    task = model.TaskId(start.job, start.occurrence, start.step, start.index)
+    return calls.RunId(task, start.attempt)
+
+
 def _loading_order(entry: keyvalue.Entry) -> tuple[bool, int]:
     return (entry.key.startswith(stored.CANCELS_PREFIX), entry.revision)
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -73,7 +73,8 @@
     """When the lease of a worker ends at the latest, and its record.
 
     ``longest_left_s`` is 0 unless requests for an earlier boot may have extended
-    it; else it is how long it may last at most.
+    it; else it is how long it may last at most.  ``unanswered_end_s_by_run``
+    holds when the leases end that unknown boots may have given to runs.
     """
 
     def __init__(self) -> None:
@@ -81,7 +82,7 @@
         self.record: LeaseRecord | None = None
         self.longest_left_s: float = 0
         self._late_expected = False
-        self._unanswered_end_s_by_run: dict[runs.Run, float] = {}
+        self.unanswered_end_s_by_run: dict[runs.Run, float] = {}
 
     def extend(self, lease_s: float, now_s: float) -> None:
         """Record the latest end of a lease requested at ``now_s``."""
@@ -105,16 +106,16 @@
         took its deadline for one on its own clock, which gives the longest lease.
         """
         end_s = _lease_end_s(longest_s, now_s)
-        self._unanswered_end_s_by_run[run] = end_s
+        self.unanswered_end_s_by_run[run] = end_s
 
     def run_end_s(self, run: runs.Run) -> float:
         """Return when the lease of a run ends at the latest."""
-        unanswered_end_s = self._unanswered_end_s_by_run.get(run, self.end_s)
+        unanswered_end_s = self.unanswered_end_s_by_run.get(run, self.end_s)
         return max(self.end_s, unanswered_end_s)
 
     def forget(self, run: runs.Run) -> None:
         """Forget an unanswered start, since an answer has shown its effect."""
-        self._unanswered_end_s_by_run.pop(run, None)
+        self.unanswered_end_s_by_run.pop(run, None)
 
     def record_answer(self, longest_s: float, now_s: float) -> None:
         """Expect no late requests any more, since the boot has answered.
--- a/libs/scheduler/tests/test_scheduler_unanswered_starts.py
+++ b/libs/scheduler/tests/test_scheduler_unanswered_starts.py
@@ -4,12 +4,21 @@
 off; its lease is the longest one.
 """
 
+import asyncio
+
 import scheduler_fleets as fleets
+import scheduler_takeovers as takeovers
+import test_scheduler_fuzz as simulations
+import test_scheduler_reborn as reborn
 
-from jackdawlatch.scheduler import reports, runs, workers
+from jackdawlatch.jobs import start_rests, stored
+from jackdawlatch.model import clocks, records
+from jackdawlatch.scheduler import observers, reports, runs, workers
+from jackdawlatch.store import keyvalue
 from jackdawlatch.testing import functions
 
 SHORT_S = 1.0
+HANDOVER_PERIOD_S = 2.0
 
 
 def test_other_runs_wait_for_an_unanswered_start(fleet):
@@ -42,6 +51,40 @@
     assert worker.lease.run_end_s(run) == worker.lease.end_s
 
 
+async def test_handovers_delay_the_restart():
+    """Guards against leaders that each wait for the longest lease."""
+
+    def scenario(simulation: simulations.Simulation) -> None:
+        simulation.workers.by_id[reborn.NAME].down = True
+        reborn._start(simulation)
+        for _ in range(int(reborn.LONG_S / HANDOVER_PERIOD_S)):
+            simulation.run(HANDOVER_PERIOD_S)
+            takeovers.hand_over(simulation)
+        assert any(
+            reborn.TASK in worker.running
+            for worker in simulation.workers.alive()
+        )
+
+    await asyncio.to_thread(reborn._play, scenario, reborn.LONGEST_LEASE)
+
+
+def test_recorded_start_counts_anew_with_each_record():
+    clock = clocks.ManualClock()
+    sightings = observers.LeaseSightings(clock)
+    for left_s in (SHORT_S, SHORT_S - 0.2):
+        sightings.observe(_entry(left_s))
+        clock.advance(0.5)
+    assert tuple(sightings.start_ends_s.values()) == (SHORT_S,)
+
+
+def _entry(left_s: float) -> keyvalue.Entry:
+    start = start_rests.StartRest('a', 0, 0, 0, 1, left_s)
+    leases = stored.Leases(starts=(start,))
+    return keyvalue.Entry(
+        key=stored.LEASES_KEY, value=records.encode(leases), revision=1
+    )
+
+
 def _lose_start(fleet: fleets.Fleet, worker: workers.Worker) -> runs.Run:
     """Let a start get no answer from a worker with a short lease."""
     now_s = fleet.clock.monotonic_s()
