Record the boots of workers for next leaders

Callers saw a task that ran twice at the same time.

Cause: a worker starts again under its id while the leadership changes. A late poll of the former leader, with a deadline on the clock of the former boot, gives the later boot the longest lease. The next leader finds this boot first, takes it for the first one of its id, and counts the lease that it grants itself. If the boot is cut off then, its task is started elsewhere while it runs.

Change: the leader stores the birth of the last boot of each worker in `boots`, under its leadership, when one has changed, at most once a second. The next leader reads it beside the lease records, and counts the longest lease for a boot whose id had another one, as a leader does that knew the former boot itself: until 12 s after it is found, and from its first answer on from that answer. The same boot, and a worker without a row, are treated as before. After 12 s no late request of an earlier leader is left, and its rows are forgotten.

Not covered: a boot that a leader has found less than a second before it stops.

Evidence: test_next_leader_has_no_row_of_an_idle_boot failed before (`long.0.0.0 is running already on ['w1']`), and passes.

--- a/libs/scheduler/src/jackdawlatch/scheduler/gone_workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/gone_workers.py
@@ -1,6 +1,7 @@
 """Remembers workers that were removed, since they may come back."""
 
 import collections
+from collections.abc import Mapping
 
 from jackdawlatch.scheduler import reports, workers
 
@@ -17,6 +18,19 @@
         self._workers_by_id: collections.OrderedDict[str, workers.Worker] = (
             collections.OrderedDict()
         )
+        self._earlier_born_ms_by_id: dict[str, int] = {}
+
+    def restore(self, born_ms_by_id: Mapping[str, int]) -> None:
+        """Replace the boots that an earlier leader has sent requests to."""
+        self._earlier_born_ms_by_id = dict(born_ms_by_id)
+
+    def born_ms_by_id(self) -> dict[str, int]:
+        """Return the birth of the last boot of each worker."""
+        gone = {
+            worker.entry.id: worker.entry.born_ms
+            for worker in self._workers_by_id.values()
+        }
+        return {**self._earlier_born_ms_by_id, **gone}
 
     def add(self, worker: workers.Worker) -> None:
         """Remember a worker."""
@@ -34,11 +48,14 @@
         have given.
         """
         gone = self._workers_by_id.pop(entry.id, None)
+        earlier_born_ms = self._earlier_born_ms_by_id.pop(
+            entry.id, entry.born_ms
+        )
         if gone is not None and gone.entry.boot == entry.boot:
             gone.update(entry)
             gone.registered = True
             return gone
         worker = workers.Worker(entry)
-        if gone is not None:
+        if gone is not None or earlier_born_ms != entry.born_ms:
             worker.lease.expect_late_requests(longest_s, now_s)
         return worker
--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -7,10 +7,10 @@
 from typing import Any
 
 from absl import logging
-from returns import result
 
 from jackdawlatch.jobs import queues, stored
 from jackdawlatch.model import clocks
+from jackdawlatch.scheduler import boot_records as boots
 from jackdawlatch.scheduler import (
     clients,
     cluster_state,
@@ -33,7 +33,7 @@
 from jackdawlatch.scheduler import fences as worker_fences
 from jackdawlatch.scheduler import lease_records as leases
 from jackdawlatch.scheduler import pools as machine_pools
-from jackdawlatch.store import following, keyvalue, transactions
+from jackdawlatch.store import following, transactions
 from jackdawlatch.telemetry import decisions
 
 POLL_S = 0.1
@@ -189,7 +189,10 @@
                 task.cancel()
 
     async def _lead(self) -> None:
-        await self._load_leases()
+        recorder = boots.BootRecords(
+            self.cluster, self._dependencies.store, self._term, self._leading
+        )
+        await asyncio.gather(self._load_leases(), recorder.load(self._held))
         worker_follower = following.Follower(
             self._dependencies.store,
             self._dependencies.directory.prefix,
@@ -206,7 +209,9 @@
                     self.cluster,
                     dict(self._dependencies.lease_sightings.start_ends_s),
                 ),
-                await self._load_progress(),
+                await persistence.load_progress(
+                    self._dependencies.store, self._dependencies.held
+                ),
                 self._dependencies.clock,
             ),
             following.WatchTiming(),
@@ -229,6 +234,7 @@
         self._spawn(self._progress_writer.run())
         loops: tuple[supervision.Loop, ...] = (
             self._lease_records.run,
+            recorder.run,
             housekeeper.tick,
             housekeeper.publish_pending,
             self.waves.run,
@@ -259,19 +265,6 @@
                 return
             await asyncio.sleep(POLL_S)
 
-    async def _load_progress(self) -> dict[str, keyvalue.Entry]:
-        while self._dependencies.held():
-            scanned = await self._dependencies.store.scan(
-                stored.PROGRESS_PREFIX
-            )
-            if not isinstance(scanned, result.Failure):
-                return {
-                    entry.key.removeprefix(stored.PROGRESS_PREFIX): entry
-                    for entry in scanned.unwrap().entries
-                }
-            await asyncio.sleep(POLL_S)
-        return {}
-
     def _leading(self) -> bool:
         return (
             self._dependencies.leading()
--- a/libs/scheduler/src/jackdawlatch/scheduler/persistence.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/persistence.py
@@ -22,6 +22,8 @@
 JOBS_PER_WRITE = (transactions.MAX_ITEMS - 1) // 2
 # About ten response times of the store; a retry that fails costs one call.
 RETRY_S = 0.05
+# A read at the start of a term, which may be large.
+LOAD_RETRY_S = 0.1
 # Under way at the same time: one write after the other would take as many
 # response times as a round has batches, while their tasks hold capacity.
 MAX_WRITES = 4
@@ -146,6 +148,21 @@
             job.revision = revisions_by_key.get(key, keyvalue.ABSENT)
 
 
+async def load_progress(
+    store: transactions.TransactionalStore, held: Callable[[], bool]
+) -> dict[str, keyvalue.Entry]:
+    """Return the stored progress by job, read again while ``held``."""
+    while held():
+        scanned = await store.scan(stored.PROGRESS_PREFIX)
+        if not isinstance(scanned, result.Failure):
+            return {
+                entry.key.removeprefix(stored.PROGRESS_PREFIX): entry
+                for entry in scanned.unwrap().entries
+            }
+        await asyncio.sleep(LOAD_RETRY_S)
+    return {}
+
+
 def _batches(
     changed: Iterable[tasks.JobState],
 ) -> Iterator[list[tasks.JobState]]:
