--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -5,13 +5,13 @@
 from jackdawlatch.jobs import model, stored
 from jackdawlatch.policy import crashes
 from jackdawlatch.scheduler import (
-    calls,
     cluster_state,
     health,
     lateness,
     reports,
     runs,
     tasks,
+    unexpected_runs,
     worker_paces,
     workers,
 )
@@ -27,6 +27,7 @@
     ) -> None:
         self._cluster = cluster
         self._lateness = job_lateness
+        self._unexpected = unexpected_runs.UnexpectedRuns(cluster)
 
     def reconcile(
         self,
@@ -89,20 +90,17 @@
     ) -> None:
         run = worker.runs_by_task.get(report.run_id.task)
         if run is None or run.attempt != report.run_id.attempt:
-            run = self._adopt(worker, report.run_id)
+            run = self._unexpected.adopt(worker, report.run_id)
         if run is None:
-            self._stop_unwanted(worker, report.run_id)
+            self._unexpected.count(worker, report)
+        if run is None or run in run.task.state.unwanted_runs:
+            self._cluster.on_unwanted_run(worker, report.run_id)
             return
         run.task.job.begun = True
         run.update(report, self._cluster.now_s)
         worker_paces.record_report(run, self._cluster.now_s)
         if run.phase in runs.UNCONFIRMED:
-            run.phase = runs.RunPhase.RUNNING
-            run.last_progress_s = self._cluster.now_s
-            # It was not lost with an earlier boot.
-            run.task.crash_record.withdraw(run.attempt)
-            if worker.lease.longest_left_s:
-                self._cluster.dependencies.progress_writer.enqueue(run.task.job)
+            self._confirm(worker, run)
         health.record_serving(run, self._cluster.now_s)
         record = run.task.crash_record
         if record.suspicious and crashes.survives(run.confirmed_s):
@@ -111,33 +109,15 @@
         if run.task.job.ended and run.phase is runs.RunPhase.RUNNING:
             self._cluster.stop(run)
 
-    def _stop_unwanted(
-        self, worker: workers.Worker, run_id: calls.RunId
-    ) -> None:
-        """Stop a run, which counts towards the quota until it has ended."""
-        task = self._cluster.task(run_id.task)
-        if task is not None:
-            worker.health.unwanted.append(task)
-        self._cluster.on_unwanted_run(worker, run_id)
-
-    def _adopt(
-        self, worker: workers.Worker, run_id: calls.RunId
-    ) -> runs.Run | None:
-        """Take over a run that an earlier start request must have begun.
-
-        Return None if the run is not wanted.
-        """
-        task = self._cluster.task(run_id.task)
-        if task is None or task.job.ended or run_id.attempt < task.attempt:
-            return None
-        if task.phase is not tasks.TaskPhase.WAITING:
-            return None
-        run = self._cluster.assign(
-            task, worker, run_id.attempt, runs.RunPhase.RUNNING
-        )
-        self._cluster.dependencies.progress_writer.enqueue(task.job)
-        self._cluster.note('adopted', run, 'running-on-worker')
-        return run
+    def _confirm(self, worker: workers.Worker, run: runs.Run) -> None:
+        """Record that a start took effect on this boot of a worker."""
+        run.phase = runs.RunPhase.RUNNING
+        run.last_progress_s = self._cluster.now_s
+        worker.lease.forget(run)
+        # It was not lost with an earlier boot.
+        run.task.crash_record.withdraw(run.attempt)
+        if worker.lease.longest_left_s:
+            self._cluster.dependencies.progress_writer.enqueue(run.task.job)
 
     def _apply_end(
         self, worker: workers.Worker, end: reports.EndReport
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -82,7 +82,8 @@
     """When the lease of a worker ends at the latest, and its record.
 
     ``longest_left_s`` is 0 unless requests for an earlier boot may have extended
-    it; else it is how long it may last at most.
+    it; else it is how long it may last at most.  ``unanswered_end_s_by_run``
+    holds when the leases end that unknown boots may have given to runs.
     """
 
     def __init__(self) -> None:
@@ -90,6 +91,7 @@
         self.record: LeaseRecord | None = None
         self.longest_left_s: float = 0
         self._late_expected = False
+        self.unanswered_end_s_by_run: dict[runs.Run, float] = {}
 
     def extend(self, lease_s: float, now_s: float) -> None:
         """Record the latest end of a lease requested at ``now_s``."""
@@ -104,6 +106,26 @@
         self.longest_left_s = _lease_end_s(longest_s, LATE_REQUEST_S)
         self.extend(longest_s, now_s + LATE_REQUEST_S)
 
+    def expect_unknown_boot(
+        self, run: runs.Run, longest_s: float, now_s: float
+    ) -> None:
+        """Count the lease that an unknown boot may have given a run.
+
+        Its start got no answer until ``now_s``.  A later boot that carried it out
+        took its deadline for one on its own clock, which gives the longest lease.
+        """
+        end_s = _lease_end_s(longest_s, now_s)
+        self.unanswered_end_s_by_run[run] = end_s
+
+    def run_end_s(self, run: runs.Run) -> float:
+        """Return when the lease of a run ends at the latest."""
+        unanswered_end_s = self.unanswered_end_s_by_run.get(run, self.end_s)
+        return max(self.end_s, unanswered_end_s)
+
+    def forget(self, run: runs.Run) -> None:
+        """Forget an unanswered start, since an answer has shown its effect."""
+        self.unanswered_end_s_by_run.pop(run, None)
+
     def record_answer(self, longest_s: float, now_s: float) -> None:
         """Expect no late requests any more, since the boot has answered.
 
@@ -203,6 +225,8 @@
             self.free = self.free.plus(run.task.step.reserved_room)
             _account(run).remove(run.task.step.room)
             self.health.suspects.discard(run)
+            run.task.state.unwanted_runs.discard(run)
+            self.lease.forget(run)
 
     def update(self, entry: reports.WorkerEntry) -> None:
         """Apply a newer entry of the same boot."""
