Refuse no job for the backlog while a write may be late

A write that got no answer may take effect seconds later. A caller that resends such a job under overload got 503, since the read before a refusal found no record, and the job could run after that. An entry whose write got no answer now refuses nothing for the backlog for 15 s and tries the write instead, as without overload. Another entry that saw no lost answer is not covered.

--- a/libs/jobs/src/jackdawlatch/jobs/intake.py
+++ b/libs/jobs/src/jackdawlatch/jobs/intake.py
@@ -25,6 +25,8 @@
 from jackdawlatch.telemetry import decisions, meters
 
 RETRY_AFTER_S = shedding.STORE_RETRY_S
+# The store may carry out an unanswered write this much later.
+LATE_WRITE_S = 15.0
 BEARER = 'bearer'
 
 
@@ -89,6 +91,7 @@
         self.in_flight = 0
         self.load_sightings = load_sightings.LoadSightings(dependencies.clock)
         self._dependencies = dependencies
+        self._uncertain_s = -LATE_WRITE_S
         self._refusals = refusals.Refusals(
             dependencies.log, dependencies.meters
         )
@@ -203,9 +206,14 @@
         """Refuse a job, unless an earlier copy of it was accepted.
 
         Return None if that is not known: a write of its record finds out.
+        While an earlier write may still take effect, a job without a record
+        may be stored after the refusal, so none is refused.
         """
         if refusal.reason == shedding.Reason.STORE:
             return result.Failure(refusal)
+        now_s = self._dependencies.clock.monotonic_s()
+        if now_s < self._uncertain_s + LATE_WRITE_S:
+            return None
         found = await self._get(f'{stored.JOBS_PREFIX}{job.id}')
         if isinstance(found, result.Failure):
             return None
@@ -244,6 +252,7 @@
         if isinstance(failure, keyvalue.Conflict):
             return result.Success(None)
         if isinstance(failure, keyvalue.Uncertain):
+            self._uncertain_s = self._dependencies.clock.monotonic_s()
             return result.Failure(OutcomeUnknown(message=failure.message))
         return result.Failure(_not_accepted(failure))
 
