Bound the replies of the store, workers and services

tornado's curl client keeps up to 100 MiB of each reply, and the unified daemon has up to 760 connections to others, so a single service that answers without end took more memory than a small host has.

A reply may now take 4 MiB with its headers (`max_reply_bytes`); a page of the documented 1 MB takes 1.4 MB as base64 in JSON. Beyond 16 MB for all unfinished replies (`replies_mb`), the largest are aborted. The store has a budget of its own, so that it still answers while workers send too much. An aborted reply is `TooLarge`, an `Unanswered`: the request was sent. The classic store client keeps 100 MiB, since its scans have no pages.

Endless headers ended before as well: libcurl takes 300 KB.

--- a/libs/backends/src/jackdawlatch/backends/exchange.py
+++ b/libs/backends/src/jackdawlatch/backends/exchange.py
@@ -14,8 +14,9 @@
 import msgspec
 import pycurl
 from returns import result
-from tornado import curl_httpclient, httpclient, httputil
+from tornado import httpclient, httputil
 
+from jackdawlatch.backends import replies, transfers
 from jackdawlatch.model import decoding, failures
 
 MAX_CONCURRENT = 64
@@ -40,6 +41,12 @@
     code: ClassVar[str] = 'exchange-unanswered'
 
 
+class TooLarge(Unanswered, frozen=True, kw_only=True):
+    """The response exceeds a bound; the request was sent and may have run."""
+
+    code: ClassVar[str] = 'exchange-too-large'
+
+
 Failed = NotSent | Unanswered
 
 
@@ -79,30 +86,50 @@
 
 
 class Client:
-    """Sends at most ``max_concurrent`` requests at once and queues others."""
+    """Sends at most ``max_concurrent`` requests at once and queues others.
+
+    A response may have ``max_reply_bytes`` with its headers.  Clients that share
+    a ``budget`` abort the largest unfinished responses beyond it.
+    """
 
-    def __init__(self, max_concurrent: int = MAX_CONCURRENT) -> None:
-        self._http = curl_httpclient.CurlAsyncHTTPClient(
+    def __init__(
+        self,
+        max_concurrent: int = MAX_CONCURRENT,
+        max_reply_bytes: int = replies.MAX_REPLY_BYTES,
+        budget: replies.Budget | None = None,
+    ) -> None:
+        self._http = transfers.CancellableClient(
             force_instance=True, max_clients=max_concurrent
         )
+        self._max_reply_bytes = max_reply_bytes
+        self._budget = budget or replies.Budget()
         self._closing = False
         self._in_flight: set[asyncio.Future[httpclient.HTTPResponse]] = set()
 
     async def send(self, outgoing: Outgoing) -> result.Result[Reply, Failed]:
         """Send a request and return its complete response."""
+        incoming = replies.Incoming(self._budget, self._max_reply_bytes)
         send_guard = _SendGuard(outgoing.resend, outgoing.permitted)
+
+        def prepare(curl: pycurl.Curl) -> None:
+            send_guard.prepare(curl)
+            self._http.collect(curl, incoming)
+
         fetching = self._http.fetch(
-            _request(outgoing, send_guard.prepare), raise_error=False
+            _request(outgoing, prepare), raise_error=False
         )
         # The transfer goes on to its end or timeout if the caller is cancelled.
         fetching.add_done_callback(self._finish)
+        fetching.add_done_callback(lambda _done: incoming.finish())
         self._in_flight.add(fetching)
         try:
             response = await asyncio.shield(fetching)
         except httpclient.HTTPClientError as error:
+            if incoming.problem:
+                return result.Failure(TooLarge(message=incoming.problem))
             return result.Failure(send_guard.classify(error))
         return result.Success(
-            Reply(response.code, response.body or b'', response.headers)
+            Reply(response.code, bytes(incoming.body), response.headers)
         )
 
     def close(self) -> None:
--- a/libs/backends/src/jackdawlatch/backends/http_hostlist.py
+++ b/libs/backends/src/jackdawlatch/backends/http_hostlist.py
@@ -2,7 +2,7 @@
 
 from returns import result
 
-from jackdawlatch.backends import exchange, hostlist
+from jackdawlatch.backends import exchange, hostlist, replies
 from jackdawlatch.model import hosts
 
 TIMEOUT_S = 2.0
@@ -17,7 +17,9 @@
     def __init__(self, address: str, timeout_s: float = TIMEOUT_S) -> None:
         self._address = address
         self._timeout_s = timeout_s
-        self._client = exchange.Client()
+        self._client = exchange.Client(
+            max_reply_bytes=replies.MAX_UNFINISHED_BYTES
+        )
 
     async def read(
         self,
--- a/libs/backends/src/jackdawlatch/backends/http_runners.py
+++ b/libs/backends/src/jackdawlatch/backends/http_runners.py
@@ -12,7 +12,7 @@
 from returns import result
 from tornado import curl_httpclient, httpclient, httputil
 
-from jackdawlatch.backends import http_headers, runners
+from jackdawlatch.backends import http_headers, runners, transfers
 from jackdawlatch.model import clocks, failures, work
 
 CONNECT_TIMEOUT_S = 1.0
@@ -30,19 +30,6 @@
 LEAVING = 'leaving'
 
 
-class CancellableClient(curl_httpclient.CurlAsyncHTTPClient):
-    """Tornado's curl client with cancellable transfers."""
-
-    def abort(
-        self, curl: pycurl.Curl, outgoing: httpclient.HTTPRequest
-    ) -> None:
-        """Abort the transfer of a request and close its connection."""
-        # Tornado stores the request of a curl handle in this attribute.
-        info = getattr(curl, 'info', None)
-        if info and info['request'].request is outgoing:
-            self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, 'abandoned')
-
-
 @dataclasses.dataclass
 class Transfer:
     """The state of one exchange.
@@ -98,7 +85,7 @@
         max_answer_bytes: int = MAX_ANSWER_BYTES,
     ) -> None:
         self._clock = clock
-        self._client = CancellableClient(
+        self._client = transfers.CancellableClient(
             force_instance=True,
             max_clients=max_exchanges,
             max_body_size=max_answer_bytes,
--- a/libs/store/src/jackdawlatch/store/calls.py
+++ b/libs/store/src/jackdawlatch/store/calls.py
@@ -6,10 +6,13 @@
 from returns import result
 
 from jackdawlatch.backends import exchange
+from jackdawlatch.backends import replies as http_replies
 from jackdawlatch.model import records
 from jackdawlatch.store import keyvalue, replies
 
 MIN_READ_ATTEMPTS = 2
+# A scan has one reply for any number of values of 1 MB.
+MAX_REPLY_BYTES = 100 * 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -35,7 +38,10 @@
     def __init__(self, addresses: Sequence[str], timeout_s: float) -> None:
         self._addresses = list(addresses)
         self._timeout_s = timeout_s
-        self._http_client = exchange.Client()
+        self._http_client = exchange.Client(
+            max_reply_bytes=MAX_REPLY_BYTES,
+            budget=http_replies.Budget(MAX_REPLY_BYTES),
+        )
         self.read_policy = RetryPolicy(
             max(MIN_READ_ATTEMPTS, len(addresses)), timeout_s
         )
--- a/libs/unified/src/jackdawlatch/unified/root.py
+++ b/libs/unified/src/jackdawlatch/unified/root.py
@@ -7,7 +7,6 @@
 
 from absl import logging
 
-from jackdawlatch.backends import exchange
 from jackdawlatch.jobs import intake, queues, stored
 from jackdawlatch.model import clocks
 from jackdawlatch.platform import (
@@ -32,7 +31,6 @@
 from jackdawlatch.unified import settings as unified_settings
 
 MILLISECONDS_PER_SECOND = 1000
-STORE_CONNECTIONS = 24
 # The load balancer checks readiness once a second and stops sending requests
 # after two failed checks.
 BALANCER_REMOVAL_S = 2.5
@@ -61,10 +59,9 @@
         self._log = decisions.DecisionLog(
             settings.name, self._clock, instruments
         )
+        self._clients = connections.Clients(settings.limits, instruments)
         self._store = monitored.MonitoredStore(
-            store.PlatformStore(
-                settings.store_address, exchange.Client(STORE_CONNECTIONS)
-            ),
+            store.PlatformStore(settings.store_address, self._clients.store()),
             monitored.Watchdog(self._clock, instruments),
         )
         self._stopping = asyncio.Event()
@@ -144,7 +141,7 @@
         while True:
             term = await self._election.win()
             self._log.note('leading', token=term.token)
-            clients = connections.Connections()
+            clients = self._clients.term()
             self._leader = self._new_leader(term, clients)
             self._operator_observer.add_known_waves(self._leader)
             renewal = asyncio.create_task(self._election.keep_renewing())
--- a/libs/unified/src/jackdawlatch/unified/settings.py
+++ b/libs/unified/src/jackdawlatch/unified/settings.py
@@ -61,6 +61,10 @@
     ``idle_timeout_s``, as between two requests.  A body that takes longer than
     that has to arrive with ``min_bytes_per_s`` on average.
     ``receive_buffer_bytes`` is the size of a connection's kernel buffer.
+
+    The store, and the workers and other services together, have
+    ``replies_mb`` each for the replies that are being read from them.  One reply
+    may have ``max_reply_bytes``.
     """
 
     reserve_mb: Positive = 100
@@ -71,6 +75,8 @@
     idle_timeout_s: Positive = 20
     min_bytes_per_s: Positive = 1024
     receive_buffer_bytes: Bytes = 16_384
+    replies_mb: Positive = 16
+    max_reply_bytes: Bytes = 4_194_304
 
 
 class Unified(records.StrictRecord, frozen=True, kw_only=True):
