Scan the prefix if the events of a watch are over the bound

The events since a revision come in one reply without a documented size. A host that was cut off for long would repeat a watch that is too large for ever; a scan has pages, so it is read instead, as if the history were gone.

--- a/libs/store/src/jackdawlatch/store/keyvalue.py
+++ b/libs/store/src/jackdawlatch/store/keyvalue.py
@@ -60,6 +60,12 @@
     code: ClassVar[str] = 'store-unavailable'
 
 
+class Oversized(Unavailable, frozen=True, kw_only=True):
+    """The answer to a read exceeds what the client takes."""
+
+    code: ClassVar[str] = 'store-oversized'
+
+
 class Uncertain(failures.Problem, frozen=True, kw_only=True):
     """The reply was lost: the write may or may not have taken effect."""
 
--- a/libs/store/src/jackdawlatch/store/replies.py
+++ b/libs/store/src/jackdawlatch/store/replies.py
@@ -67,6 +67,13 @@
     return keyvalue.Unavailable(message=failure.message)
 
 
+def unread(failed: exchange.Failed) -> keyvalue.Unavailable:
+    """Return the failure of a read that got no usable reply."""
+    if isinstance(failed, exchange.TooLarge):
+        return keyvalue.Oversized(message=failed.message)
+    return keyvalue.Unavailable(message=failed.message)
+
+
 def renewal_failure(
     failure: keyvalue.WriteFailure,
 ) -> keyvalue.LeaseLost | keyvalue.Unavailable:
