Hold the callers of an entry to limits

The classic entry read up to 1 GiB for each request and kept each body up to its limit, without a bound for all requests or for connections, and without any time limit.

It uses libs/listeners like the unified daemon: a body over the limit gets 413 at once, unfinished requests share `clients_mb`, connections are at most `max_connections` and 400 less than the descriptors. Refusals keep the entry's problem body and `Jackdawlatch-Outcome: not-run`. A request counts as in flight once it is complete, so that a drain does not wait for others. The bounds of a server gain the factor for complete bodies: 2 for an entry, which forwards them, 36 as before where jobs are decoded.

--- a/libs/entry/src/jackdawlatch/entry/job_handlers.py
+++ b/libs/entry/src/jackdawlatch/entry/job_handlers.py
@@ -25,10 +25,6 @@
 
     async def post(self) -> None:
         """Store the job; reply 202 once it is stored."""
-        refused = self.refusal()
-        if refused is not None:
-            self.fail(refused)
-            return
         outcome = await self.jobs.submit(self.received())
         self.reply_with_job(outcome, ACCEPTED)
 
--- a/libs/entry/src/jackdawlatch/entry/root.py
+++ b/libs/entry/src/jackdawlatch/entry/root.py
@@ -8,6 +8,7 @@
 
 from jackdawlatch.backends import http_runners, runners
 from jackdawlatch.entry import (
+    client_guards,
     entry_peers,
     explainer,
     fleet,
@@ -81,8 +82,8 @@
                         node_dependencies.clock,
                     ),
                 ),
-                body_limit_bytes=settings.body_limit_bytes,
             ),
+            client_guards.create(settings, self.dependencies),
             job_handlers.ROUTES,
         )
         node_dependencies.documents.subscribe(self._refresh)
--- a/libs/entry/src/jackdawlatch/entry/server.py
+++ b/libs/entry/src/jackdawlatch/entry/server.py
@@ -6,11 +6,10 @@
 from collections.abc import Sequence
 from typing import Any
 
-from tornado import httputil, web
+from tornado import web
 
 from jackdawlatch.entry import (
     answers,
-    graceful_server,
     invalid_requests,
     jobs,
     outcomes,
@@ -18,11 +17,10 @@
     request_router,
     requests,
 )
+from jackdawlatch.listeners import guard
+from jackdawlatch.listeners import server as bounded_server
 from jackdawlatch.model import failures
 
-# A body over the limit is read and discarded up to this size: closing the
-# connection early could keep the caller from reading the error response.
-MAX_READ_BYTES = 1024 * 1024 * 1024
 METHOD_NOT_ALLOWED = 405
 
 
@@ -32,27 +30,22 @@
 
     router: request_router.RequestRouter
     jobs: jobs.Jobs
-    body_limit_bytes: int
 
 
-@web.stream_request_body
 class CallerHandler(web.RequestHandler):
-    """Buffers the request body up to the limit, and writes replies."""
+    """Handles requests that were read completely, and writes replies."""
 
     def initialize(self, context: Context) -> None:
         """Keep the collaborators; called by tornado for each request."""
         self.router = context.router
         self.jobs = context.jobs
-        self.body_limit_bytes = context.body_limit_bytes
-        self.chunks: list[bytes] = []
-        self.size_bytes = 0
         self.arrived_s = self.router.now_s()
         self.idempotent = True
         self.work: asyncio.Task[outcomes.Outcome] | None = None
         self._counted = False
 
     def prepare(self) -> None:
-        """Count the request as in flight from its headers on."""
+        """Count the request as in flight."""
         self._counted = True
         self.router.request_started()
 
@@ -61,32 +54,16 @@
         super().on_connection_close()
         self._end_request()
 
-    def data_received(self, chunk: bytes) -> None:
-        """Keep a chunk of the body, unless the body is over the limit."""
-        self.size_bytes += len(chunk)
-        if self.size_bytes <= self.body_limit_bytes:
-            self.chunks.append(chunk)
-
     def received(self) -> requests.ReceivedRequest:
         """Return the request as it was read."""
         return requests.ReceivedRequest(
             method=self.request.method or '',
             uri=self.request.uri or '',
             headers=self.request.headers,
-            body=b''.join(self.chunks),
+            body=self.request.body,
             arrived_s=self.arrived_s,
         )
 
-    def refusal(self) -> failures.Problem | None:
-        """Return why the request is not accepted, or None."""
-        if self.size_bytes > self.body_limit_bytes:
-            return invalid_requests.BodyTooLarge(
-                message=f'the body has {self.size_bytes} bytes',
-                hint=f'send at most {self.body_limit_bytes} bytes',
-                expected=f'at most {self.body_limit_bytes} bytes',
-            )
-        return None
-
     def reply(self, response: answers.Reply) -> None:
         """Write a reply to the caller."""
         self.set_status(response.status)
@@ -136,10 +113,6 @@
 
     async def run(self) -> None:
         """Check the request, send it and write the outcome."""
-        refused = self.refusal()
-        if refused is not None:
-            self.fail(refused)
-            return
         parsed = self.router.parse(self.received())
         request = parsed.value_or(None)
         if request is None:
@@ -170,7 +143,7 @@
     """Answers 404 at every other path."""
 
     def prepare(self) -> None:
-        """Reply before the body is read, naming the paths that exist."""
+        """Name the paths that exist."""
         super().prepare()
         self.fail(
             invalid_requests.UnknownPath(
@@ -185,22 +158,15 @@
 
 
 def build_server(
-    context: Context, extra_routes: Sequence[Route] = ()
-) -> graceful_server.GracefulServer:
+    context: Context, clients: guard.Guard, extra_routes: Sequence[Route] = ()
+) -> bounded_server.BoundedServer:
     """Return the server for callers; it does not listen yet."""
     routes = (
         ('/services/.*', ServiceHandler),
         *extra_routes,
         ('.*', UnknownPathHandler),
     )
-    application = web.Application(
+    return bounded_server.create(
         [(path, handler, {'context': context}) for path, handler in routes],
-        log_function=_no_access_log,
+        clients,
     )
-    return graceful_server.GracefulServer(
-        application, max_body_size=MAX_READ_BYTES
-    )
-
-
-def _no_access_log(_handler: httputil.HTTPServerConnectionDelegate) -> None:
-    """Write no access log; requests are counted in the metrics."""
--- a/libs/entry/src/jackdawlatch/entry/settings.py
+++ b/libs/entry/src/jackdawlatch/entry/settings.py
@@ -11,6 +11,7 @@
 MAX_INTENT_WINDOW_MS = 1000
 MAX_KEY_WINDOW_S = 86_400
 MAX_DRAIN_DELAY_S = 60
+MIN_CLIENTS_MB = 4
 
 
 class Entry(daemons.Daemon, frozen=True, kw_only=True):
@@ -21,6 +22,8 @@
     ``intent_window_ms`` for others that can share its write.  An idempotency
     key is kept for ``key_window_s`` after its request has ended.  New
     connections are accepted for ``drain_delay_s`` after a stop is requested.
+    Callers have ``clients_mb`` for requests that are read or handled, and
+    ``max_connections``.
     """
 
     http_address: daemons.Address
@@ -38,6 +41,9 @@
         float, msgspec.Meta(ge=0, le=MAX_DRAIN_DELAY_S)
     ] = 1
 
+    clients_mb: Annotated[int, msgspec.Meta(ge=MIN_CLIENTS_MB)] = 256
+    max_connections: Annotated[int, msgspec.Meta(ge=1)] = 4000
+
     def addresses_by_field(self) -> dict[str, str]:
         """Return the addresses that this process listens on, by setting."""
         return {
--- a/libs/entry/tests/entry_fleets.py
+++ b/libs/entry/tests/entry_fleets.py
@@ -69,7 +69,7 @@
         revision = current.revision if current else keyvalue.ABSENT
         await self.store.put(key, records.encode(record), revision)
 
-    async def start(self) -> root.Root:
+    async def start(self, **options: int) -> root.Root:
         addresses = [_free_address() for _ in range(3)]
         entry = root.Root(
             settings.Entry(
@@ -83,6 +83,7 @@
                 intent_buckets=4,
                 drain_delay_s=0.1,
                 strict_invariants=True,
+                **options,
             ),
             self.store,
         )
--- a/libs/listeners/src/jackdawlatch/listeners/bounds.py
+++ b/libs/listeners/src/jackdawlatch/listeners/bounds.py
@@ -12,11 +12,17 @@
 # Servers for the load balancer and the operator have few clients.
 CONTROL_CONNECTIONS = 32
 CONTROL_BYTES = 1_048_576
+# A job of 10,000 minimal steps takes 36 times the size of its body while it is
+# decoded and stored; one with usual steps takes 8 times.
+HANDLER_FACTOR = 36
 
 
 @dataclasses.dataclass(frozen=True)
 class Bounds:
-    """The limits; ``budget_bytes`` is for all requests of a server."""
+    """The limits; ``budget_bytes`` is for all requests of a server.
+
+    A complete body counts ``handler_factor`` times until it is answered.
+    """
 
     max_connections: int
     budget_bytes: int
@@ -24,6 +30,7 @@
     max_header_bytes: int
     receive_buffer_bytes: int
     pace: unfinished.Pace
+    handler_factor: int = HANDLER_FACTOR
 
     def for_control(self) -> 'Bounds':
         """Return the bounds of a server whose requests have no body."""
--- a/libs/listeners/src/jackdawlatch/listeners/guard.py
+++ b/libs/listeners/src/jackdawlatch/listeners/guard.py
@@ -1,18 +1,19 @@
 """The memory that the requests of one server may take."""
 
-from jackdawlatch.listeners import bounds, connections, roster
+from jackdawlatch.listeners import bounds, connections, refusals, roster
 from jackdawlatch.policy import unfinished
 
-# A job of 10,000 minimal steps takes 36 times the size of its body while it is
-# decoded and stored; one with usual steps takes 8 times.
-HANDLER_FACTOR = 36
-
 
 class Guard:
     """Counts what requests take, and refuses some when it is too much."""
 
-    def __init__(self, open_connections: roster.Roster) -> None:
+    def __init__(
+        self,
+        open_connections: roster.Roster,
+        answers: refusals.Refusals | None = None,
+    ) -> None:
         self.roster = open_connections
+        self.refusals = answers or refusals.JsonRefusals()
         self.usage = connections.Usage()
         self._handler_bytes = 0
 
@@ -42,7 +43,7 @@
         One request is always handled, whatever its size.
         """
         connection.release()
-        needed = size * HANDLER_FACTOR
+        needed = size * self.limits.handler_factor
         self._free(needed)
         crowded = self.held_bytes + needed > self.limits.budget_bytes
         if crowded and needed and self._handler_bytes:
@@ -54,7 +55,7 @@
 
     def answered(self, size: int) -> None:
         """Stop counting a request of a size that was handled."""
-        self._handler_bytes -= size * HANDLER_FACTOR
+        self._handler_bytes -= size * self.limits.handler_factor
 
     def refuse(
         self, connection: connections.Connection, limit: unfinished.Limit
--- a/libs/listeners/src/jackdawlatch/listeners/reading.py
+++ b/libs/listeners/src/jackdawlatch/listeners/reading.py
@@ -3,13 +3,11 @@
 import http
 from collections.abc import Callable
 
-import msgspec
 from tornado import httputil
 
-from jackdawlatch.listeners import connections, guard
+from jackdawlatch.listeners import connections, guard, refusals
 from jackdawlatch.policy import unfinished
 
-RETRY_AFTER_S = 1
 # A name and a value of a header take about this much besides their text.
 HEADER_BYTES = 256
 # A longer number of bytes is over any limit; it is not converted.
@@ -106,7 +104,7 @@
         self._clients.refuse(self._connection, unfinished.Limit.BODY)
         self._answer(
             http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-            {'code': 'body-too-large', 'message': f'at most {limit} bytes'},
+            self._clients.refusals.too_large(self.headers, limit),
         )
         if 'Expect' in self.headers:
             # The client waits for the answer before it sends the body.
@@ -117,25 +115,21 @@
         self._clients.linger(self._connection)
         self._answer(
             http.HTTPStatus.SERVICE_UNAVAILABLE,
-            {'code': 'clients-overload', 'message': 'too many large requests'},
+            self._clients.refusals.overloaded(self.headers),
         )
         self.reply_to.finish()
         self._connection.stream.close()
         self.on_connection_close()
 
-    def _answer(self, status: http.HTTPStatus, problem: dict[str, str]) -> None:
+    def _answer(
+        self, status: http.HTTPStatus, refusal: refusals.Refusal
+    ) -> None:
         self.body = bytearray()
         head_only = self.start_line.method == 'HEAD'
-        content = b'' if head_only else msgspec.json.encode(problem)
-        headers = httputil.HTTPHeaders(
-            {
-                'Content-Type': 'application/json',
-                'Content-Length': str(len(content)),
-                'Connection': 'close',
-            }
-        )
-        if status is http.HTTPStatus.SERVICE_UNAVAILABLE:
-            headers['Retry-After'] = str(RETRY_AFTER_S)
+        content = b'' if head_only else refusal.body
+        headers = httputil.HTTPHeaders(dict(refusal.headers))
+        headers['Content-Length'] = str(len(content))
+        headers['Connection'] = 'close'
         self.reply_to.write_headers(
             httputil.ResponseStartLine('HTTP/1.1', status, status.phrase),
             headers,
--- a/libs/listeners/src/jackdawlatch/listeners/server.py
+++ b/libs/listeners/src/jackdawlatch/listeners/server.py
@@ -1,5 +1,6 @@
 """An HTTP server whose clients are held to limits."""
 
+import contextlib
 import logging
 import socket
 import sys
@@ -14,6 +15,7 @@
 CHUNK_BYTES = 16_384
 # The size of bodies is counted by the readers, which answer 413.
 UNLIMITED = sys.maxsize
+MAX_BACKLOG_CONNECTIONS = 1024
 
 Route = tuple[str, type[web.RequestHandler], dict[str, Any]]
 
@@ -72,6 +74,18 @@
         connection = self._guarded_by_stream.pop(_stream_of(server_conn))
         self._clients.roster.drop(connection)
 
+    def stop_accepting(self) -> None:
+        """Accept every connection in the kernel's backlog, then stop listening.
+
+        Closing a listening socket resets the connections that are queued in the
+        kernel, and their callers may already have sent a request.
+        """
+        for listening in self._sockets.values():
+            with contextlib.suppress(BlockingIOError, ConnectionAbortedError):
+                for _ in range(MAX_BACKLOG_CONNECTIONS):
+                    self._handle_connection(*listening.accept())
+        self.stop()
+
     def finished(self, handler: web.RequestHandler) -> None:
         """Stop counting a request that was answered."""
         reply_to = handler.request.connection
