Bound what unfinished frames of peers take

The unpacker decoded a frame while it arrived: 4 MB of empty maps, without the end of the frame, took 276 to 309 MB (tracemalloc), and nothing bounded many streams together. A frame over 4 MiB raised BufferFull, which was not caught, so its stream was left open and no longer read.

A stream now keeps an unfinished frame as bytes, a too long frame closes its stream, and all unfinished frames share 64 MB: the streams with the largest are closed first. Complete frames are decoded with msgspec.

--- a/libs/node/src/jackdawlatch/node/dependencies.py
+++ b/libs/node/src/jackdawlatch/node/dependencies.py
@@ -46,6 +46,12 @@
     )
     hybrid_clock = hybrid_clocks.HybridClock(clock, f'{role}/{settings.id}')
     process_meters = meters.Meters(role, settings.id)
+    peer_endpoint = endpoint.Endpoint(
+        hybrid_clock, settings.peer_delay_ms / MS_PER_S
+    )
+    unfinished = peer_endpoint.unfinished
+    process_meters.gauge('peer_unfinished_bytes', lambda: unfinished.held_bytes)
+    process_meters.gauge('peer_streams_closed', lambda: unfinished.closed)
     return Dependencies(
         settings=settings,
         store=store,
@@ -59,7 +65,5 @@
         documents=documents.Documents(),
         roster=roster.Roster(local_peer, clock),
         leaders=leadership.Leaders(),
-        endpoint=endpoint.Endpoint(
-            hybrid_clock, settings.peer_delay_ms / MS_PER_S
-        ),
+        endpoint=peer_endpoint,
     )
--- a/libs/peers/src/jackdawlatch/peers/connection.py
+++ b/libs/peers/src/jackdawlatch/peers/connection.py
@@ -13,13 +13,15 @@
 from tornado import iostream, tcpclient
 
 from jackdawlatch.model import records
-from jackdawlatch.peers import frames, hybrid_clocks
+from jackdawlatch.peers import frames, hybrid_clocks, splitting
 
 READ_BYTES = 65_536
 # A call that times out closes the stream if no data arrived for this long: the
 # stream is taken for half open, as a peer that was cut off never closes it.
 SILENCE_TIMEOUT_S = 5
 
+MALFORMED = (ValueError, RecursionError, msgspec.MsgspecError)
+
 Handler = Callable[[Any], Awaitable[records.Record]]
 CallResult = result.Result[Any, frames.CallFailure]
 
@@ -51,6 +53,9 @@
     handlers_by_name: dict[str, Handler]
     traffic: Traffic
     delay_s: float = 0
+    unfinished: splitting.Budget = dataclasses.field(
+        default_factory=splitting.Budget
+    )
 
 
 class Connection:
@@ -81,11 +86,13 @@
 
     async def run(self) -> None:
         """Serve the stream until it ends or a frame is malformed."""
-        unpacker = frames.unpacker()
+        splitter = splitting.Splitter(
+            self._context.unfinished, self._stream.close
+        )
         with contextlib.suppress(iostream.StreamClosedError):
-            with contextlib.suppress(ValueError, msgspec.ValidationError):
-                await self._read(unpacker)
-        self._stream.close()
+            with contextlib.suppress(*MALFORMED):
+                await self._read(splitter)
+        splitter.close()
         for pending in self._pending_by_exchange.values():
             _resolve(pending, _unanswered('the stream was closed'))
 
@@ -111,14 +118,13 @@
         finally:
             self._pending_by_exchange.pop(exchange, None)
 
-    async def _read(self, unpacker: Any) -> None:
+    async def _read(self, splitter: splitting.Splitter) -> None:
         while True:
             received = await self._stream.read_bytes(READ_BYTES, partial=True)
             self._context.traffic.received_bytes += len(received)
             self._received_s = time.monotonic()
-            unpacker.feed(received)
-            for content in unpacker:
-                self._handle_frame(frames.decode(content))
+            for encoded in splitter.split(received):
+                self._handle_frame(frames.decode(encoded))
 
     def _close_if_silent(self) -> None:
         if time.monotonic() - self._received_s > SILENCE_TIMEOUT_S:
--- a/libs/peers/src/jackdawlatch/peers/endpoint.py
+++ b/libs/peers/src/jackdawlatch/peers/endpoint.py
@@ -32,6 +32,7 @@
         self._context = connections.SharedContext(
             clock, {}, self.traffic, delay_s
         )
+        self.unfinished = self._context.unfinished
         self._connections_by_address: dict[str, connections.Connection] = {}
         self._incoming: set[connections.Connection] = set()
 
--- a/libs/peers/src/jackdawlatch/peers/frames.py
+++ b/libs/peers/src/jackdawlatch/peers/frames.py
@@ -3,13 +3,10 @@
 import enum
 from typing import Any, ClassVar
 
-import msgpack
 import msgspec
 
 from jackdawlatch.model import failures, records
 
-MAX_FRAME_BYTES = 4 * 1024 * 1024
-
 
 class FrameType(enum.IntEnum):
     """The role of a frame in an exchange."""
@@ -58,17 +55,12 @@
     return msgspec.msgpack.encode(frame)
 
 
-def unpacker() -> msgpack.Unpacker:
-    """Return a stream decoder that buffers at most ``MAX_FRAME_BYTES``."""
-    return msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
-
-
-def decode(content: Any) -> Frame:
-    """Return unpacked content as a frame.
+def decode(encoded: bytes) -> Frame:
+    """Return the frame that ``encoded`` holds.
 
-    Raises ``msgspec.ValidationError`` if it is malformed.
+    Raises ``msgspec.DecodeError`` or ``RecursionError`` if it is malformed.
     """
-    return msgspec.convert(content, Frame)
+    return msgspec.msgpack.decode(encoded, type=Frame)
 
 
 def body_of(record: records.Record) -> Any:
