--- a/libs/backends/src/jackdawlatch/backends/replies.py
+++ b/libs/backends/src/jackdawlatch/backends/replies.py
@@ -11,7 +11,7 @@
 MEGABYTE = 1024 * 1024
 # The largest documented reply is a page of 1 MB, as base64 in JSON.
 MAX_REPLY_BYTES = 4 * MEGABYTE
-MAX_UNFINISHED_BYTES = 16 * MEGABYTE
+MAX_UNFINISHED_BYTES = 16_777_216
 # A name and a value of a header take about this much besides their text.
 HEADER_BYTES = 256
 # A line for each aborted reply would not be bounded in volume.
--- a/libs/backends/tests/test_backends_replies.py
+++ b/libs/backends/tests/test_backends_replies.py
@@ -39,6 +39,12 @@
             return sent.unwrap().body
         return sent.failure()
 
+    async def close(self) -> None:
+        self.client.close()
+        for writer in self.writers:
+            writer.transport.abort()
+        await asyncio.gather(*self.answering)
+
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -60,7 +66,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         if path == b'/endless':
-            writer.write(HEAD + b'Transfer-Encoding: chunked\r\n\r\n')
+            writer.write(b'%bTransfer-Encoding: chunked\r\n\r\n' % HEAD)
             while True:
                 await self._write(writer, CHUNK)
         if path == b'/headers':
@@ -68,7 +74,7 @@
             while True:
                 await self._write(writer, b'a: %b\r\n' % (b'b' * 900))
         size = MEGABYTE if path == b'/page' else 3 * MEGABYTE
-        writer.write(HEAD + b'Content-Length: %d\r\n\r\n' % size)
+        writer.write(b'%bContent-Length: %d\r\n\r\n' % (HEAD, size))
         if path == b'/page':
             await self._write(writer, bytes(size))
             return
@@ -90,11 +96,8 @@
     try:
         yield created
     finally:
-        created.client.close()
-        for writer in created.writers:
-            writer.transport.abort()
         server.close()
-        await asyncio.gather(*created.answering)
+        await created.close()
 
 
 async def test_endless_answer_ends_at_the_bound(service: Service) -> None:
--- a/libs/entry/src/jackdawlatch/entry/client_guards.py
+++ b/libs/entry/src/jackdawlatch/entry/client_guards.py
@@ -31,9 +31,9 @@
 MIN_CONNECTIONS = 16
 # Callers keep connections open between requests.  Memory is bounded by the
 # budget, so these only have to end what nobody uses any more.
-PACE = unfinished.Pace(
-    header_timeout_s=30, idle_timeout_s=300, min_bytes_per_s=1024
-)
+HEADER_TIMEOUT_S = 30
+IDLE_TIMEOUT_S = 300
+MIN_BYTES_PER_S = 1024
 
 
 class Overloaded(failures.NotRun, frozen=True, kw_only=True):
@@ -84,7 +84,11 @@
         max_body_bytes=entry_settings.body_limit_bytes,
         max_header_bytes=MAX_HEADER_BYTES,
         receive_buffer_bytes=RECEIVE_BUFFER_BYTES,
-        pace=PACE,
+        pace=unfinished.Pace(
+            header_timeout_s=HEADER_TIMEOUT_S,
+            idle_timeout_s=IDLE_TIMEOUT_S,
+            min_bytes_per_s=MIN_BYTES_PER_S,
+        ),
         handler_factor=HANDLER_FACTOR,
     )
     instruments = dependencies.meters
--- a/libs/entry/tests/test_entry_crowds.py
+++ b/libs/entry/tests/test_entry_crowds.py
@@ -38,11 +38,7 @@
     try:
         await waiting.until(lambda: len(refused) >= CROWD - UNCLOSED)
     finally:
-        for sending in crowd:
-            sending.cancel()
-        await asyncio.gather(*crowd, return_exceptions=True)
-        for writer in writers:
-            writer.close()
+        await _end(crowd, writers)
     for head in refused:
         assert b' 503 ' in head
         assert b'Jackdawlatch-Outcome: not-run' in head
@@ -50,4 +46,14 @@
     assert entry_fleets.outcome(answer) == 'answered'
 
 
+async def _end(
+    crowd: list[asyncio.Task[None]], writers: list[asyncio.StreamWriter]
+) -> None:
+    for sending in crowd:
+        sending.cancel()
+    await asyncio.gather(*crowd, return_exceptions=True)
+    for writer in writers:
+        writer.close()
+
+
 load_tests = functions.loader(__name__, {'fleet': entry_fleets.fleet})
