--- a/libs/peers/src/jackdawlatch/peers/splitting.py
+++ b/libs/peers/src/jackdawlatch/peers/splitting.py
@@ -74,12 +74,14 @@
         """
         self._buffer += received
         self._unpacker.feed(received)
+        begin = 0
         while self._skip():
-            size = self._unpacker.tell() - self._start
-            frame = bytes(self._buffer[:size])
-            self._buffer[:size] = b''
-            self._start += size
-            yield frame
+            end = self._unpacker.tell() - self._start
+            yield bytes(self._buffer[begin:end])
+            begin = end
+        if begin:
+            self._start += begin
+            self._buffer = self._buffer[begin:]
         if len(self._buffer) > MAX_FRAME_BYTES:
             raise TooLong(f'a frame is over {MAX_FRAME_BYTES} bytes')
         self._budget.hold(self, COPIES * len(self._buffer))
