Hold the clients of the operations address to limits

The operations server of the classic daemons read bodies up to 100 MB in any number of connections. A node has one decision log, which its servers share.

--- a/libs/entry/src/jackdawlatch/entry/client_guards.py
+++ b/libs/entry/src/jackdawlatch/entry/client_guards.py
@@ -72,6 +72,7 @@
 def create(
     entry_settings: settings.Entry,
     dependencies: shared_dependencies.Dependencies,
+    log: decisions.DecisionLog,
 ) -> guard.Guard:
     """Return the guard of the server for callers."""
     descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -92,9 +93,6 @@
         handler_factor=HANDLER_FACTOR,
     )
     instruments = dependencies.meters
-    log = decisions.DecisionLog(
-        entry_settings.id, dependencies.clock, instruments
-    )
     clients = guard.Guard(
         roster.Roster(
             limits,
--- a/libs/entry/src/jackdawlatch/entry/root.py
+++ b/libs/entry/src/jackdawlatch/entry/root.py
@@ -83,7 +83,9 @@
                     ),
                 ),
             ),
-            client_guards.create(settings, self.dependencies),
+            client_guards.create(
+                settings, self.dependencies, node_dependencies.log
+            ),
             job_handlers.ROUTES,
         )
         node_dependencies.documents.subscribe(self._refresh)
--- a/libs/node/src/jackdawlatch/node/daemon.py
+++ b/libs/node/src/jackdawlatch/node/daemon.py
@@ -7,7 +7,6 @@
 
 from absl import logging
 from returns import result
-from tornado import httpserver
 
 from jackdawlatch.model import failures, records
 from jackdawlatch.node import (
@@ -17,6 +16,7 @@
     dependencies,
     gossip,
     leadership,
+    operation_guards,
     operations,
     registration,
 )
@@ -164,7 +164,7 @@
         settings = self.dependencies.settings
         host, port = _split_address(settings.peer_address)
         self.dependencies.endpoint.listen(port, host)
-        application = operations.application(
+        server = operations.server(
             context.Context(
                 ready=lambda: self.ready,
                 status=self._status,
@@ -172,10 +172,11 @@
                 meters=self.dependencies.meters,
                 ring=self.dependencies.ring,
                 documents=self.dependencies.documents,
-            )
+            ),
+            operation_guards.create(self.dependencies),
         )
         host, port = _split_address(settings.operations_address)
-        httpserver.HTTPServer(application).listen(port, host)
+        server.listen(port, host)
 
     def _status(self) -> Status:
         documents = self.dependencies.documents
--- a/libs/node/src/jackdawlatch/node/dependencies.py
+++ b/libs/node/src/jackdawlatch/node/dependencies.py
@@ -8,7 +8,7 @@
 from jackdawlatch.peers import endpoint, hybrid_clocks
 from jackdawlatch.settings import daemons
 from jackdawlatch.store import keyvalue
-from jackdawlatch.telemetry import events, invariants, meters
+from jackdawlatch.telemetry import decisions, events, invariants, meters
 
 MS_PER_S = 1000
 
@@ -22,6 +22,7 @@
     clock: clocks.Clock
     rng: random.Random
     meters: meters.Meters
+    log: decisions.DecisionLog
     invariants: invariants.Invariants
     ring: events.Ring
     documents: documents.Documents
@@ -58,6 +59,7 @@
         clock=clock,
         rng=random.Random(),
         meters=process_meters,
+        log=decisions.DecisionLog(settings.id, clock, process_meters),
         invariants=invariants.Invariants(
             process_meters, settings.strict_invariants
         ),
--- a/libs/node/src/jackdawlatch/node/operations.py
+++ b/libs/node/src/jackdawlatch/node/operations.py
@@ -1,7 +1,7 @@
 """HTTP interface of a daemon for operators and the load balancer."""
 
-from tornado import web
-
+from jackdawlatch.listeners import guard
+from jackdawlatch.listeners import server as bounded_server
 from jackdawlatch.node import context as contexts
 from jackdawlatch.node import handlers
 
@@ -16,13 +16,11 @@
 )
 
 
-def application(context: contexts.Context) -> web.Application:
-    """Return the web application for the operations address."""
-    return web.Application(
+def server(
+    context: contexts.Context, clients: guard.Guard
+) -> bounded_server.BoundedServer:
+    """Return the server of the operations address; it does not listen yet."""
+    return bounded_server.create(
         [(path, handler, {'context': context}) for path, handler in ROUTES],
-        log_function=_no_access_log,
+        clients,
     )
-
-
-def _no_access_log(_handler: web.RequestHandler) -> None:
-    """Write no access log; requests are only counted."""
--- a/libs/node/tests/test_node_daemon.py
+++ b/libs/node/tests/test_node_daemon.py
@@ -130,6 +130,21 @@
     assert node.dependencies.documents.configuration.version == 2
 
 
+async def test_too_large_document_is_not_read(fleet: Fleet) -> None:
+    # Guards against a process that keeps whatever is sent to its operators.
+    node = await fleet.start()
+    address = node.dependencies.settings.operations_address
+    reader, writer = await asyncio.open_connection(*address.split(':'))
+    writer.write(
+        b'POST /documents HTTP/1.1\r\nHost: a\r\n'
+        b'Content-Length: 64000000\r\n\r\n'
+    )
+    async with asyncio.timeout(5):
+        assert b' 413 ' in await reader.readline()
+    writer.close()
+    await writer.wait_closed()
+
+
 async def test_deeply_nested_document_is_refused(fleet: Fleet) -> None:
     node = await fleet.start()
     response = await httpclient.AsyncHTTPClient().fetch(
