--- a/libs/entry/src/jackdawlatch/entry/root.py
+++ b/libs/entry/src/jackdawlatch/entry/root.py
@@ -8,6 +8,7 @@
 
 from jackdawlatch.backends import http_runners, runners
 from jackdawlatch.entry import (
+    client_guards,
     entry_peers,
     explainer,
     fleet,
@@ -81,7 +82,9 @@
                         node_dependencies.clock,
                     ),
                 ),
-                body_limit_bytes=settings.body_limit_bytes,
+            ),
+            client_guards.create(
+                settings, self.dependencies, node_dependencies.log
             ),
             job_handlers.ROUTES,
         )
--- a/libs/node/src/jackdawlatch/node/dependencies.py
+++ b/libs/node/src/jackdawlatch/node/dependencies.py
@@ -8,7 +8,7 @@
 from jackdawlatch.peers import endpoint, hybrid_clocks
 from jackdawlatch.settings import daemons
 from jackdawlatch.store import keyvalue
-from jackdawlatch.telemetry import events, invariants, meters
+from jackdawlatch.telemetry import decisions, events, invariants, meters
 
 MS_PER_S = 1000
 
@@ -22,6 +22,7 @@
     clock: clocks.Clock
     rng: random.Random
     meters: meters.Meters
+    log: decisions.DecisionLog
     invariants: invariants.Invariants
     ring: events.Ring
     documents: documents.Documents
@@ -46,12 +47,19 @@
     )
     hybrid_clock = hybrid_clocks.HybridClock(clock, f'{role}/{settings.id}')
     process_meters = meters.Meters(role, settings.id)
+    peer_endpoint = endpoint.Endpoint(
+        hybrid_clock, settings.peer_delay_ms / MS_PER_S
+    )
+    unfinished = peer_endpoint.unfinished
+    process_meters.gauge('peer_unfinished_bytes', lambda: unfinished.held_bytes)
+    process_meters.gauge('peer_streams_closed', lambda: unfinished.closed)
     return Dependencies(
         settings=settings,
         store=store,
         clock=clock,
         rng=random.Random(),
         meters=process_meters,
+        log=decisions.DecisionLog(settings.id, clock, process_meters),
         invariants=invariants.Invariants(
             process_meters, settings.strict_invariants
         ),
@@ -59,7 +67,5 @@
         documents=documents.Documents(),
         roster=roster.Roster(local_peer, clock),
         leaders=leadership.Leaders(),
-        endpoint=endpoint.Endpoint(
-            hybrid_clock, settings.peer_delay_ms / MS_PER_S
-        ),
+        endpoint=peer_endpoint,
     )
