--- a/libs/jobs/src/jackdawlatch/jobs/intake.py
+++ b/libs/jobs/src/jackdawlatch/jobs/intake.py
@@ -8,11 +8,10 @@
 import dataclasses
 from typing import ClassVar
 
-import msgspec
-from absl import logging
 from returns import result
 
 from jackdawlatch.jobs import (
+    job_entries,
     load_sightings,
     model,
     queues,
@@ -131,7 +130,7 @@
                 accepted_s=self._dependencies.clock.wall_s(),
                 version=self.catalog.version,
             )
-            outcome = await self._write(_creation(stamped))
+            outcome = await self._write(job_entries.creation(stamped))
         self._note('submit', job.id, request_id, outcome, job.team)
         failure = outcome.swap().value_or(None)
         if isinstance(failure, NotAccepted):
@@ -147,17 +146,8 @@
             return found
         if found.unwrap() is None:
             return result.Failure(NoSuchJob(message=job_id))
-        request = stored.Cancel(asked_s=self._dependencies.clock.wall_s())
-        outcome = await self._write(
-            transactions.Transaction(
-                puts=(
-                    transactions.Put(
-                        key=f'{stored.CANCELS_PREFIX}{job_id}',
-                        content=records.encode(request),
-                    ),
-                ),
-            )
-        )
+        asked_s = self._dependencies.clock.wall_s()
+        outcome = await self._write(job_entries.cancellation(job_id, asked_s))
         self._note('cancel', job_id, request_id, outcome)
         return outcome
 
@@ -170,7 +160,7 @@
             return found
         entry = found.unwrap()
         if entry is not None:
-            return _phase_of(entry)
+            return job_entries.phase(entry).alt(_not_accepted)
         accepted = await self._get(f'{stored.JOBS_PREFIX}{job_id}')
         if isinstance(accepted, result.Failure):
             return accepted
@@ -283,27 +273,5 @@
             self._dependencies.log.count(f'{name}-refused-{reason}')
 
 
-def _creation(job: model.Job) -> transactions.Transaction:
-    """Return the write of a job's record, if there is none."""
-    key = f'{stored.JOBS_PREFIX}{job.id}'
-    return transactions.Transaction(
-        conditions=(transactions.Condition(key=key, revision=keyvalue.ABSENT),),
-        puts=(transactions.Put(key=key, content=records.pack(job)),),
-    )
-
-
-def _phase_of(
-    entry: keyvalue.Entry,
-) -> result.Result[stored.JobPhase, Failure]:
-    try:
-        progress = records.decode(entry.value, stored.Progress)
-    except msgspec.DecodeError as error:
-        logging.error('progress record %s is malformed: %s', entry.key, error)
-        return result.Failure(
-            NotAccepted(message=str(error), retry_after_s=RETRY_AFTER_S)
-        )
-    return result.Success(progress.phase)
-
-
 def _not_accepted(failure: failures.Problem) -> NotAccepted:
     return NotAccepted(message=failure.message, retry_after_s=RETRY_AFTER_S)
--- a/libs/policy/src/jackdawlatch/policy/worker_pace.py
+++ b/libs/policy/src/jackdawlatch/policy/worker_pace.py
@@ -33,7 +33,7 @@
 MIN_PERCENTS = 10
 BUCKETS_PER_DOUBLING = 4
 # Most tasks of a step may have been placed on one worker.  The tasks are alike,
-# so that a quarter of them is enough to tell how long one should take.
+# so that a quarter of them is enough to know how long one should take.
 EXPECTED_QUANTILE = 0.25
 REFRESH_GROWTH = 1.2
 SHORTEST_S = 1e-6
@@ -115,7 +115,7 @@
     """What is known of one run.
 
     ``slow`` is the last judgement, made at ``judged_s``; None if there is none.
-    ``slow_since_s`` is the first of several that it is slow.  ``turned`` tells
+    ``slow_since_s`` is the first of several that it is slow.  ``turned`` is
     whether it became slow after its start, which a task of the long tail does
     not.
     """
--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_paces.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_paces.py
@@ -1,4 +1,4 @@
-"""Records the progress of runs, to tell which workers are slow."""
+"""Records the progress of runs, which shows the workers that are slow."""
 
 from jackdawlatch.scheduler import cluster_state, runs, tasks, workers
 
