Refuse no job that the order of jobs may put first

Only jobs of a lower priority number count as ahead now, for a job that can be in time; a late one still goes behind all jobs in time and the smaller late ones.

--- a/libs/policy/src/jackdawlatch/policy/backlog.py
+++ b/libs/policy/src/jackdawlatch/policy/backlog.py
@@ -12,7 +12,8 @@
 import dataclasses
 import itertools
 import math
-from collections.abc import Iterable, Sequence
+import operator
+from collections.abc import Iterable, Iterator, Sequence
 from typing import NamedTuple
 
 # Machines that move to a service are up after this time.
@@ -147,26 +148,36 @@
     def levels(self, expected: Capacity) -> tuple[Level, ...]:
         """Return the levels at which work waits, empty without overload.
 
-        Work of a lower priority goes first, then the smaller job.
+        Work of a lower priority goes first.  Of the same priority, any job in
+        time may go first, and of the late ones the smaller.
         """
-        in_time, useful = _Timeline(), _Timeline()
         available = [
             expected.core_s(elapsed_s) - self._held_core_s(elapsed_s)
             for elapsed_s in TIMES_S
         ]
-        levels = []
-        for priority, size_class in sorted(self._useful):
-            in_time.add_all(self._in_time[priority, size_class])
-            useful.add_all(self._useful[priority, size_class])
-            levels.append(
-                Level(
+        return tuple(_without_repeats(self._levels(available)))
+
+    def _levels(self, available: Sequence[float]) -> Iterator[Level]:
+        in_time, useful = _Timeline(), _Timeline()
+        for priority, keys in itertools.groupby(
+            sorted(self._useful), key=operator.itemgetter(0)
+        ):
+            wait_s = in_time.drained_s(available)
+            for key in keys:
+                in_time.add_all(self._in_time[key])
+                useful.add_all(self._useful[key])
+                yield Level(
                     priority,
-                    math.ldexp(1, size_class + 1),
-                    in_time.drained_s(available),
+                    math.ldexp(1, key[1] + 1),
+                    wait_s,
                     useful.drained_s(available),
                 )
+            yield Level(
+                priority + 1,
+                0,
+                in_time.drained_s(available),
+                useful.drained_s(available),
             )
-        return tuple(_without_repeats(levels))
 
     def _held_core_s(self, elapsed_s: float) -> float:
         """Return the core-seconds that running tasks use until a time."""
