--- a/libs/policy/src/jackdawlatch/policy/backlog.py
+++ b/libs/policy/src/jackdawlatch/policy/backlog.py
@@ -12,7 +12,6 @@
 import dataclasses
 import itertools
 import math
-import operator
 from collections.abc import Iterable, Iterator, Sequence
 from typing import NamedTuple
 
@@ -160,7 +159,7 @@
     def _levels(self, available: Sequence[float]) -> Iterator[Level]:
         in_time, useful = _Timeline(), _Timeline()
         for priority, keys in itertools.groupby(
-            sorted(self._useful), key=operator.itemgetter(0)
+            sorted(self._useful), key=_priority
         ):
             wait_s = in_time.drained_s(available)
             for key in keys:
@@ -255,6 +254,11 @@
     return min(len(TIMES_S), position)
 
 
+def _priority(key: tuple[int, int]) -> int:
+    """Return the priority in a key of the open work."""
+    return key[0]
+
+
 def _without_repeats(levels: Iterable[Level]) -> Iterable[Level]:
     """Leave out the levels with the waits of the one before, and short ones."""
     waits_s = (MIN_WAIT_S, MIN_WAIT_S)
