--- a/libs/policy/src/jackdawlatch/policy/backlog.py
+++ b/libs/policy/src/jackdawlatch/policy/backlog.py
@@ -158,11 +158,10 @@
 
     def _levels(self, available: Sequence[float]) -> Iterator[Level]:
         in_time, useful = _Timeline(), _Timeline()
-        for priority, keys in itertools.groupby(
-            sorted(self._useful), key=_priority
-        ):
+        for priority in sorted({key[0] for key in self._useful}):
             wait_s = in_time.drained_s(available)
-            for key in keys:
+            keys = [key for key in self._useful if key[0] == priority]
+            for key in sorted(keys):
                 in_time.add_all(self._in_time[key])
                 useful.add_all(self._useful[key])
                 yield Level(
@@ -254,11 +253,6 @@
     return min(len(TIMES_S), position)
 
 
-def _priority(key: tuple[int, int]) -> int:
-    """Return the priority in a key of the open work."""
-    return key[0]
-
-
 def _without_repeats(levels: Iterable[Level]) -> Iterable[Level]:
     """Leave out the levels with the waits of the one before, and short ones."""
     waits_s = (MIN_WAIT_S, MIN_WAIT_S)
