--- a/libs/scheduler/src/jackdawlatch/scheduler/demand.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/demand.py
@@ -6,8 +6,9 @@
 from collections.abc import Iterable, Mapping
 
 from jackdawlatch.jobs import load_sightings, model
-from jackdawlatch.policy import arrivals, occupancy
+from jackdawlatch.policy import arrivals, occupancy, quotas
 from jackdawlatch.scheduler import (
+    known_needs,
     lateness,
     round_times,
     shortages,
@@ -37,14 +38,18 @@
     now: round_times.RoundTime,
     job_lateness: lateness.Lateness,
     machine: model.Room,
+    known: known_needs.KnownNeeds | None = None,
 ) -> Demand:
-    """Return the demand of the open jobs, as far as quotas let them start."""
+    """Return the demand of the open jobs, as far as quotas let them start.
+
+    ``known`` is what they needed before.
+    """
     in_time: list[tasks.JobState] = []
     late: list[tasks.JobState] = []
     for job in jobs:
         if not job.ended:
             (late if job_lateness.gives_way(job, now) else in_time).append(job)
-    needs = Needs(machine, job_lateness)
+    needs = Needs(machine, job_lateness, known or known_needs.KnownNeeds())
     present = machines_by_service(in_time, needs)
     arriving = _arriving_by_service(in_time, machine, now.monotonic_s)
     return Demand(
@@ -78,12 +83,23 @@
 
     machine: model.Room
     job_lateness: lateness.Lateness
+    known: known_needs.KnownNeeds = dataclasses.field(
+        default_factory=known_needs.KnownNeeds
+    )
     allowances: team_accounts.Allowances = dataclasses.field(
         default_factory=team_accounts.Allowances
     )
 
     def machines(self, job: tasks.JobState) -> float:
         """Return how many machines the first open occurrence needs."""
+        account = job.claim.account
+        if account.limit != quotas.UNLIMITED:
+            return self._count(job)
+        # Without a quota only what is done changes what a job needs.
+        ratio = self.job_lateness.duration_ratio(job.job.queue)
+        return self.known.machines(job, (self.machine, ratio), self._count)
+
+    def _count(self, job: tasks.JobState) -> float:
         states = lateness.open_steps(job)
         steps: list[occupancy.StepWork] = []
         for state in states:
--- a/libs/scheduler/src/jackdawlatch/scheduler/lateness.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/lateness.py
@@ -9,6 +9,7 @@
 
 # Planning asks for every waiting job, up to a hundred times a second.
 VERDICT_VALIDITY_S = 0.2
+RATIO_DIGITS = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,6 +54,10 @@
         """Return how long a step of a queue is expected to take."""
         return self._ratios.expected_s(queue, step.estimate_s)
 
+    def duration_ratio(self, queue: str) -> float:
+        """Return the expected duration of a step for each estimated second."""
+        return round(self._ratios.expected_s(queue, 1), RATIO_DIGITS)
+
     def gives_way(
         self, job: tasks.JobState, now: round_times.RoundTime
     ) -> bool:
--- a/libs/scheduler/src/jackdawlatch/scheduler/supply.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/supply.py
@@ -8,6 +8,7 @@
     cluster_state,
     demand,
     fleet,
+    known_needs,
     lateness,
     machine_moves,
     round_times,
@@ -33,6 +34,7 @@
         self._fleet = usable_fleet
         self._mover = mover
         self._shortages = shortages.Shortages()
+        self._known_needs = known_needs.KnownNeeds()
         self._missing_by_service: Mapping[str, list[shortages.Needs]] = {}
         self._first_update_s: float | None = None
 
@@ -76,6 +78,7 @@
             round_times.RoundTime(clock.monotonic_s(), clock.wall_s()),
             self._job_lateness,
             self._fleet.largest(),
+            self._known_needs,
         )
 
     def by_capacity(self, open_demand: demand.Demand) -> dict[str, int]:
--- a/libs/scheduler/tests/test_scheduler_decisions.py
+++ b/libs/scheduler/tests/test_scheduler_decisions.py
@@ -240,6 +240,18 @@
     assert not demand.machines_by_service([job], needs)
 
 
+def test_known_need_is_counted_again_as_tasks_end():
+    """Guards against machines for tasks that are done."""
+    job = _job(model.Step(count=8, room=CORE, estimate_s=1))
+    needs = demand.Needs(model.Room(processors_m=4000), lateness.Lateness())
+    assert needs.machines(job) == 2
+    for task in job.steps[0].tasks[:4]:
+        job.finish_task(task)
+    assert needs.machines(job) == 1
+    larger = dataclasses.replace(needs, machine=model.Room(processors_m=8000))
+    assert larger.machines(job) == 1 / 2
+
+
 def test_late_job_waits_while_machines_are_withheld():
     worker = _worker('w1')
     step = model.Step(count=1, room=CORE, estimate_s=1)
