--- a/libs/jobs/tests/test_jobs_shedding.py
+++ b/libs/jobs/tests/test_jobs_shedding.py
@@ -92,7 +92,7 @@
 
 
 async def test_failed_read_does_not_refuse_for_the_backlog(bench):
-    # The job may have been accepted, so that only a write can tell.
+    # The job may have been accepted: only a write shows whether it was.
     bench.store.down = True
     failure = (await bench.intake.submit(JOB, 'r')).failure()
     assert isinstance(failure, intake.NotAccepted)
--- a/libs/scheduler/src/jackdawlatch/scheduler/demand.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/demand.py
@@ -157,7 +157,7 @@
 def _arriving_by_service(
     jobs: Iterable[tasks.JobState], machine: model.Room, now_s: float
 ) -> dict[str, int]:
-    """Return how many machines the jobs fill that arrive as in the last time."""
+    """Return how many machines jobs fill that keep arriving at this rate."""
     works_s: dict[str, list[float]] = collections.defaultdict(list)
     for job in jobs:
         if not job.lasting and now_s - job.accepted_s < arrivals.WINDOW_S:
@@ -169,7 +169,7 @@
 
 
 def _machine_seconds(job: model.Job, machine: model.Room) -> float:
-    """Return the work of one occurrence of a job in the near future."""
+    """Return the machine-seconds of one occurrence in the near future."""
     work_s = sum(
         step.count * share(step.reserved_room, machine) * step.estimate_s
         for step in job.steps
