--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -582,20 +582,26 @@
     def __init__(self, fleet, name, store, machines):
         self.name = name
         self._fleet = fleet
-        ports = free_ports(3)
-        self.front, self.ready = (f'{HOST}:{port}' for port in ports[:2])
+        self._store, self._machines = store, machines
         self._folder = pathlib.Path(fleet.folder)
         self._settings = self._folder / f'{name}.json'
+        self.process = None
+        self._take_ports()
+
+    def _take_ports(self):
+        """Write the settings with ports that are free now."""
+        ports = free_ports(3)
+        self.front, self.ready = (f'{HOST}:{port}' for port in ports[:2])
         self._settings.write_text(
             json.dumps(
                 {
-                    'name': name,
+                    'name': self.name,
                     'zone': 'z1',
                     'front_address': self.front,
                     'ready_address': self.ready,
                     'metrics_port': ports[2],
-                    'store_address': store,
-                    'machines_address': machines,
+                    'store_address': self._store,
+                    'machines_address': self._machines,
                     'advice_address': '',
                     'host': {
                         'processors': 2,
@@ -617,7 +623,12 @@
                 }
             )
         )
-        self.process = None
+
+    def restart_if_ended(self):
+        """Start it again on other ports, if another process has taken one."""
+        if self.process.poll() is not None:
+            self._take_ports()
+            self.start()
 
     def start(self):
         """Start the program with the command of the deploy file."""
@@ -867,7 +878,7 @@
                 if b' 200 ' in head:
                     return True
             except OSError:
-                pass
+                daemon.restart_if_ended()
             await asyncio.sleep(0.1)
         return False
 
