--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -30,7 +31,7 @@
 MAINTENANCE_S = 2.0
 MIGRATE_S = 1.5
 TICK_S = 0.02
-HELD, DROPPED = 'held', 'dropped'
+FIRST_PORT, LAST_PORT = 12_000, 32_000
 
 
 class Record:
@@ -65,7 +66,7 @@
     """
 
     def __init__(self, handle, port=0):
-        self._handle = handle
+        self.handle = handle
         self.port = port
         self.channels = set()
         self.healed = asyncio.Event()
@@ -77,10 +78,11 @@
         return f'{HOST}:{self.port}'
 
     async def open(self):
+        if not self.port:
+            self.port = free_ports(1)[0]
         self._server = await asyncio.start_server(
             self._serve, HOST, self.port, reuse_address=True
         )
-        self.port = self._server.sockets[0].getsockname()[1]
 
     def close(self):
         """End as a process does: open channels are reset."""
@@ -110,7 +112,9 @@
                     # arrives.  The transport has failed after a reset.
                     if reader.exception() is not None:
                         return
-                status, body = await self._handle(*request)
+                status, body = await self.handle(*request)
+                # Answers are held up as well.
+                await self.healed.wait()
                 if channel.silent:
                     await reader.read()
                     return
@@ -348,7 +352,8 @@
         self._reset()
         await self.server.open()
         self.up = True
-        self.register()
+        if self.server.healed.is_set():
+            self.register()
 
     def crash(self):
         """End at once; what it ran and knew is gone."""
@@ -389,8 +394,10 @@
             if silent_s > HEARTBEAT_S * SILENT_HEARTBEATS:
                 self._fleet.store.delete(f'servers/{self.id}')
             return
-        if now_s - self._heard_s >= HEARTBEAT_S:
+        if now_s - self._heard_s >= HEARTBEAT_S and self.server.healed.is_set():
             self.register()
+        if now_s - self._heard_s > HEARTBEAT_S * SILENT_HEARTBEATS:
+            self._fleet.store.delete(f'servers/{self.id}')
         lapsed = self.clock_ms > self._deadline_ms
         for task, run in tuple(self.running.items()):
             if lapsed:
@@ -442,6 +449,13 @@
             return self._answer(200)
         return self._answer(200)
 
+    def start_late(self, body):
+        """Carry out a start whose requester has given up the answer."""
+        if body.get('fencing-token', 0) < self.token:
+            return self._answer(409, reason='fence')
+        self.token = body.get('fencing-token', 0)
+        return self._start(body)
+
     def _start(self, body):
         task, attempt = body['task'], body['attempt']
         if body['deadline-ms'] < self.clock_ms:
@@ -753,7 +767,7 @@
         return daemon
 
     def configure(self, version, services, routes, standby=()):
-        """Write a manifest; a route is a name and a service."""
+        """Write a manifest; a route is a name, a service and a priority."""
         self.standby = standby
         self.store.put(
             'op/config',
@@ -767,11 +781,11 @@
                         'type': 'mutating',
                         'service': service,
                         'target-duration-ms': 600,
-                        'priority': 0,
+                        'priority': priority[0] if priority else 0,
                         'max-attempts': 2,
                         'slack-factor': 1.6,
                     }
-                    for name, service in routes
+                    for name, service, *priority in routes
                 ],
                 'services': [
                     {
@@ -906,12 +920,18 @@
 
 
 def free_ports(count):
-    """Return free ports of the loopback interface."""
+    """Return free ports of the loopback interface.
+
+    They lie below those of outgoing connections, which could take them.
+    """
     held = []
-    for _ in range(count):
+    while len(held) < count:
         one = socket.socket()
-        one.bind((HOST, 0))
-        held.append(one)
+        try:
+            one.bind((HOST, random.randrange(FIRST_PORT, LAST_PORT)))
+            held.append(one)
+        except OSError:
+            one.close()
     ports = [one.getsockname()[1] for one in held]
     for one in held:
         one.close()
