--- a/review/9/case.py
+++ b/review/9/case.py
@@ -54,9 +54,7 @@
 
 async def case(fleet, trouble):
     fleet.store.answer_s = 0.004
-    fleet.configure(
-        1, [SERVICE], [(ROUTE, SERVICE, 1), (URGENT, SERVICE, 0)]
-    )
+    fleet.configure(1, [SERVICE], [(ROUTE, SERVICE, 1), (URGENT, SERVICE, 0)])
     late = LateOrder(fleet)
     for number in range(RUNNERS):
         late.watch(await fleet.add_machine(f'm-{number}', SERVICE, cpu=14_000))
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -169,7 +169,9 @@
         self.answer_s = 0.0
 
     def put(self, key, value, lease=0):
-        content = value if isinstance(value, bytes) else json.dumps(value).encode()
+        content = (
+            value if isinstance(value, bytes) else json.dumps(value).encode()
+        )
         self.revision += 1
         created = self.items.get(key, {}).get('created', self.revision)
         item = {
@@ -186,7 +188,9 @@
         if key in self.items:
             self.revision += 1
             del self.items[key]
-            self._event({'key': key, 'revision': self.revision, 'deleted': True})
+            self._event(
+                {'key': key, 'revision': self.revision, 'deleted': True}
+            )
 
     def value(self, key):
         item = self.items.get(key)
@@ -858,7 +862,9 @@
                 f'/{route}/{job}',
                 {'spec': 'review', 'steps': steps},
             )
-            self.record.note('submit', daemon=daemon.name, job=job, status=status)
+            self.record.note(
+                'submit', daemon=daemon.name, job=job, status=status
+            )
             if 200 <= status < 300:
                 break
             await asyncio.sleep(0.4)
@@ -903,11 +909,7 @@
             return ''
         content = base64.b64decode(item['value'])
         return next(
-            (
-                one.name
-                for one in self.daemons
-                if one.name.encode() in content
-            ),
+            (one.name for one in self.daemons if one.name.encode() in content),
             '',
         )
 
--- a/review/trials-2/cancelled-late/case.py
+++ b/review/trials-2/cancelled-late/case.py
@@ -48,7 +48,10 @@
         await fleet.add_machine(f'm-{number}', SERVICE)
     lossy = LossyServer(fleet.store, fleet.record)
     await lossy.open()
-    daemons = [fleet.add_daemon(f'edge-{number}', lossy.address) for number in (1, 2, 3)]
+    daemons = [
+        fleet.add_daemon(f'edge-{number}', lossy.address)
+        for number in (1, 2, 3)
+    ]
     for daemon in daemons:
         daemon.start()
     for daemon in daemons:
@@ -60,8 +63,12 @@
     lossy.armed = trouble
     await fleet.submit(daemons[0], ROUTE, JOB, [STEP], 0.6, tries=1)
     for number in range(20):
-        status, _ = await fleet.call(daemons[number % 3], 'DELETE', f'/{ROUTE}/{JOB}')
-        fleet.record.note('cancel', daemon=daemons[number % 3].name, status=status)
+        status, _ = await fleet.call(
+            daemons[number % 3], 'DELETE', f'/{ROUTE}/{JOB}'
+        )
+        fleet.record.note(
+            'cancel', daemon=daemons[number % 3].name, status=status
+        )
         if 200 <= status < 300 or status == 410:
             break
         await asyncio.sleep(0.3)
@@ -77,7 +84,10 @@
                     started.append(task)
         await asyncio.sleep(0.02)
     if started:
-        return 1, f'UNASKED: {len(started)} work units ran later than {CANCEL_S} s after the cancel was acknowledged ({status})'
+        return (
+            1,
+            f'UNASKED: {len(started)} work units ran later than {CANCEL_S} s after the cancel was acknowledged ({status})',
+        )
     return 0, 'nothing ran after the cancel'
 
 
--- a/review/trials-2/flapping-runner/case.py
+++ b/review/trials-2/flapping-runner/case.py
@@ -60,9 +60,7 @@
             break
         await asyncio.sleep(0.5)
     ended_failed = [
-        task
-        for task, ends in fleet.ends.items()
-        if 'failed' in ends.values()
+        task for task, ends in fleet.ends.items() if 'failed' in ends.values()
     ]
     if failed and not ended_failed:
         return 1, (
