--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -61,8 +61,8 @@
 class Server:
     """An HTTP/1.1 server; ``handle`` returns a status and a body.
 
-    While ``partition`` is set, requests wait in the network.  They arrive when
-    it heals, unless their sender has reset the channel.
+    While ``healed`` is not set, requests and answers wait in the network.  They
+    arrive when it heals, unless their sender has reset the channel or has ended.
     """
 
     def __init__(self, handle, port=0):
@@ -88,6 +88,7 @@
         """End as a process does: open channels are reset."""
         self._server.close()
         for channel in tuple(self.channels):
+            channel.silent = True
             channel.writer.transport.abort()
 
     def silence(self):
@@ -110,7 +111,7 @@
                     await self.healed.wait()
                     # An end of the channel is no reset: what was sent before
                     # arrives.  The transport has failed after a reset.
-                    if reader.exception() is not None:
+                    if reader.exception() is not None or channel.silent:
                         return
                 status, body = await self.handle(*request)
                 # Answers are held up as well.
