Log unanswered starts, and count connections that went silent

start-unanswered names the start, released and the like carry the time since it was sent, a timeout on a reused connection says so, and two gauges count the connections that were opened and the timeouts on reused ones.

--- a/libs/backends/src/jackdawlatch/backends/exchange.py
+++ b/libs/backends/src/jackdawlatch/backends/exchange.py
@@ -89,7 +89,8 @@
     """Sends at most ``max_concurrent`` requests at once and queues others.
 
     A response may have ``max_reply_bytes`` with its headers.  Clients that share
-    a ``budget`` abort the largest unfinished responses beyond it.
+    a ``budget`` abort the largest unfinished responses beyond it.  Connections
+    are added to ``counts``.
     """
 
     def __init__(
@@ -97,10 +98,13 @@
         max_concurrent: int = MAX_CONCURRENT,
         max_reply_bytes: int = replies.MAX_REPLY_BYTES,
         budget: replies.Budget | None = None,
+        counts: transfers.Counts | None = None,
     ) -> None:
         self._http = transfers.CancellableClient(
             force_instance=True, max_clients=max_concurrent
         )
+        if counts is not None:
+            self._http.counts = counts
         self._max_reply_bytes = max_reply_bytes
         self._budget = budget or replies.Budget()
         self._closing = False
--- a/libs/backends/src/jackdawlatch/backends/transfers.py
+++ b/libs/backends/src/jackdawlatch/backends/transfers.py
@@ -1,6 +1,8 @@
 """Tornado's curl client with transfers that can be aborted."""
 
 import asyncio
+import dataclasses
+import functools
 
 import pycurl
 from tornado import curl_httpclient, httpclient
@@ -8,9 +10,22 @@
 from jackdawlatch.backends import replies
 
 
+@dataclasses.dataclass
+class Counts:
+    """How many connections were opened, and how many reused ones timed out."""
+
+    opened: int = 0
+    reused_timeouts: int = 0
+
+
 class CancellableClient(curl_httpclient.CurlAsyncHTTPClient):
     """Aborts transfers, and collects replies within bounds."""
 
+    @functools.cached_property
+    def counts(self) -> Counts:
+        """The counts of connections, which several clients may share."""
+        return Counts()
+
     def abort(
         self, curl: pycurl.Curl, outgoing: httpclient.HTTPRequest
     ) -> None:
@@ -41,3 +56,16 @@
         reply.close = close
         curl.setopt(pycurl.HEADERFUNCTION, add_header)
         curl.setopt(pycurl.WRITEFUNCTION, reply.add_body)
+
+    def _finish(
+        self,
+        curl: pycurl.Curl,
+        curl_error: int | None = None,
+        curl_message: str | None = None,
+    ) -> None:
+        opened = curl.getinfo(pycurl.NUM_CONNECTS)
+        self.counts.opened += opened
+        if curl_error == pycurl.E_OPERATION_TIMEDOUT and not opened:
+            self.counts.reused_timeouts += 1
+            curl_message = f'{curl_message}, on a reused connection'
+        super()._finish(curl, curl_error, curl_message)
--- a/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
@@ -160,6 +160,7 @@
             born=run.worker.entry.born_ms,
             phase=run.phase.value,
             located=run.located,
+            age_s=round(run.age_s(self.now_s), 3),
             reason=reason,
         )
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -155,6 +155,7 @@
     def settle(self, run: runs.Run) -> None:
         """Find out in the background whether an unanswered start took effect."""
         run.phase = runs.RunPhase.UNSETTLED
+        self._dependencies.cluster.note('start-unanswered', run, 'settling')
         # An answer of another boot of the worker does not settle this run.
         run.settled_after_s = None
         self._dependencies.on_unanswered(run)
--- a/libs/unified/src/jackdawlatch/unified/connections.py
+++ b/libs/unified/src/jackdawlatch/unified/connections.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from jackdawlatch.backends import exchange, replies
+from jackdawlatch.backends import exchange, replies, transfers
 from jackdawlatch.scheduler import polling
 from jackdawlatch.telemetry import meters
 from jackdawlatch.unified import settings as unified_settings
@@ -47,11 +47,16 @@
         max_bytes = int(limits.replies_mb * replies.MEGABYTE)
         self._store_budget = replies.Budget(max_bytes)
         self._service_budget = replies.Budget(max_bytes)
+        self._counts = transfers.Counts()
         for name, budget in (
             ('store', self._store_budget),
             ('service', self._service_budget),
         ):
             _register(instruments, name, budget)
+        instruments.gauge('connections_opened', lambda: self._counts.opened)
+        instruments.gauge(
+            'reused_connection_timeouts', lambda: self._counts.reused_timeouts
+        )
 
     def store(self) -> exchange.Client:
         """Return the client of the store."""
@@ -70,7 +75,10 @@
         self, max_concurrent: int, budget: replies.Budget
     ) -> exchange.Client:
         return exchange.Client(
-            max_concurrent, self._limits.max_reply_bytes, budget
+            max_concurrent,
+            self._limits.max_reply_bytes,
+            budget,
+            self._counts,
         )
 
 
