Bind a task to the worker that may still carry out its start

Cause: stops, refusals and fencing tokens bind the boot that has answered. A request names the id only and may arrive 12 s late, at a boot that has seen none of them. The leader forgot the start once the addressed boot had answered.

Change: LateStarts keeps such starts. Their tasks start on that worker only, where the next run reaches a boot that refuses the first start, or ends with it, until the worker has answered a poll that was sent 12 s after the start, or the run must have lapsed. Settlements repeats the start on the worker before it withdraws it, so that the task keeps its place. fleet/leases holds the starts for next leaders.

--- a/libs/jobs/src/jackdawlatch/jobs/start_rests.py
+++ b/libs/jobs/src/jackdawlatch/jobs/start_rests.py
@@ -16,3 +16,18 @@
     index: int
     attempt: int
     left_s: float
+
+
+class LateStartRest(msgspec.Struct, frozen=True, array_like=True):
+    """How long a start without an answer may still be carried out.
+
+    ``worker`` is the id that it was sent to.  ``left_s`` counts from when it is
+    read; it is negative if that time is over.
+    """
+
+    job: str
+    occurrence: int
+    step: int
+    index: int
+    worker: str
+    left_s: float
--- a/libs/jobs/src/jackdawlatch/jobs/stored.py
+++ b/libs/jobs/src/jackdawlatch/jobs/stored.py
@@ -112,6 +112,7 @@
 
     rests: tuple[LeaseRest, ...] = ()
     starts: tuple[start_rests.StartRest, ...] = ()
+    late_starts: tuple[start_rests.LateStartRest, ...] = ()
 
 
 class Maintenance(msgspec.Struct, frozen=True, array_like=True):
--- a/libs/scheduler/src/jackdawlatch/scheduler/boots.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/boots.py
@@ -28,6 +28,9 @@
         for other in tuple(by_id.values()):
             if other is not worker and _is_successor(entry, other.entry):
                 self._replace(other, worker, found_by)
+        for worker_id in self._cluster.gone_workers.ids_before(entry):
+            # The machine goes on under another id.
+            self._cluster.dependencies.late_starts.forget(worker_id)
         if known is not None:
             worker.lease.expect_late_requests(
                 self._cluster.dependencies.bounds.lease_s, self._cluster.now_s
--- a/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
@@ -14,6 +14,7 @@
     tasks,
     workers,
 )
+from jackdawlatch.scheduler import late_starts as starts
 from jackdawlatch.telemetry import decisions
 
 
@@ -39,6 +40,9 @@
     progress_writer: persistence.ProgressWriter
     log: decisions.DecisionLog
     bounds: Bounds
+    late_starts: starts.LateStarts = dataclasses.field(
+        default_factory=starts.LateStarts
+    )
 
 
 class ClusterState:
--- a/libs/scheduler/src/jackdawlatch/scheduler/departures.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/departures.py
@@ -73,7 +73,12 @@
         leaving = [one for one in self._notices_by_worker if one.runs_by_task]
         if not leaving:
             return
-        free = places.Places(known, leaving, self._cluster.now_s)
+        free = places.Places(
+            known,
+            leaving,
+            self._cluster.now_s,
+            self._cluster.dependencies.late_starts,
+        )
         for worker in sorted(leaving, key=self._remaining_s):
             for run in tuple(worker.runs_by_task.values()):
                 if run.phase is runs.RunPhase.RUNNING:
--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -18,6 +18,7 @@
     placing,
     reconciliation,
     runs,
+    settlements,
     start_orders,
     worker_registry,
     workers,
@@ -59,7 +60,6 @@
     def __init__(self, dependencies: Dependencies) -> None:
         self._dependencies = dependencies
         self._stopping: set[tuple[str, int, calls.RunId]] = set()
-        self._settling: set[runs.Run] = set()
         self._clock = dependencies.cluster.dependencies.clock
         self._fences = dependencies.fences
         self._failures = call_failures.CallFailures(
@@ -71,6 +71,24 @@
                 dependencies.progress_writer.deposed,
             )
         )
+        self._settlements = settlements.Settlements(
+            settlements.Dependencies(
+                dependencies.cluster,
+                dependencies.fences,
+                self._failures,
+                self._clock,
+                settlements.Requests(
+                    dependencies.leading,
+                    self._wait_until_leading,
+                    self.poll,
+                    self._send_start,
+                    self._send_stop,
+                    self._record_start,
+                ),
+                dependencies.spawn,
+                dependencies.on_unanswered,
+            )
+        )
 
     def place(self, placements: Iterable[placing.Placement]) -> None:
         """Persist the placements, then send their starts.
@@ -152,17 +170,6 @@
             worker.reachable = False
         return True
 
-    def settle(self, run: runs.Run) -> None:
-        """Find out in the background whether an unanswered start took effect."""
-        run.phase = runs.RunPhase.UNSETTLED
-        self._dependencies.cluster.note('start-unanswered', run, 'settling')
-        # An answer of another boot of the worker does not settle this run.
-        run.settled_after_s = None
-        self._dependencies.on_unanswered(run)
-        if run not in self._settling:
-            self._settling.add(run)
-            self._dependencies.spawn(self._settle(run))
-
     def _send_starts(self, orders: Sequence[start_orders.StartOrder]) -> None:
         obstacle = start_orders.find_obstacle(orders, self._fences)
         if not self._dependencies.leading():
@@ -176,7 +183,6 @@
             if obstacle or token is None:
                 self._dependencies.cluster.release(run, obstacle)
                 continue
-            run.worker.lease.extend(START_EXPIRY_S, now_s)
             run.mark_sent(now_s)
             run.phase = runs.RunPhase.ORDERED
             self._dependencies.spawn(self._start(order, token, now_s))
@@ -184,9 +190,26 @@
     async def _start(
         self, order: start_orders.StartOrder, token: int, ordered_s: float
     ) -> None:
+        run = order.run
+        started = await self._send_start(order, token, ordered_s)
+        if run.phase is not runs.RunPhase.ORDERED:
+            return
+        if isinstance(started, result.Success):
+            self._record_start(order, started.unwrap(), ordered_s)
+        elif isinstance(started.failure(), calls.Unanswered):
+            self._settlements.begin_unanswered(order)
+        else:
+            failure = started.failure()
+            self._failures.record(run.worker, failure, token)
+            self._dependencies.cluster.release(run, failure.line())
+
+    async def _send_start(
+        self, order: start_orders.StartOrder, token: int, ordered_s: float
+    ) -> result.Result[float | None, calls.CallFailure]:
         run = order.run
         worker = run.worker
-        started = await self._dependencies.client.start(
+        worker.lease.extend(START_EXPIRY_S, ordered_s)
+        return await self._dependencies.client.start(
             worker.target,
             calls.Start(
                 task=run.task.id,
@@ -199,43 +222,27 @@
                 ticket=order.ticket,
             ),
         )
-        if run.phase is not runs.RunPhase.ORDERED:
-            return
-        if isinstance(started, result.Success):
-            run.task.job.begun = True
-            clock_s = started.unwrap()
-            known = clock_s is not None
-            if known and not worker.is_its_clock(clock_s, ordered_s):
-                self._failures.record_other_boot(worker)
-                self.settle(run)
-                return
-            run.confirm_start(self._clock.monotonic_s(), known)
-            if run.task.job.ended:
-                self.stop(worker, run.run_id)
-            return
-        self._handle_start_failure(run, started.failure(), token)
 
-    def _handle_start_failure(
-        self, run: runs.Run, failure: calls.CallFailure, token: int
+    def _record_start(
+        self,
+        order: start_orders.StartOrder,
+        clock_s: float | None,
+        ordered_s: float,
     ) -> None:
-        if isinstance(failure, calls.Unanswered):
-            self.settle(run)
+        """Record that a start was answered, with the time on that clock."""
+        run = order.run
+        run.task.job.begun = True
+        if clock_s is not None and not run.worker.is_its_clock(
+            clock_s, ordered_s
+        ):
+            self._failures.record_other_boot(run.worker)
+            self._settlements.begin(order)
             return
-        self._failures.record(run.worker, failure, token)
-        self._dependencies.cluster.release(run, failure.line())
-
-    async def _settle(self, run: runs.Run) -> None:
-        worker = run.worker
-        while _unsettled(run, worker) and await self._wait_until_leading():
-            await self.poll(worker, None, 0)
-            if not _unsettled(run, worker):
-                break
-            stopped = await self._send_stop(worker, run.run_id)
-            if isinstance(stopped, result.Success):
-                run.settled_after_s = self._clock.monotonic_s()
-                await self.poll(worker, None, 0)
-            await asyncio.sleep(RETRY_S)
-        self._settling.discard(run)
+        run.confirm_start(
+            self._clock.monotonic_s(), located=clock_s is not None
+        )
+        if run.task.job.ended:
+            self.stop(run.worker, run.run_id)
 
     async def _wait_until_leading(self) -> bool:
         """Wait until requests may be sent; return False once the term ended."""
@@ -293,9 +300,3 @@
         isinstance(failure, calls.Refused)
         and failure.reason is not calls.Refusal.UNHEALTHY
     )
-
-
-def _unsettled(run: runs.Run, worker: workers.Worker) -> bool:
-    """Whether it is unknown if the start of a run on a boot took effect."""
-    assigned = worker.runs_by_task.get(run.task.id) is run
-    return assigned and run.phase is runs.RunPhase.UNSETTLED
--- a/libs/scheduler/src/jackdawlatch/scheduler/gone_workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/gone_workers.py
@@ -39,6 +39,17 @@
         if len(self._workers_by_id) > MAX_WORKERS:
             self._workers_by_id.popitem(last=False)
 
+    def ids_before(self, entry: reports.WorkerEntry) -> tuple[str, ...]:
+        """Return the other ids that the machine of a boot had before."""
+        return tuple(
+            gone.entry.id
+            for gone in self._workers_by_id.values()
+            if entry.machine
+            and gone.entry.machine == entry.machine
+            and gone.entry.born_ms < entry.born_ms
+            and gone.entry.id != entry.id
+        )
+
     def boot(
         self, entry: reports.WorkerEntry, longest_s: float, now_s: float
     ) -> workers.Worker:
--- a/libs/scheduler/src/jackdawlatch/scheduler/housekeeping.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/housekeeping.py
@@ -107,6 +107,7 @@
         for worker in tuple(self._dependencies.cluster.workers_by_id.values()):
             self._dependencies.registry.release_expired_runs(worker)
         self._dependencies.registry.remove_gone_workers()
+        self._dependencies.registry.expire_late_starts()
         await self._delete_old_job()
         self._dependencies.cluster.on_change()
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
@@ -98,6 +98,8 @@
             runs.RunPhase.UNSETTLED,
         )
         run.settled_after_s = self._cluster.now_s
+        starts = self._cluster.dependencies.late_starts
+        starts.inherited.add(task.id, progress.worker, progress.born_ms)
         end_s = self._start_ends_s.get(run.run_id)
         if end_s is not None:
             run.worker.lease.unanswered_end_s_by_run[run] = end_s
--- a/libs/scheduler/src/jackdawlatch/scheduler/lease_records.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/lease_records.py
@@ -6,7 +6,7 @@
 nothing is started on the worker.
 
 The starts that got no answer are recorded as well: an unknown boot may have
-their runs, with the longest lease.
+their runs, with the longest lease, or may still carry them out.
 
 One key holds the records of all workers.  It is never deleted, so that a
 delayed write cannot find the revision that it requires once more.
@@ -25,6 +25,7 @@
 from jackdawlatch.scheduler import (
     calls,
     cluster_state,
+    late_starts,
     observers,
     persistence,
     runs,
@@ -64,7 +65,7 @@
         self._cluster = dependencies.cluster
         self._revision = keyvalue.ABSENT
         self._written_s: float = 0
-        self._recorded_starts: set[calls.RunId] = set()
+        self._recorded_starts: set[calls.RunId | late_starts.Key] = set()
         self._episodes = 0
         self._pending = False
         self._wake = asyncio.Event()
@@ -82,6 +83,9 @@
             self._cluster.lease_records_by_boot = dict(
                 self._dependencies.sightings.records_by_boot
             )
+            self._cluster.dependencies.late_starts.bind(
+                self._dependencies.sightings.late_starts
+            )
         return True
 
     def clear(self) -> None:
@@ -112,7 +116,7 @@
             for worker in self._cluster.workers_by_id.values()
         ):
             return True
-        if self._recorded_starts != _start_ends_s(self._cluster).keys():
+        if self._recorded_starts != _recorded_starts(self._cluster):
             return True
         age_s = self._cluster.now_s - self._written_s
         recorded = self._cluster.lease_records_by_boot or self._recorded_starts
@@ -147,13 +151,13 @@
             # runs would wait for a whole lease.
             await self._dependencies.progress_writer.flush()
         recorded.update(current)
-        start_ends_s = _start_ends_s(self._cluster)
+        starts = _recorded_starts(self._cluster)
         written = await self._dependencies.store.commit(
-            self._transaction(current, start_ends_s)
+            self._transaction(current)
         )
         if isinstance(written, result.Success):
             self._revision = written.unwrap()
-            self._recorded_starts = set(start_ends_s)
+            self._recorded_starts = starts
             self._written_s = self._cluster.now_s
             self._pending = False
             self._forget_others(current)
@@ -167,9 +171,7 @@
             await asyncio.sleep(persistence.RETRY_S)
 
     def _transaction(
-        self,
-        current: dict[workers.Boot, workers.LeaseRecord],
-        start_ends_s: dict[calls.RunId, float],
+        self, current: dict[workers.Boot, workers.LeaseRecord]
     ) -> transactions.Transaction:
         now_s = self._cluster.now_s
         # The time until it is read is not subtracted: the rest is an upper
@@ -180,17 +182,6 @@
             )
             for (worker_id, born_ms), record in current.items()
         )
-        starts = tuple(
-            start_rests.StartRest(
-                run_id.task.job,
-                run_id.task.occurrence,
-                run_id.task.step,
-                run_id.task.index,
-                run_id.attempt,
-                end_s - now_s,
-            )
-            for run_id, end_s in start_ends_s.items()
-        )
         return transactions.Transaction(
             conditions=(
                 transactions.Condition(
@@ -205,7 +196,11 @@
                 transactions.Put(
                     key=stored.LEASES_KEY,
                     content=records.pack(
-                        stored.Leases(rests=rests, starts=starts)
+                        stored.Leases(
+                            rests=rests,
+                            starts=_start_rests(self._cluster),
+                            late_starts=_late_start_rests(self._cluster),
+                        )
                     ),
                 ),
             ),
@@ -247,6 +242,49 @@
     }
 
 
+def _recorded_starts(
+    cluster: cluster_state.ClusterState,
+) -> set[calls.RunId | late_starts.Key]:
+    return {
+        *_start_ends_s(cluster),
+        *cluster.dependencies.late_starts.until_s_by_key(),
+    }
+
+
+def _start_rests(
+    cluster: cluster_state.ClusterState,
+) -> tuple[start_rests.StartRest, ...]:
+    return tuple(
+        start_rests.StartRest(
+            run_id.task.job,
+            run_id.task.occurrence,
+            run_id.task.step,
+            run_id.task.index,
+            run_id.attempt,
+            end_s - cluster.now_s,
+        )
+        for run_id, end_s in _start_ends_s(cluster).items()
+    )
+
+
+def _late_start_rests(
+    cluster: cluster_state.ClusterState,
+) -> tuple[start_rests.LateStartRest, ...]:
+    return tuple(
+        start_rests.LateStartRest(
+            task.job,
+            task.occurrence,
+            task.step,
+            task.index,
+            worker_id,
+            until_s - cluster.now_s,
+        )
+        for (task, worker_id), until_s in (
+            cluster.dependencies.late_starts.until_s_by_key().items()
+        )
+    )
+
+
 def _is_changed(worker: workers.Worker) -> bool:
     """Whether the record of a worker is missing, or has to be cleared."""
     return _is_unrecorded(worker) or (
--- a/libs/scheduler/src/jackdawlatch/scheduler/observers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/observers.py
@@ -14,6 +14,7 @@
 from jackdawlatch.scheduler import (
     calls,
     job_loader,
+    late_starts,
     reports,
     worker_registry,
     workers,
@@ -122,12 +123,14 @@
     """Notes when this process first saw each record of a lease.
 
     A process that leads next counts from there, on its own clock.
-    ``start_ends_s`` holds the ends of the leases of unanswered starts.
+    ``start_ends_s`` holds the ends of the leases of unanswered starts, and
+    ``late_starts`` until when those may be carried out that bind their tasks.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
         self.records_by_boot: dict[workers.Boot, workers.LeaseRecord] = {}
         self.start_ends_s: dict[calls.RunId, float] = {}
+        self.late_starts: dict[late_starts.Key, float] = {}
         self._clock = clock
         self._void_before = keyvalue.ABSENT
 
@@ -142,18 +145,31 @@
         void = entry.deleted or entry.revision < self._void_before
         leases = None if void else decode(entry, stored.Leases)
         rests = leases.rests if leases else ()
-        starts = leases.starts if leases else ()
+        self._observe_starts(leases or stored.Leases())
         self.records_by_boot = {
             (rest.worker, rest.born_ms): self._sighting(rest) for rest in rests
         }
+
+    def _observe_starts(self, leases: stored.Leases) -> None:
         now_s = self._clock.monotonic_s()
-        ends_s = {_run_id(start): now_s + start.left_s for start in starts}
+        ends_s = {
+            _run_id(start): now_s + start.left_s for start in leases.starts
+        }
         # A start is sent once: its lease does not get longer.
         self.start_ends_s = {
             run_id: min(end_s, self.start_ends_s.get(run_id, end_s))
             for run_id, end_s in ends_s.items()
         }
 
+        until_s = {
+            _late_key(start): now_s + start.left_s
+            for start in leases.late_starts
+        }
+        self.late_starts = {
+            key: min(end_s, self.late_starts.get(key, end_s))
+            for key, end_s in until_s.items()
+        }
+
     def _sighting(self, rest: stored.LeaseRest) -> workers.LeaseRecord:
         end_s = self._clock.monotonic_s() + rest.left_s
         known = self.records_by_boot.get((rest.worker, rest.born_ms))
@@ -176,5 +192,10 @@
     return calls.RunId(task, start.attempt)
 
 
+def _late_key(rest: start_rests.LateStartRest) -> late_starts.Key:
+    task = model.TaskId(rest.job, rest.occurrence, rest.step, rest.index)
+    return task, rest.worker
+
+
 def _loading_order(entry: keyvalue.Entry) -> tuple[bool, int]:
     return (entry.key.startswith(stored.CANCELS_PREFIX), entry.revision)
--- a/libs/scheduler/src/jackdawlatch/scheduler/places.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/places.py
@@ -2,7 +2,14 @@
 
 from collections.abc import Iterable
 
-from jackdawlatch.scheduler import reservations, runs, spread, tasks, workers
+from jackdawlatch.scheduler import (
+    late_starts,
+    reservations,
+    runs,
+    spread,
+    tasks,
+    workers,
+)
 
 
 class Places:
@@ -16,6 +23,7 @@
         known: Iterable[workers.Worker],
         leaving: Iterable[workers.Worker],
         now_s: float,
+        bound: late_starts.LateStarts,
     ) -> None:
         moving = [
             run for worker in leaving for run in worker.runs_by_task.values()
@@ -25,7 +33,9 @@
         for worker in known:
             if worker.entry.service in services:
                 candidates.setdefault(worker.entry.service, []).append(worker)
-        self._reservations = reservations.Reservations(candidates, now_s)
+        self._reservations = reservations.Reservations(
+            candidates, now_s, bound=bound
+        )
         self._spread_by_step: dict[tasks.StepState, spread.Spread] = {}
         for run in moving:
             if run.phase is runs.RunPhase.STOPPING:
@@ -37,7 +47,10 @@
         for worker in self._reservations.candidates(
             task.job.service, task.step, late=False
         ):
-            if step_spread.admits(worker):
+            admitted = self._reservations.late_starts.admits(
+                task.id, worker.entry.id
+            )
+            if admitted and step_spread.admits(worker):
                 step_spread.add(worker)
                 self._reservations.reserve(worker, task.step.reserved_room)
                 return True
--- a/libs/scheduler/src/jackdawlatch/scheduler/placing.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/placing.py
@@ -8,6 +8,7 @@
 from jackdawlatch.jobs import model
 from jackdawlatch.scheduler import (
     advisor,
+    late_starts,
     reservations,
     spread,
     tasks,
@@ -30,9 +31,9 @@
 
     ``SPREAD``: each worker with room runs as many tasks of its step as may share
     one.  ``RESTRICTED``: workers with room are excluded by the gang, the rack or
-    the tickets of its step.  ``WITHHELD``: its job is late, and the workers with
-    room are kept free to move to other services.  ``QUOTA``: the runs of its team
-    hold as much as they may.
+    the tickets of its step, or by a start that another one may carry out late.
+    ``WITHHELD``: its job is late, and the workers with room are kept free to move
+    to other services.  ``QUOTA``: the runs of its team hold as much as they may.
     """
 
     NO_WORKER = 'no-worker'
@@ -115,6 +116,10 @@
         if self._advisor is not None:
             self._tickets = self._advisor.tickets(self.state)
         self._spread.add_runs(self.state.tasks)
+        bound = self._reservations.late_starts
+        if bound:
+            # Others must not take the room on the only worker for these.
+            waiting.sort(key=lambda task: not bound.of(task.id))
         gang = self._step.gang
         if gang and len(waiting) < len(self.state.tasks):
             return []
@@ -200,7 +205,7 @@
                 assigned.append((task, worker))
                 if not self._reservations.fits(worker, self._step):
                     candidates.remove(worker)
-            elif not task.suspected:
+            elif not _is_restricted(self._reservations.late_starts, task):
                 break
         return assigned
 
@@ -232,7 +237,9 @@
             return None
         admitted = [
             worker
-            for worker in candidates
+            for worker in _admitted(
+                self._reservations.late_starts, task, candidates
+            )
             if trials.admits(worker, task)
             and self._spread.admits(worker)
             and (self._tickets is None or self._tickets.of(worker))
@@ -265,6 +272,26 @@
         return (leaves, slow, remote, -lasting, free)
 
 
+def _admitted(
+    bound: late_starts.LateStarts,
+    task: tasks.Task,
+    candidates: list[workers.Worker],
+) -> list[workers.Worker]:
+    """Return the workers beside which no late start can run a task."""
+    if not bound.of(task.id):
+        return candidates
+    return [
+        worker
+        for worker in candidates
+        if bound.admits(task.id, worker.entry.id)
+    ]
+
+
+def _is_restricted(bound: late_starts.LateStarts, task: tasks.Task) -> bool:
+    """Whether other tasks of a step may start on more workers."""
+    return task.suspected or bool(bound.of(task.id))
+
+
 def _within_quota(
     reserved: reservations.Reservations, state: tasks.StepState
 ) -> bool:
--- a/libs/scheduler/src/jackdawlatch/scheduler/planner.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/planner.py
@@ -6,6 +6,7 @@
 from jackdawlatch.scheduler import (
     advisor,
     job_order,
+    late_starts,
     lateness,
     placing,
     reservations,
@@ -50,10 +51,12 @@
         order: job_order.Order,
         job_lateness: lateness.Lateness,
         step_advisor: advisor.Advisor,
+        bound: late_starts.LateStarts | None = None,
     ) -> None:
         self._order = order
         self._lateness = job_lateness
         self._advisor = step_advisor
+        self._late_starts = bound
 
     def plan(
         self,
@@ -68,7 +71,10 @@
         other services with jobs that can still be in time.
         """
         free = reservations.Reservations(
-            candidates_by_service, now.monotonic_s, withheld
+            candidates_by_service,
+            now.monotonic_s,
+            withheld,
+            self._late_starts,
         )
         plan = Plan([], [])
         fitting = []
--- a/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reconciliation.py
@@ -83,7 +83,21 @@
     ) -> None:
         for run in tuple(worker.runs_by_task.values()):
             if run.task.id not in reported and _is_absent(run, requested_s):
+                self._expect_late_start(run)
                 self._cluster.release(run, 'not-on-worker')
+        self._cluster.dependencies.late_starts.confirm(
+            worker.entry.id, requested_s
+        )
+
+    def _expect_late_start(self, run: runs.Run) -> None:
+        """Expect the start that an earlier leader may just have sent."""
+        task, entry = run.task.id, run.worker.entry
+        late_starts = self._cluster.dependencies.late_starts
+        if not run.located and late_starts.inherited.has(
+            task, entry.id, entry.born_ms
+        ):
+            until_s = self._cluster.began_s + workers.LATE_REQUEST_S
+            late_starts.bind({(task, entry.id): until_s})
 
     def _apply_report(
         self, worker: workers.Worker, report: reports.RunReport
--- a/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/reservations.py
@@ -5,7 +5,13 @@
 from collections.abc import Collection, Iterable, Iterator, Mapping
 
 from jackdawlatch.jobs import model
-from jackdawlatch.scheduler import tasks, team_accounts, trials, workers
+from jackdawlatch.scheduler import (
+    late_starts,
+    tasks,
+    team_accounts,
+    trials,
+    workers,
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,7 +65,7 @@
 
     The machines in ``withheld`` are not available to late jobs.  ``allowances``
     are what the quotas of the teams leave, ``slow_workers`` the ids of those
-    whose tasks take several times as long.
+    whose tasks take several times as long.  ``late_starts`` bind tasks to workers.
     """
 
     def __init__(
@@ -67,7 +73,9 @@
         candidates_by_service: Mapping[str, list[workers.Worker]],
         now_s: float,
         withheld: Collection[str] = (),
+        bound: late_starts.LateStarts | None = None,
     ) -> None:
+        self.late_starts = late_starts.LateStarts() if bound is None else bound
         self.allowances = team_accounts.Allowances()
         pool = itertools.chain.from_iterable(candidates_by_service.values())
         for task in _unwanted_tasks(pool, now_s):
--- a/libs/scheduler/src/jackdawlatch/scheduler/rounds.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/rounds.py
@@ -60,6 +60,7 @@
             job_order.ObjectiveOrder(dependencies.job_lateness),
             dependencies.job_lateness,
             self._advisor,
+            dependencies.cluster.dependencies.late_starts,
         )
 
     def loops(self) -> tuple[supervision.Loop, ...]:
--- a/libs/scheduler/src/jackdawlatch/scheduler/waves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waves.py
@@ -259,10 +259,13 @@
         self, worker: workers.Worker, wait_for_short_tasks: bool
     ) -> bool:
         """Return whether a worker has no runs; stop those that may be stopped."""
+        late_starts = self._dependencies.cluster.dependencies.late_starts
         for run in tuple(worker.runs_by_task.values()):
             lasting = run.task.step.lasting
+            # A task that is bound to its worker could not start elsewhere.
             stoppable = (
                 machine_workers.may_stop(run.task)
+                and not late_starts.of(run.task.id)
                 if lasting
                 else not wait_for_short_tasks
             )
--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -86,6 +86,14 @@
         ended_runs = tuple(worker.runs_by_task.values())
         self._release(worker, ended_runs, 'worker-ended', ended=True)
 
+    def expire_late_starts(self) -> None:
+        """Forget the starts whose runs must have lapsed on any boot."""
+        bounds = self._cluster.dependencies.bounds
+        self._cluster.dependencies.late_starts.expire(
+            self._cluster.now_s
+            - workers.lease_end_s(bounds.lease_s, 2 * bounds.stop_s)
+        )
+
     def remove_gone_workers(self) -> None:
         """Remove the workers that are not registered and have no runs."""
         by_id = self._cluster.workers_by_id
@@ -129,6 +137,9 @@
                 self._cluster.dependencies.log, 'worker-unregistered', worker
             )
         worker.registered = False
+        if worker.entry.draining:
+            # It has left as announced, and has no later boot.
+            self._cluster.dependencies.late_starts.forget(worker.entry.id)
 
 
 def _note_departure(
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -11,6 +11,7 @@
 from jackdawlatch.policy import worker_pace
 from jackdawlatch.scheduler import (
     calls,
+    late_starts,
     reports,
     runs,
     team_accounts,
@@ -26,9 +27,7 @@
 CLOCK_DRIFT_FRACTION = 0.02
 # Clocks are reported in whole milliseconds.
 CLOCK_ROUNDING_S = 0.005
-# A request without an answer may be carried out so much later, by the boot that
-# then has the id of its worker.
-LATE_REQUEST_S = 12.0
+LATE_REQUEST_S = late_starts.LATE_REQUEST_S
 
 # The id and the birth of a worker.
 Boot = tuple[str, int]
@@ -95,7 +94,7 @@
 
     def extend(self, lease_s: float, now_s: float) -> None:
         """Record the latest end of a lease requested at ``now_s``."""
-        self.end_s = max(self.end_s, _lease_end_s(lease_s, now_s))
+        self.end_s = max(self.end_s, lease_end_s(lease_s, now_s))
 
     def expect_late_requests(self, longest_s: float, now_s: float) -> None:
         """Count the leases that requests for an earlier boot may still give.
@@ -103,7 +102,7 @@
         Their deadlines are times on another clock, so each may give the longest.
         """
         self._late_expected = True
-        self.longest_left_s = _lease_end_s(longest_s, LATE_REQUEST_S)
+        self.longest_left_s = lease_end_s(longest_s, LATE_REQUEST_S)
         self.extend(longest_s, now_s + LATE_REQUEST_S)
 
     def expect_unknown_boot(
@@ -114,7 +113,7 @@
         Its start got no answer until ``now_s``.  A later boot that carried it out
         took its deadline for one on its own clock, which gives the longest lease.
         """
-        end_s = _lease_end_s(longest_s, now_s)
+        end_s = lease_end_s(longest_s, now_s)
         self.unanswered_end_s_by_run[run] = end_s
 
     def run_end_s(self, run: runs.Run) -> float:
@@ -133,7 +132,7 @@
         """
         if self._late_expected:
             self._late_expected = False
-            self.end_s = min(self.end_s, _lease_end_s(longest_s, now_s))
+            self.end_s = min(self.end_s, lease_end_s(longest_s, now_s))
 
 
 class Worker:
@@ -256,7 +255,8 @@
     return job.claim.account
 
 
-def _lease_end_s(lease_s: float, now_s: float) -> float:
+def lease_end_s(lease_s: float, now_s: float) -> float:
+    """Return when a lease ends at the latest that is requested at ``now_s``."""
     return now_s + lease_s * (1 + CLOCK_DRIFT_FRACTION)
 
 
--- a/libs/scheduler/tests/scheduler_oracle.py
+++ b/libs/scheduler/tests/scheduler_oracle.py
@@ -210,12 +210,12 @@
             if one is not self or present != request.attempt
         ]
         refusal = super().start(request)
+        late = self._fleet.request.late and self._fleet.excuses_late_starts
+        excused = self.knowledge.excuses(late)
         # A start that is refused as outdated extends the lease as well.
-        self.lease.extend(
-            request.expires_s, self.knowledge.excuses(self._fleet.request.late)
-        )
+        self.lease.extend(request.expires_s, excused)
         if len(self.started_runs) > known:
-            if self.knowledge.excuses(self._fleet.request.late):
+            if excused:
                 self._excused_runs.add(self.started_runs[-1])
             else:
                 sent = self._fleet.request.sent
@@ -330,6 +330,8 @@
         self.loop = loop
         self.longest_lease_s = longest_lease_s
         self.violations: list[AssertionError] = []
+        # Whether a late start on a boot that nobody knows may run beside others.
+        self.excuses_late_starts = True
         # The one that is being carried out.
         self.request = Request(0, late=False)
         self.is_recorded: Callable[[reports.WorkerEntry, int], bool] = (
