Drop the connections to an address at which one went silent

Cause: a timeout closes the connection of its own request only, and the next request takes the next idle one. A leader keeps as many to each worker as it had requests under way at once.

Change: after a timeout, SilentAddresses trusts no connection to that address that was open then, unless it answers. libcurl names the local port before it sends; a request on a connection that is not trusted is stopped there, which closes that connection, and goes on with the next one. All clients of a daemon share what is found, and the client of the separate daemons does the same.

Evidence: test_backends_silence.

--- a/libs/backends/src/jackdawlatch/backends/exchange.py
+++ b/libs/backends/src/jackdawlatch/backends/exchange.py
@@ -3,20 +3,22 @@
 libcurl silently resends a request, even a POST, if a reused connection closes
 before the first byte of the response.  Its pre-request callback runs before
 each sending.  Aborting at the second call allows reused connections and still
-sends each request at most once.
+sends each request at most once.  The callback also refuses connections that may
+have gone silent; the request is then sent on a new one.
 """
 
 import asyncio
 import dataclasses
 from collections.abc import Callable
-from typing import Any, ClassVar, TypeVar
+from typing import ClassVar, TypeVar
+from urllib import parse as urls
 
 import msgspec
 import pycurl
 from returns import result
-from tornado import httpclient, httputil
+from tornado import curl_httpclient, httpclient, httputil
 
-from jackdawlatch.backends import replies, transfers
+from jackdawlatch.backends import replies, silent_addresses, transfers
 from jackdawlatch.model import decoding, failures
 
 MAX_CONCURRENT = 64
@@ -90,7 +92,8 @@
 
     A response may have ``max_reply_bytes`` with its headers.  Clients that share
     a ``budget`` abort the largest unfinished responses beyond it.  Connections
-    are added to ``counts``.
+    are added to ``counts``.  After a timeout, those that were open to the same
+    address are not reused, nor by clients that share ``silent``.
     """
 
     def __init__(
@@ -99,12 +102,14 @@
         max_reply_bytes: int = replies.MAX_REPLY_BYTES,
         budget: replies.Budget | None = None,
         counts: transfers.Counts | None = None,
+        silent: silent_addresses.SilentAddresses | None = None,
     ) -> None:
         self._http = transfers.CancellableClient(
             force_instance=True, max_clients=max_concurrent
         )
         if counts is not None:
             self._http.counts = counts
+        self._silent = silent or silent_addresses.SilentAddresses()
         self._max_reply_bytes = max_reply_bytes
         self._budget = budget or replies.Budget()
         self._closing = False
@@ -112,8 +117,27 @@
 
     async def send(self, outgoing: Outgoing) -> result.Result[Reply, Failed]:
         """Send a request and return its complete response."""
+        check = silent_addresses.ConnectionCheck(
+            self._silent, urls.urlsplit(outgoing.url).netloc
+        )
+        sent = await self._send(outgoing, check)
+        while check.stale:
+            sent = await self._send(outgoing, check)
+        return sent
+
+    def close(self) -> None:
+        """Close every connection once no exchange is in flight."""
+        self._closing = True
+        if not self._in_flight:
+            self._http.close()
+
+    async def _send(
+        self,
+        outgoing: Outgoing,
+        check: silent_addresses.ConnectionCheck,
+    ) -> result.Result[Reply, Failed]:
         incoming = replies.Incoming(self._budget, self._max_reply_bytes)
-        send_guard = _SendGuard(outgoing.resend, outgoing.permitted)
+        send_guard = _SendGuard(outgoing.resend, outgoing.permitted, check)
 
         def prepare(curl: pycurl.Curl) -> None:
             send_guard.prepare(curl)
@@ -131,17 +155,14 @@
         except httpclient.HTTPClientError as error:
             if incoming.problem:
                 return result.Failure(TooLarge(message=incoming.problem))
+            if _is_timeout(error):
+                check.record_timeout()
             return result.Failure(send_guard.classify(error))
+        check.record_answer()
         return result.Success(
             Reply(response.code, bytes(incoming.body), response.headers)
         )
 
-    def close(self) -> None:
-        """Close every connection once no exchange is in flight."""
-        self._closing = True
-        if not self._in_flight:
-            self._http.close()
-
     def _finish(
         self, fetching: asyncio.Future[httpclient.HTTPResponse]
     ) -> None:
@@ -156,18 +177,26 @@
 class _SendGuard:
     """Stops libcurl from sending a request twice, unless ``resend`` is set.
 
-    It also stops a request that is no longer ``permitted``.
+    It also stops a request that is no longer ``permitted``, or whose connection
+    may have gone silent.
     """
 
-    def __init__(self, resend: bool, permitted: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        resend: bool,
+        permitted: Callable[[], bool],
+        check: silent_addresses.ConnectionCheck,
+    ) -> None:
         self._resend = resend
         self._permitted = permitted
+        self._check = check
         self._sent = False
 
     def prepare(self, curl: pycurl.Curl) -> None:
         """Install the callback that runs before each sending."""
         # An empty proxy stops libcurl from using the environment's proxy.
         curl.setopt(pycurl.PROXY, '')
+        self._check.prepare(curl)
         curl.setopt(pycurl.PREREQFUNCTION, self._before_request)
 
     def classify(self, error: httpclient.HTTPClientError) -> Failed:
@@ -176,14 +205,29 @@
             return Unanswered(message=str(error))
         return NotSent(message=str(error))
 
-    def _before_request(self, *_addresses: Any) -> int:
+    def _before_request(
+        self,
+        _remote_ip: bytes,
+        _local_ip: bytes,
+        _remote_port: int,
+        local_port: int,
+    ) -> int:
         refused_resend = self._sent and not self._resend
         if refused_resend or not self._permitted():
             return pycurl.PREREQFUNC_ABORT
+        if not self._check.admits(local_port):
+            return pycurl.PREREQFUNC_ABORT
         self._sent = True
         return pycurl.PREREQFUNC_OK
 
 
+def _is_timeout(error: httpclient.HTTPClientError) -> bool:
+    return (
+        isinstance(error, curl_httpclient.CurlError)
+        and error.errno == pycurl.E_OPERATION_TIMEDOUT
+    )
+
+
 def _request(
     outgoing: Outgoing, prepare: Callable[[pycurl.Curl], None]
 ) -> httpclient.HTTPRequest:
--- a/libs/backends/src/jackdawlatch/backends/http_runners.py
+++ b/libs/backends/src/jackdawlatch/backends/http_runners.py
@@ -12,7 +12,12 @@
 from returns import result
 from tornado import curl_httpclient, httpclient, httputil
 
-from jackdawlatch.backends import http_headers, runners, transfers
+from jackdawlatch.backends import (
+    http_headers,
+    runners,
+    silent_addresses,
+    transfers,
+)
 from jackdawlatch.model import clocks, failures, work
 
 CONNECT_TIMEOUT_S = 1.0
@@ -41,6 +46,7 @@
     clock: clocks.Clock
     request: work.Request
     limit_s: float
+    check: silent_addresses.ConnectionCheck
     sent: bool = False
     too_late: bool = False
     curl: pycurl.Curl | None = None
@@ -48,6 +54,7 @@
     def prepare(self, curl: pycurl.Curl) -> None:
         """Set curl options that tornado's client does not offer."""
         self.curl = curl
+        self.check.prepare(curl)
         curl.setopt(pycurl.PREREQFUNCTION, self.allow_send)
         curl.setopt(pycurl.PATH_AS_IS, 1)
         curl.setopt(pycurl.MAXAGE_CONN, IDLE_CONNECTION_S)
@@ -57,13 +64,21 @@
             curl.setopt(pycurl.FRESH_CONNECT, 1)
             curl.setopt(pycurl.FORBID_REUSE, 1)
 
-    def allow_send(self, *_addresses: object) -> int:
+    def allow_send(
+        self,
+        _remote_ip: bytes,
+        _local_ip: bytes,
+        _remote_port: int,
+        local_port: int,
+    ) -> int:
         """Decide, as a curl callback, whether the request may be sent now."""
         if self.sent and not self.request.idempotent:
             return pycurl.PREREQFUNC_ABORT
         if self._expired():
             self.too_late = True
             return pycurl.PREREQFUNC_ABORT
+        if not self.check.admits(local_port):
+            return pycurl.PREREQFUNC_ABORT
         self.sent = True
         return pycurl.PREREQFUNC_OK
 
@@ -85,6 +100,7 @@
         max_answer_bytes: int = MAX_ANSWER_BYTES,
     ) -> None:
         self._clock = clock
+        self._silent = silent_addresses.SilentAddresses(clock.monotonic_s)
         self._client = transfers.CancellableClient(
             force_instance=True,
             max_clients=max_exchanges,
@@ -100,8 +116,23 @@
                 runners.TooLate(message='no time is left to send the request')
             )
         transfer = Transfer(
-            self._clock, request, self._clock.monotonic_s() + timeout_s
+            self._clock,
+            request,
+            self._clock.monotonic_s() + timeout_s,
+            silent_addresses.ConnectionCheck(self._silent, address),
         )
+        exchanged = await self._exchange(transfer, address, timeout_s)
+        while transfer.check.stale:
+            exchanged = await self._exchange(transfer, address, timeout_s)
+        return exchanged
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._client.close()
+
+    async def _exchange(
+        self, transfer: Transfer, address: str, timeout_s: float
+    ) -> runners.ExchangeResult:
         try:
             response = await self._fetch(transfer, address, timeout_s)
         except curl_httpclient.CurlError as error:
@@ -109,11 +140,8 @@
         except ValueError as error:
             # Raised before sending, by a malformed header or URL.
             return result.Failure(runners.Unsendable(message=str(error)))
-        return _interpret(request, response)
-
-    def close(self) -> None:
-        """Close every connection."""
-        self._client.close()
+        transfer.check.record_answer()
+        return _interpret(transfer.request, response)
 
     async def _fetch(
         self, transfer: Transfer, address: str, timeout_s: float
@@ -164,6 +192,7 @@
             return runners.TooLate(message='the deadline has passed')
         return runners.Unreachable(message=message)
     if error.errno == pycurl.E_OPERATION_TIMEDOUT:
+        transfer.check.record_timeout()
         return runners.LateAnswer(message=message)
     return runners.NoWholeAnswer(message=message)
 
--- a/libs/unified/src/jackdawlatch/unified/connections.py
+++ b/libs/unified/src/jackdawlatch/unified/connections.py
@@ -2,7 +2,12 @@
 
 import dataclasses
 
-from jackdawlatch.backends import exchange, replies, transfers
+from jackdawlatch.backends import (
+    exchange,
+    replies,
+    silent_addresses,
+    transfers,
+)
 from jackdawlatch.scheduler import polling
 from jackdawlatch.telemetry import meters
 from jackdawlatch.unified import settings as unified_settings
@@ -48,6 +53,7 @@
         self._store_budget = replies.Budget(max_bytes)
         self._service_budget = replies.Budget(max_bytes)
         self._counts = transfers.Counts()
+        self._silent = silent_addresses.SilentAddresses()
         for name, budget in (
             ('store', self._store_budget),
             ('service', self._service_budget),
@@ -79,6 +85,7 @@
             self._limits.max_reply_bytes,
             budget,
             self._counts,
+            self._silent,
         )
 
 
