Remove ended jobs as fast as sites accept them, and load jobs in turns

Change: one write removes ten jobs, and jobs are loaded 100 in one turn.

Related paths: the progress of the jobs (read in pages, in turns), the entries of workers and the configuration (small), later resets of the same prefix (the same code).

--- a/libs/scheduler/src/jackdawlatch/scheduler/housekeeping.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/housekeeping.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 from collections.abc import Callable, Iterable
 
 from returns import result
@@ -22,6 +23,8 @@
 PENDING_PERIOD_S = 1.0
 # Ended jobs are kept a little longer than callers may ask for them.
 RETENTION_SLACK_S = 5
+KEYS_PER_JOB = 3
+JOBS_PER_DELETION = transactions.MAX_ITEMS // KEYS_PER_JOB
 
 
 @dataclasses.dataclass(frozen=True)
@@ -108,21 +111,26 @@
             self._dependencies.registry.release_expired_runs(worker)
         self._dependencies.registry.remove_gone_workers()
         self._dependencies.registry.expire_late_starts()
-        await self._delete_old_job()
+        await self._delete_old_jobs()
         self._dependencies.cluster.on_change()
 
-    async def _delete_old_job(self) -> None:
+    async def _delete_old_jobs(self) -> None:
+        """Delete the jobs that ended long ago, as many as one write takes."""
         cluster = self._dependencies.cluster
         retention_s = self._dependencies.retention_s + RETENTION_SLACK_S
         latest_s = cluster.dependencies.clock.wall_s() - retention_s
-        for job in tuple(cluster.jobs_by_id.values()):
-            if job.ended and job.ended_s < latest_s:
-                deleted = await self._dependencies.store.commit(
-                    _deletion(job.job.id)
-                )
-                if not isinstance(deleted, result.Failure):
-                    cluster.jobs_by_id.pop(job.job.id, None)
-                return
+        old = (
+            job.job.id
+            for job in cluster.jobs_by_id.values()
+            if job.ended and job.ended_s < latest_s
+        )
+        job_ids = tuple(itertools.islice(old, JOBS_PER_DELETION))
+        if not job_ids:
+            return
+        deleted = await self._dependencies.store.commit(_deletion(job_ids))
+        if not isinstance(deleted, result.Failure):
+            for job_id in job_ids:
+                cluster.jobs_by_id.pop(job_id, None)
 
 
 def pending(jobs: Iterable[tasks.JobState]) -> dict[str, int]:
@@ -142,11 +150,14 @@
     )
 
 
-def _deletion(job_id: str) -> transactions.Transaction:
+def _deletion(job_ids: Iterable[str]) -> transactions.Transaction:
+    prefixes = (
+        stored.JOBS_PREFIX,
+        stored.CANCELS_PREFIX,
+        stored.PROGRESS_PREFIX,
+    )
     return transactions.Transaction(
-        deletes=(
-            f'{stored.JOBS_PREFIX}{job_id}',
-            f'{stored.CANCELS_PREFIX}{job_id}',
-            f'{stored.PROGRESS_PREFIX}{job_id}',
+        deletes=tuple(
+            f'{prefix}{job_id}' for job_id in job_ids for prefix in prefixes
         )
     )
--- a/libs/scheduler/src/jackdawlatch/scheduler/observers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/observers.py
@@ -1,6 +1,7 @@
 """Observers that apply changes of the store to the cluster state."""
 
 import abc
+import asyncio
 import functools
 from collections.abc import Callable, Iterable
 from typing import TypeVar
@@ -23,6 +24,10 @@
 
 Record = TypeVar('Record', bound=records.Record)
 
+# Jobs that are loaded in one turn of the event loop, in which the lease of the
+# leadership is not renewed and no worker is polled.
+JOBS_PER_TURN = 100
+
 
 class JobObserver(following.Observer):
     """Observes accepted jobs and cancellations."""
@@ -39,10 +44,16 @@
 
     def reset(self, entries: Iterable[keyvalue.Entry]) -> None:
         """Apply jobs before cancellations; jobs without an entry are kept."""
-        apply = functools.partial(self._apply, wall_s=self._clock.wall_s())
-        # Created in the order of acceptance, in which teams claim their shares.
         for entry in sorted(entries, key=_loading_order):
-            self.observe(entry, apply)
+            self._load(entry)
+
+    async def load(self, entries: Iterable[keyvalue.Entry]) -> None:
+        """Apply all entries as ``reset`` does, in several turns."""
+        ordered = sorted(entries, key=_loading_order)
+        for number, entry in enumerate(ordered, start=1):
+            self._load(entry)
+            if not number % JOBS_PER_TURN:
+                await asyncio.sleep(0)
 
     def change(self, entry: keyvalue.Entry) -> None:
         """Apply an accepted job or a cancellation; deletions are ignored.
@@ -53,6 +64,10 @@
         if not entry.deleted:
             self._apply(entry, None)
 
+    def _load(self, entry: keyvalue.Entry) -> None:
+        apply = functools.partial(self._apply, wall_s=self._clock.wall_s())
+        self.observe(entry, apply)
+
     def _apply(self, entry: keyvalue.Entry, wall_s: float | None) -> None:
         if entry.key.startswith(stored.CANCELS_PREFIX):
             self._loader.cancel(entry.key.removeprefix(stored.CANCELS_PREFIX))
@@ -198,4 +213,5 @@
 
 
 def _loading_order(entry: keyvalue.Entry) -> tuple[bool, int]:
+    """Order jobs by acceptance, in which teams claim their shares."""
     return (entry.key.startswith(stored.CANCELS_PREFIX), entry.revision)
--- a/libs/store/src/jackdawlatch/store/following.py
+++ b/libs/store/src/jackdawlatch/store/following.py
@@ -29,6 +29,10 @@
     def reset(self, entries: Iterable[keyvalue.Entry]) -> None:
         """Replace all content by these entries; pass each to ``observe``."""
 
+    async def load(self, entries: Iterable[keyvalue.Entry]) -> None:
+        """Replace all content as ``reset`` does, perhaps in several turns."""
+        self.reset(entries)
+
     @abc.abstractmethod
     def change(self, entry: keyvalue.Entry) -> None:
         """Handle a key that was written or removed."""
@@ -106,7 +110,7 @@
         if isinstance(scanned, result.Failure):
             return False
         try:
-            self._deliver(scanned.unwrap())
+            await self._deliver(scanned.unwrap())
         finally:
             self.started.set()
         return True
@@ -117,13 +121,13 @@
         )
         if isinstance(watched, result.Failure):
             return False
-        self._deliver(watched.unwrap())
+        await self._deliver(watched.unwrap())
         return True
 
-    def _deliver(self, changes: keyvalue.Changes) -> None:
+    async def _deliver(self, changes: keyvalue.Changes) -> None:
         self._revision = changes.revision
         if changes.reset:
-            self._observer.reset(changes.entries)
+            await self._observer.load(changes.entries)
             return
         for entry in changes.entries:
             self._observer.observe(entry)
