Count the lease of a start when it is ordered, and settle on one boot

Found while reading the diff. The lease of a start was counted one turn of the event loop later than before, in which a lost worker could have been recorded with a shorter one; and a run that moved to a later boot while its stop was under way would have polled that boot in place of the one that was asked. A request on a client that is being closed is not sent again, and the silent stand-in closes its connections.

--- a/libs/backends/src/jackdawlatch/backends/exchange.py
+++ b/libs/backends/src/jackdawlatch/backends/exchange.py
@@ -121,7 +121,7 @@
             self._silent, urls.urlsplit(outgoing.url).netloc
         )
         sent = await self._send(outgoing, check)
-        while check.stale:
+        while check.stale and not self._closing:
             sent = await self._send(outgoing, check)
         return sent
 
--- a/libs/backends/tests/test_backends_silence.py
+++ b/libs/backends/tests/test_backends_silence.py
@@ -31,14 +31,23 @@
         self.answers.set()
         self.address = ''
         self._generation = 0
+        self._writers: list[asyncio.StreamWriter] = []
 
     def silence(self) -> None:
         """Let every open connection go silent; new ones work."""
         self._generation += 1
 
+    async def close(self) -> None:
+        """Close every connection."""
+        for writer in self._writers:
+            writer.close()
+            with contextlib.suppress(OSError):
+                await writer.wait_closed()
+
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.append(writer)
         self.opened += 1
         if self.opened == CONNECTIONS:
             self.full.set()
@@ -61,6 +70,7 @@
     created.address = f'127.0.0.1:{port}'
     yield created
     listening.close()
+    await created.close()
 
 
 @contextlib.contextmanager
@@ -78,7 +88,6 @@
     for _ in range(CONNECTIONS):
         assert await _answered(client, server)
     assert server.opened == CONNECTIONS + 1
-    await asyncio.sleep(0)
     # The others are dropped as they come up.
     await _send_all(client, server)
     assert server.ended == CONNECTIONS
--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -183,6 +183,7 @@
             if obstacle or token is None:
                 self._dependencies.cluster.release(run, obstacle)
                 continue
+            run.worker.lease.extend(START_EXPIRY_S, now_s)
             run.mark_sent(now_s)
             run.phase = runs.RunPhase.ORDERED
             self._dependencies.spawn(self._start(order, token, now_s))
--- a/libs/scheduler/src/jackdawlatch/scheduler/settlements.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/settlements.py
@@ -90,16 +90,16 @@
             if _is_unsettled(run, worker):
                 await self._start_again(order)
             if _is_unsettled(run, worker):
-                await self._withdraw(run)
+                await self._withdraw(run, worker)
                 await asyncio.sleep(RETRY_S)
         self._settling.discard(run)
 
-    async def _withdraw(self, run: runs.Run) -> None:
+    async def _withdraw(self, run: runs.Run, worker: workers.Worker) -> None:
         """Make the worker refuse a start, and ask whether it has the run."""
-        stopped = await self._requests.stop(run.worker, run.run_id)
+        stopped = await self._requests.stop(worker, run.run_id)
         if isinstance(stopped, result.Success):
             run.settled_after_s = self._dependencies.clock.monotonic_s()
-            await self._requests.poll(run.worker, None, 0)
+            await self._requests.poll(worker, None, 0)
 
     async def _start_again(self, order: start_orders.StartOrder) -> None:
         """Repeat a start, if it may still be sent.
