Log the machine and service of both boots when a worker is replaced

It does not tell apart a machine that has started again under another id, an entry of the same id, and an entry of a service that no configuration names: the machine and service of the two entries are missing.

--- a/libs/scheduler/tests/test_scheduler_boots.py
+++ b/libs/scheduler/tests/test_scheduler_boots.py
@@ -31,6 +31,8 @@
     assert replaced['born'] == former.entry.born_ms
     assert replaced['successor_born'] == 9
     assert replaced['found_by'] == 'poll'
+    assert replaced['successor_machine'] == former.entry.machine
+    assert replaced['successor_service'] == former.entry.service
     assert lines['released']['born'] == former.entry.born_ms
     assert lines['released']['located']
 
