Believe no entry of another writer about a sound worker

Cause: the leader concluded from every entry that had the fields it reads. A later birth on a machine ends the boot before.

One of a service that neither the configuration nor an accepted job names is withheld before anything follows from it, and looked at again when a service is named: it may be read before the configuration, or the operator may add the service of machines that are up. The observer is the only reader of the directory. A known boot keeps its entry if its service is removed.

Ruled out: to end a boot only by an answer.

--- a/libs/jobs/src/jackdawlatch/jobs/queues.py
+++ b/libs/jobs/src/jackdawlatch/jobs/queues.py
@@ -81,6 +81,12 @@
             for team in self.teams_by_name.values()
             for key in team.keys
         }
+        self._service_names = frozenset(
+            (
+                *self.services_by_name,
+                *(queue.service for queue in self.declared.queues),
+            )
+        )
         self._by_hostname: dict[str, list[Queue]] = {}
         for queue in sorted(
             self.queues_by_name.values(), key=_prefix_length, reverse=True
@@ -95,6 +101,10 @@
         """Return the services whose machines run."""
         return {one.name for one in self._services() if not one.standby}
 
+    def names_service(self, name: str) -> bool:
+        """Whether a service is listed, or has a queue."""
+        return name in self._service_names
+
     def find(self, hostname: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix of ``path``."""
         for queue in self._by_hostname.get(hostname, ()):
--- a/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/cluster_state.py
@@ -15,6 +15,7 @@
     workers,
 )
 from jackdawlatch.scheduler import late_starts as starts
+from jackdawlatch.scheduler import named_services as services
 from jackdawlatch.telemetry import decisions
 
 
@@ -43,6 +44,9 @@
     late_starts: starts.LateStarts = dataclasses.field(
         default_factory=starts.LateStarts
     )
+    named_services: services.NamedServices = dataclasses.field(
+        default_factory=services.NamedServices
+    )
 
 
 class ClusterState:
@@ -67,6 +71,7 @@
         )
         self.on_new_worker: tuple[Callable[[workers.Worker], None], ...] = ()
         self.dependencies = dependencies
+        self.dependencies.named_services.configure(catalog)
         # No earlier leader extends a lease after this.
         self.began_s = self.now_s
 
@@ -82,6 +87,7 @@
             queue = catalog.queues_by_name.get(job.job.queue)
             job.queue = queue or job.queue
             job.claim.account.configure(catalog, job.job.version)
+        self.dependencies.named_services.configure(catalog)
         self.on_change()
 
     def task(self, task_id: model.TaskId) -> tasks.Task | None:
--- a/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/job_loader.py
@@ -50,6 +50,7 @@
         )
         state.queue = self._cluster.catalog.queues_by_name.get(job.queue)
         self._cluster.jobs_by_id[job.id] = state
+        self._cluster.dependencies.named_services.add(job.service)
         if stored_progress is not None:
             state.revision = revision
             state.restore(stored_progress)
--- a/libs/scheduler/src/jackdawlatch/scheduler/leader.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/leader.py
@@ -193,12 +193,16 @@
             self.cluster, self._dependencies.store, self._term, self._leading
         )
         await asyncio.gather(self._load_leases(), recorder.load(self._held))
+        worker_observer = observers.WorkerObserver(
+            self._registry, self._dependencies.directory, self._poller.add
+        )
+        self.cluster.dependencies.named_services.on_named = (
+            worker_observer.review_withheld
+        )
         worker_follower = following.Follower(
             self._dependencies.store,
             self._dependencies.directory.prefix,
-            observers.WorkerObserver(
-                self._registry, self._dependencies.directory, self._poller.add
-            ),
+            worker_observer,
             REGISTRY_WATCH_TIMING,
         )
         job_follower = following.Follower(
--- a/libs/scheduler/src/jackdawlatch/scheduler/observers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/observers.py
@@ -101,7 +101,10 @@
 
 
 class WorkerObserver(following.Observer):
-    """Observes the registrations of workers."""
+    """Observes the registrations of workers.
+
+    Entries of services that nobody has named are withheld until they are.
+    """
 
     def __init__(
         self,
@@ -112,10 +115,12 @@
         self._registry = registry
         self._directory = directory
         self._on_registered = on_registered
+        self._withheld = registry.withheld
 
     def reset(self, entries: Iterable[keyvalue.Entry]) -> None:
         """Apply all entries; workers without one are unregistered."""
         worker_ids = set()
+        self._withheld.clear()
         for entry in entries:
             worker_ids.add(self._directory.worker_id(entry.key))
             self.observe(entry)
@@ -123,15 +128,31 @@
 
     def change(self, entry: keyvalue.Entry) -> None:
         """Apply the entry of one worker; an invalid one names no worker."""
+        worker_id = self._directory.worker_id(entry.key)
         if entry.deleted:
-            self._registry.unregister(self._directory.worker_id(entry.key))
+            self._withheld.remove(worker_id)
+            self._registry.unregister(worker_id)
             return
         decoded = self._directory.decode(entry)
-        if isinstance(decoded, result.Failure):
-            self.skipped.log(entry.key, decoded.failure().line())
-            self._registry.unregister(self._directory.worker_id(entry.key))
+        if isinstance(decoded, result.Success):
+            self._register(decoded.unwrap())
             return
-        self._on_registered(self._registry.register(decoded.unwrap()))
+        self.skipped.log(entry.key, decoded.failure().line())
+        self._withheld.remove(worker_id)
+        self._registry.disregard(worker_id)
+
+    def review_withheld(self) -> None:
+        """Register the workers whose services have been named meanwhile."""
+        for registration in self._withheld.admitted():
+            self._register(registration)
+
+    def _register(self, registration: reports.WorkerEntry) -> None:
+        if self._withheld.admits(registration):
+            self._withheld.remove(registration.id)
+            self._on_registered(self._registry.register(registration))
+        else:
+            self._withheld.add(registration)
+            self._registry.disregard(registration.id)
 
 
 class LeaseSightings:
--- a/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/worker_registry.py
@@ -10,15 +10,20 @@
     reports,
     runs,
     tasks,
+    withheld_entries,
     workers,
 )
 from jackdawlatch.telemetry import decisions
 
 
 class WorkerRegistry:
-    """Applies the registrations of workers to the cluster state."""
+    """Applies the registrations of workers to the cluster state.
+
+    ``withheld`` keeps those that are not to be applied yet.
+    """
 
     def __init__(self, cluster: cluster_state.ClusterState) -> None:
+        self.withheld = withheld_entries.WithheldEntries(cluster)
         self._cluster = cluster
         self._crash_blame = crash_blame.CrashBlame(cluster)
         self._boots = boots.Boots(cluster, self._crash_blame)
@@ -52,17 +57,23 @@
         )
         self._boots.add(entry, 'poll').registered = False
 
+    def disregard(self, worker_id: str) -> None:
+        """Mark a worker whose entry names none; it may still be running."""
+        known = self._cluster.workers_by_id.get(worker_id)
+        if known is not None:
+            _mark_unregistered(self._cluster, known)
+
     def unregister(self, worker_id: str) -> None:
         """Mark a worker whose entry was deleted."""
         known = self._cluster.workers_by_id.get(worker_id)
         if known is not None:
-            self._unregister(known)
+            _mark_removed(self._cluster, known)
 
     def retain(self, worker_ids: Collection[str]) -> None:
         """Mark every worker without an entry; ``worker_ids`` have one."""
         for known in tuple(self._cluster.workers_by_id.values()):
             if known.entry.id not in worker_ids:
-                self._unregister(known)
+                _mark_removed(self._cluster, known)
 
     def release_expired_runs(self, worker: workers.Worker) -> None:
         """Release the runs of an unreachable worker whose lease has ended."""
@@ -131,15 +142,22 @@
             )
         self._cluster.on_change()
 
-    def _unregister(self, worker: workers.Worker) -> None:
-        if worker.registered and worker.runs_by_task:
-            _note_departure(
-                self._cluster.dependencies.log, 'worker-unregistered', worker
-            )
-        worker.registered = False
-        if worker.entry.draining:
-            # It has left as announced, and has no later boot.
-            self._cluster.dependencies.late_starts.forget(worker.entry.id)
+
+def _mark_unregistered(
+    cluster: cluster_state.ClusterState, worker: workers.Worker
+) -> None:
+    if worker.registered and worker.runs_by_task:
+        _note_departure(cluster.dependencies.log, 'worker-unregistered', worker)
+    worker.registered = False
+
+
+def _mark_removed(
+    cluster: cluster_state.ClusterState, worker: workers.Worker
+) -> None:
+    _mark_unregistered(cluster, worker)
+    if worker.entry.draining:
+        # It has left as announced, and has no later boot.
+        cluster.dependencies.late_starts.forget(worker.entry.id)
 
 
 def _note_departure(
--- a/libs/scheduler/tests/scheduler_bench.py
+++ b/libs/scheduler/tests/scheduler_bench.py
@@ -114,10 +114,12 @@
 class Bench:
     """One deployment; ``lead`` runs a leader for as long as a test needs it.
 
-    Leaders begin with ``catalog`` as their configuration.
+    Leaders begin with ``catalog`` as their configuration, and find the workers in
+    ``directory``, by default in one of ``entries_by_id``.
     """
 
     catalog = CATALOG
+    directory: observers.Directory | None = None
 
     def __init__(
         self,
@@ -233,7 +235,7 @@
                 self.workers,
                 self.machines,
                 self.advice,
-                Directory(self.entries_by_id),
+                self.directory or Directory(self.entries_by_id),
                 sightings or observers.LeaseSightings(self.clock),
                 leading,
                 held,
