Store the cancel of a job that may still be stored by a late write

Cause: a host that finds no record answers 410 and stores nothing. The record is created on the condition that it is absent, which still holds when the store carries the write out seconds later.

Ruled out: a cancel that is applied before its job (none is written), and a write that the host repeats (it is sent before its 504).

Change: a record is created only if there is no cancel either, and the cancel of a job without a record is stored before the 410, on the condition that there is none. The store orders both, so that one of them sees the other. It has a lease of 60 s, shared by the cancels of a host for 30 s; a late write comes within 15 s. A later copy of the job is refused as cancelled.

Cost: one write more for a cancel of an unknown job; one condition more for each creation.

--- a/libs/jobs/src/jackdawlatch/jobs/intake.py
+++ b/libs/jobs/src/jackdawlatch/jobs/intake.py
@@ -11,6 +11,7 @@
 from returns import result
 
 from jackdawlatch.jobs import (
+    early_cancels,
     job_entries,
     load_sightings,
     model,
@@ -24,8 +25,6 @@
 from jackdawlatch.telemetry import decisions, meters
 
 RETRY_AFTER_S = shedding.STORE_RETRY_S
-# The store may carry out an unanswered write this much later.
-LATE_WRITE_S = 15.0
 BEARER = 'bearer'
 
 
@@ -90,7 +89,10 @@
         self.in_flight = 0
         self.load_sightings = load_sightings.LoadSightings(dependencies.clock)
         self._dependencies = dependencies
-        self._uncertain_s = -LATE_WRITE_S
+        self._uncertain_s = -early_cancels.LATE_WRITE_S
+        self._early_cancels = early_cancels.EarlyCancels(
+            dependencies.store, dependencies.clock
+        )
         self._refusals = refusals.Refusals(
             dependencies.log, dependencies.meters
         )
@@ -141,13 +143,17 @@
         self, job_id: str, request_id: str
     ) -> result.Result[None, Failure]:
         """Store a request to cancel an accepted job."""
-        found = await self._get(f'{stored.JOBS_PREFIX}{job_id}')
+        found = await self._get(job_entries.job_key(job_id))
         if isinstance(found, result.Failure):
             return found
-        if found.unwrap() is None:
-            return result.Failure(NoSuchJob(message=job_id))
         asked_s = self._dependencies.clock.wall_s()
-        outcome = await self._write(job_entries.cancellation(job_id, asked_s))
+        outcome: result.Result[None, Failure] | None = None
+        if found.unwrap() is None:
+            written = await self._early_cancels.write(job_id, asked_s)
+            outcome = _if_unknown(job_id, written)
+        if outcome is None:
+            cancellation = job_entries.cancellation(job_id, asked_s)
+            outcome = await self._write(cancellation)
         self._note('cancel', job_id, request_id, outcome)
         return outcome
 
@@ -161,7 +167,7 @@
         entry = found.unwrap()
         if entry is not None:
             return job_entries.phase(entry).alt(_not_accepted)
-        accepted = await self._get(f'{stored.JOBS_PREFIX}{job_id}')
+        accepted = await self._get(job_entries.job_key(job_id))
         if isinstance(accepted, result.Failure):
             return accepted
         if accepted.unwrap() is None:
@@ -202,9 +208,9 @@
         if refusal.reason == shedding.Reason.STORE:
             return result.Failure(refusal)
         now_s = self._dependencies.clock.monotonic_s()
-        if now_s < self._uncertain_s + LATE_WRITE_S:
+        if now_s < self._uncertain_s + early_cancels.LATE_WRITE_S:
             return None
-        found = await self._get(f'{stored.JOBS_PREFIX}{job.id}')
+        found = await self._get(job_entries.job_key(job.id))
         if isinstance(found, result.Failure):
             return None
         known = found.unwrap() is not None
@@ -239,8 +245,8 @@
         if isinstance(written, result.Success):
             return result.Success(None)
         failure = written.failure()
-        if isinstance(failure, keyvalue.Conflict):
-            return result.Success(None)
+        if isinstance(failure, transactions.Rejected):
+            return _if_created(transaction, failure)
         if isinstance(failure, keyvalue.Uncertain):
             self._uncertain_s = self._dependencies.clock.monotonic_s()
             return result.Failure(OutcomeUnknown(message=failure.message))
@@ -273,5 +279,36 @@
             self._dependencies.log.count(f'{name}-refused-{reason}')
 
 
+def _if_unknown(
+    job_id: str,
+    written: result.Result[int, keyvalue.WriteFailure | keyvalue.Unavailable],
+) -> result.Result[None, Failure] | None:
+    """Return the answer to the early cancel of a job.
+
+    None if the job has a record by now.
+    """
+    if isinstance(written, result.Success):
+        return result.Failure(NoSuchJob(message=job_id))
+    failure = written.failure()
+    if isinstance(failure, transactions.Rejected):
+        return None
+    return result.Failure(_not_accepted(failure))
+
+
+def _if_created(
+    creation: transactions.Transaction, rejected: transactions.Rejected
+) -> Submitted:
+    """Return whether a job has a record, whose creation was rejected."""
+    if any(put.key in rejected.revisions_by_key for put in creation.puts):
+        return result.Success(None)
+    return result.Failure(
+        NotAccepted(
+            message='the job was cancelled',
+            retry_after_s=RETRY_AFTER_S,
+            reason='cancelled',
+        )
+    )
+
+
 def _not_accepted(failure: failures.Problem) -> NotAccepted:
     return NotAccepted(message=failure.message, retry_after_s=RETRY_AFTER_S)
--- a/libs/jobs/tests/test_jobs_intake.py
+++ b/libs/jobs/tests/test_jobs_intake.py
@@ -2,10 +2,19 @@
 
 import contextlib
 import os
+from unittest import mock
 
 import msgspec
-
-from jackdawlatch.jobs import checks, intake, model, stored
+from returns import result
+
+from jackdawlatch.jobs import (
+    checks,
+    early_cancels,
+    intake,
+    job_entries,
+    model,
+    stored,
+)
 from jackdawlatch.model import clocks, records
 from jackdawlatch.standins import fakes
 from jackdawlatch.store import keyvalue, monitored
@@ -56,6 +65,54 @@
     assert bench.store.content.get('work/jobs/a') is not None
 
 
+async def test_cancelled_job_is_stored_late(bench):
+    """Guards against UNASKED: the caller was told that there is no such job."""
+    late_write = job_entries.creation(JOB)
+    cancelled = await bench.intake.cancel('a', 'r1')
+    assert isinstance(cancelled.failure(), intake.NoSuchJob)
+    bench.clock.advance(early_cancels.LATE_WRITE_S)
+    bench.store.content.commit(late_write)
+    assert bench.store.content.get('work/jobs/a') is None
+    again = await bench.intake.submit(JOB, 'r2')
+    assert isinstance(again.failure(), intake.NotAccepted)
+    assert again.failure().reason == 'cancelled'
+
+
+async def test_job_stored_during_its_cancel_goes_on(bench):
+    async def store_late() -> None:
+        bench.store.before_put = None
+        bench.store.content.commit(job_entries.creation(JOB))
+
+    bench.store.before_put = store_late
+    assert (await bench.intake.cancel('a', 'r1')).value_or('failed') is None
+    cancel = bench.store.content.get('work/cancels/a')
+    assert cancel is not None
+    assert not cancel.lease
+
+
+async def test_cancels_of_unknown_jobs_fill_the_store(bench):
+    for number in range(9):
+        await bench.intake.cancel(f'a{number}', 'r')
+    assert bench.store.calls_by_name['grant'] == 1
+    bench.clock.advance(early_cancels.KEPT_S + 1)
+    bench.store.content.expire()
+    assert not bench.store.content.scan('work/').entries
+    await bench.intake.cancel('a', 'r')
+    assert bench.store.content.get('work/cancels/a') is not None
+
+
+async def test_cancel_is_answered_before_it_is_stored(bench):
+    """Without an answer of the store, the job may still be created."""
+    for name in ('grant', 'commit'):
+        failing = mock.AsyncMock(
+            return_value=result.Failure(keyvalue.Unavailable(message='down'))
+        )
+        with mock.patch.object(bench.store, name, failing):
+            cancelled = await bench.intake.cancel('a', 'r')
+        assert isinstance(cancelled.failure(), intake.NotAccepted)
+        await bench.watchdog.timed(bench.store.get('any'))
+
+
 async def test_store_that_is_down_means_not_accepted(bench):
     bench.store.down = True
     refused = await bench.intake.submit(JOB, 'r1')
