Reset connections, so that orders which were given up arrive no more

Cause: after a timeout libcurl closes the connection in order, and the network delivers what was sent before. Bytes that a partition holds up are lost only if their sender resets the connection.

Ruled out: orders sent after the leadership was lost, and a next leader that orders too soon in this case.

Change: each connection that a client opens is reset when it is closed.

Related paths: orders of waves, requests to workers, writes and renewals use the same clients, and the separate daemons the same options for HTTP runners, the store and the steward; callers' connections and the streams between the separate daemons are not opened by libcurl.

--- a/libs/backends/src/jackdawlatch/backends/silent_addresses.py
+++ b/libs/backends/src/jackdawlatch/backends/silent_addresses.py
@@ -6,10 +6,11 @@
 
 import time
 from collections.abc import Callable
-from typing import Any
 
 import pycurl
 
+from jackdawlatch.backends import sockets
+
 # libcurl reuses no connection that was idle for longer.
 MAX_IDLE_S = 118
 # One request drops as many connections, and is then sent on a new one.
@@ -77,8 +78,7 @@
         self.stale = False
         self._opened = False
         self._local_port = None
-        if self._address in self._silent:
-            curl.setopt(pycurl.SOCKOPTFUNCTION, self._note_opened)
+        curl.setopt(pycurl.SOCKOPTFUNCTION, self._on_opened)
 
     def admits(self, local_port: int) -> bool:
         """Whether the request may be sent on a connection."""
@@ -100,6 +100,7 @@
         if self._local_port is not None:
             self._silent.mark(self._address)
 
-    def _note_opened(self, *_socket: Any) -> int:
+    def _on_opened(self, descriptor: int, _purpose: int) -> int:
         self._opened = True
+        sockets.reset_on_close(descriptor)
         return pycurl.SOCKOPT_OK
