Keep suspected tasks off workers that have crashed lately

Cause: three crashes in a row speak against a task only if they had different workers. A suspected task goes to the emptiest worker, so that its crash hurts few others; in a full service that is the one that has just crashed.

Ruled out: losses that were none; a higher limit of crashes alone, which the same worker reaches as well.

Lasting tasks, gangs, advised queues and tasks bound by a late start are placed as before; so is a step whose spread leaves no other worker.

Related paths: other tasks still start on such a worker, since one crash makes them suspected; crashes that an earlier leader has counted have no worker.

--- a/libs/scheduler/src/jackdawlatch/scheduler/boots.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/boots.py
@@ -49,6 +49,8 @@
         old.registered = False
         old.reachable = False
         _note_replaced(self._cluster, old, new, found_by)
+        if not old.cordons and not old.entry.draining:
+            new.health.replaced_s = self._cluster.now_s
         doomed = self._crash_blame.blame(old, ended=True)
         for run in tuple(old.runs_by_task.values()):
             if same_id and _may_be_on_next(run):
--- a/libs/scheduler/src/jackdawlatch/scheduler/placing.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/placing.py
@@ -244,6 +244,9 @@
             and self._spread.admits(worker)
             and (self._tickets is None or self._tickets.of(worker))
         ]
+        bound = self._reservations.late_starts.of(task.id)
+        if self._tickets is None and not bound:
+            admitted = trials.steady(task, admitted, self._spread.admits)
         return min(
             admitted,
             key=lambda worker: (
--- a/libs/scheduler/src/jackdawlatch/scheduler/trials.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/trials.py
@@ -2,7 +2,7 @@
 
 import collections
 import itertools
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from jackdawlatch.policy import crashes
 from jackdawlatch.scheduler import runs, tasks, workers
@@ -13,6 +13,9 @@
 
     Other tasks avoid these workers until the task has run for a while.  A task
     that has crashed several workers has its worker to itself until then.
+
+    Suspected tasks keep off workers that have crashed lately, whose next crash
+    would tell nothing of the task: an empty one is often such a worker.
     """
 
     def __init__(
@@ -27,6 +30,7 @@
         )
         self._lost_by_service: collections.Counter[str] = collections.Counter()
         self._workers_by_service = candidates_by_service
+        self._now_s = now_s
         for worker in itertools.chain(*candidates_by_service.values()):
             for run in worker.health.suspects:
                 self._add(run, now_s)
@@ -40,6 +44,30 @@
         step = self._closed_by_worker.get(worker.entry.id)
         return step is None or (step is task.state and step.step.gang)
 
+    def steady(
+        self,
+        task: tasks.Task,
+        candidates: list[workers.Worker],
+        admits: Callable[[workers.Worker], bool],
+    ) -> list[workers.Worker]:
+        """Return the candidates that have not crashed lately.
+
+        Return all, if the task could run on no other worker that ``admits`` it,
+        even once there is room.  Crashes do not end the job of a lasting task, and
+        a gang does not wait for single workers.
+        """
+        if not task.suspected or task.step.lasting or task.step.gang:
+            return candidates
+        pool = self._workers_by_service.get(task.job.service, ())
+        if any(
+            self._is_steady(worker)
+            and _may_host(worker, task)
+            and admits(worker)
+            for worker in pool
+        ):
+            return list(filter(self._is_steady, candidates))
+        return candidates
+
     def is_full(self, task: tasks.Task) -> bool:
         """Whether a suspected task waits until other trials have ended."""
         if not _is_isolated(task):
@@ -73,6 +101,10 @@
             self._closed_by_worker.pop(name)
             self._closed_by_service[task.job.service] -= 1
 
+    def _is_steady(self, worker: workers.Worker) -> bool:
+        age_s = self._now_s - worker.health.replaced_s
+        return age_s > crashes.RATE_PERIOD_S
+
     def _add(self, run: runs.Run, now_s: float) -> None:
         if not run.worker.reachable:
             # It may have crashed the worker.
@@ -82,5 +114,12 @@
             self.begin(run.worker, run.task)
 
 
+def _may_host(worker: workers.Worker, task: tasks.Task) -> bool:
+    """Whether a task could run on a worker without other runs."""
+    step = task.step
+    fits = worker.entry.room.fits(step.reserved_room)
+    return worker.usable and fits and worker.entry.carries(step.required_label)
+
+
 def _is_isolated(task: tasks.Task) -> bool:
     return crashes.is_isolated(task.state.crash_count(task))
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import enum
+import math
 import typing
 from collections.abc import Callable
 
@@ -47,7 +48,8 @@
     tells whether this leader is known to get no answer.  ``suspects`` are its
     runs of tasks that may crash it, ``unwanted`` the tasks of the runs in its
     last answer that are not its own any more and have to be stopped.  ``pace``
-    tells whether it is slow.
+    tells whether it is slow.  ``replaced_s`` is when it took the place of a boot
+    of its machine that was not taken down by us, minus infinity if it never did.
     """
 
     def __init__(self) -> None:
@@ -59,6 +61,7 @@
         self.suspects: set[runs.Run] = set()
         self.unwanted: list[tasks.Task] = []
         self.pace = worker_pace.WorkerPace()
+        self.replaced_s = -math.inf
 
     def suspend(self, until_s: float) -> None:
         """Place nothing on the worker until ``until_s``."""
--- a/libs/scheduler/tests/test_scheduler_crashes.py
+++ b/libs/scheduler/tests/test_scheduler_crashes.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import functools
+import math
 
 import msgspec
 import scheduler_bench as benches
@@ -465,6 +466,39 @@
     return starts
 
 
+def test_crashed_worker_is_tried_again_and_again(fleet):
+    """Guards against LOST: a worker that flaps is the only one with room."""
+    step = fleet.add_job(count=2).state
+    suspect = step.tasks[0]
+    steady = fleet.boot('steady')
+    fleet.start(suspect, fleet.boot('flapping'))
+    fleet.crash(fleet.cluster.workers_by_id['flapping'])
+    flapping = fleet.cluster.workers_by_id['flapping']
+    filling = fleet.start(fleet.add_job('b', room=steady.free), steady)
+    assert _workers_by_task(fleet, step, flapping, steady) == {
+        step.tasks[1]: flapping
+    }
+    fleet.cluster.release(filling, 'done')
+    placed = _workers_by_task(fleet, step, flapping, steady)
+    assert placed[suspect] is steady
+    # Without another one it does not wait.
+    assert _workers_by_task(fleet, step, flapping)[suspect] is flapping
+
+
+def test_task_keeps_off_a_worker_that_was_taken_down(fleet):
+    worker = fleet.boot('w')
+    worker.cordons.add(workers.Cordon.MAINTENANCE)
+    again = fleet.boot('w')
+    assert math.isinf(again.health.replaced_s)
+
+
+def _workers_by_task(
+    fleet: fleets.Fleet, step: tasks.StepState, *pool: workers.Worker
+) -> dict[tasks.Task, workers.Worker]:
+    placed = placing.StepPlacer(step, fleet.reserve(*pool), None).place()
+    return {one.task: one.worker for one in placed}
+
+
 load_tests = functions.loader(
     __name__, {'bench': benches.bench, 'fleet': fleets.fleet}
 )
