--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -48,8 +48,8 @@
     tells whether this leader is known to get no answer.  ``suspects`` are its
     runs of tasks that may crash it, ``unwanted`` the tasks of the runs in its
     last answer that are not its own any more and have to be stopped.  ``pace``
-    tells whether it is slow.  ``replaced_s`` is when it took the place of a boot
-    of its machine that was not taken down by us, minus infinity if it never did.
+    tells whether it is slow.  ``replaced_s`` is when it replaced a boot that
+    was lost, minus infinity if no such boot is known.
     """
 
     def __init__(self) -> None:
