Wait 1 s again before machines are moved, and tell moved ones from crashed

A wait of 2 s after each change of leaders delayed the machines for a burst. A machine that the leader itself had moved counted as crashed lately, since its cordon is gone by the time that its next boot registers.

A boot counts as lost only if it was registered, and its successor inherits the last loss.

--- a/libs/scheduler/src/jackdawlatch/scheduler/boots.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/boots.py
@@ -46,11 +46,12 @@
         if not same_id:
             self._cluster.workers_by_id.pop(old.entry.id, None)
             self._cluster.gone_workers.add(old)
+        new.health.replaced_s = (
+            self._cluster.now_s if _is_lost(old) else old.health.replaced_s
+        )
         old.registered = False
         old.reachable = False
         _note_replaced(self._cluster, old, new, found_by)
-        if not old.cordons and not old.entry.draining:
-            new.health.replaced_s = self._cluster.now_s
         doomed = self._crash_blame.blame(old, ended=True)
         for run in tuple(old.runs_by_task.values()):
             if same_id and _may_be_on_next(run):
@@ -70,6 +71,11 @@
         run.settled_after_s = self._cluster.now_s
 
 
+def _is_lost(old: workers.Worker) -> bool:
+    """Whether a boot ended though it was neither leaving nor being moved."""
+    return old.registered and not old.cordons and not old.entry.draining
+
+
 def _may_be_on_next(run: runs.Run) -> bool:
     """Whether the boot after the one that was addressed may have a run.
 
--- a/libs/scheduler/src/jackdawlatch/scheduler/pools.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/pools.py
@@ -24,9 +24,9 @@
 )
 
 PERIOD_S = 0.2
-# The last requests of the previous leader are answered or given up by then: it
-# sends none once it no longer trusts its lease, or has resigned.
-HANDOVER_S = 2.0
+# The last requests of the previous leader are answered by then: it sends none
+# once it no longer trusts its lease.
+HANDOVER_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/scheduler/tests/test_scheduler_crashes.py
+++ b/libs/scheduler/tests/test_scheduler_crashes.py
@@ -490,6 +490,9 @@
     worker.cordons.add(workers.Cordon.MAINTENANCE)
     again = fleet.boot('w')
     assert math.isinf(again.health.replaced_s)
+    # The machine of an idle worker has been moved to another service.
+    again.registered = False
+    assert math.isinf(fleet.boot('moved', 'm-w').health.replaced_s)
 
 
 def _workers_by_task(
