Tell workers whose machine was moved from those that crashed

Cause: took a boot for lost only while it was registered.

Change: a worker whose machine the leader has moved is marked, which is what that condition was for.

--- a/libs/scheduler/src/jackdawlatch/scheduler/boots.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/boots.py
@@ -73,7 +73,8 @@
 
 def _is_lost(old: workers.Worker) -> bool:
     """Whether a boot ended though it was neither leaving nor being moved."""
-    return old.registered and not old.cordons and not old.entry.draining
+    leaving = old.health.moved or old.entry.draining
+    return not leaving and not old.cordons
 
 
 def _may_be_on_next(run: runs.Run) -> bool:
--- a/libs/scheduler/src/jackdawlatch/scheduler/machine_moves.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/machine_moves.py
@@ -96,6 +96,7 @@
             return False
         worker.cordons.discard(workers.Cordon.MOVE)
         if failure is None:
+            worker.health.moved = True
             worker.registered = False
             worker.reachable = False
         return failure is None
--- a/libs/scheduler/src/jackdawlatch/scheduler/workers.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/workers.py
@@ -49,7 +49,8 @@
     runs of tasks that may crash it, ``unwanted`` the tasks of the runs in its
     last answer that are not its own any more and have to be stopped.  ``pace``
     tells whether it is slow.  ``replaced_s`` is when it replaced a boot that
-    was lost, minus infinity if no such boot is known.
+    was lost, minus infinity if no such boot is known.  ``moved`` tells whether its
+    machine was moved to another service.
     """
 
     def __init__(self) -> None:
@@ -62,6 +63,7 @@
         self.unwanted: list[tasks.Task] = []
         self.pace = worker_pace.WorkerPace()
         self.replaced_s = -math.inf
+        self.moved = False
 
     def suspend(self, until_s: float) -> None:
         """Place nothing on the worker until ``until_s``."""
--- a/libs/scheduler/tests/test_scheduler_crashes.py
+++ b/libs/scheduler/tests/test_scheduler_crashes.py
@@ -491,7 +491,7 @@
     again = fleet.boot('w')
     assert math.isinf(again.health.replaced_s)
     # The machine of an idle worker has been moved to another service.
-    again.registered = False
+    again.health.moved = True
     assert math.isinf(fleet.boot('moved', 'm-w').health.replaced_s)
 
 
