--- a/libs/scheduler/tests/test_scheduler_crashes.py
+++ b/libs/scheduler/tests/test_scheduler_crashes.py
@@ -467,7 +467,7 @@
 
 
 def test_crashed_worker_is_tried_again_and_again(fleet):
-    """Guards against LOST: a worker that flaps is the only one with room."""
+    """Guards against a job that fails since the only empty worker flaps."""
     step = fleet.add_job(count=2).state
     suspect = step.tasks[0]
     steady = fleet.boot('steady')
@@ -488,11 +488,14 @@
 def test_task_keeps_off_a_worker_that_was_taken_down(fleet):
     worker = fleet.boot('w')
     worker.cordons.add(workers.Cordon.MAINTENANCE)
+    assert math.isinf(fleet.boot('w').health.replaced_s)
+
+
+def test_crash_is_unnoticed_after_a_refused_poll(fleet):
+    """It closes the worker before the next boot is found."""
+    fleet.registry.end(fleet.boot('w'))
     again = fleet.boot('w')
-    assert math.isinf(again.health.replaced_s)
-    # The machine of an idle worker has been moved to another service.
-    again.health.moved = True
-    assert math.isinf(fleet.boot('moved', 'm-w').health.replaced_s)
+    assert again.health.replaced_s == fleet.clock.monotonic_s()
 
 
 def _workers_by_task(
--- a/libs/scheduler/tests/test_scheduler_pools.py
+++ b/libs/scheduler/tests/test_scheduler_pools.py
@@ -2,6 +2,8 @@
 
 import collections
 import contextlib
+import dataclasses
+import math
 from unittest import mock
 
 import scheduler_bench as benches
@@ -253,6 +255,19 @@
     assert ('m-desk0', 'photo') in bench.machines.moves
 
 
+async def test_moved_machine_counts_as_crashed(bench):
+    """Suspected tasks would keep off the machines that are moved for them."""
+    bench.add_workers('photo', 2)
+    bench.add_workers('desk', 3)
+    moved = bench.cluster.workers_by_id['desk0']
+    bench.submit('a', count=1)
+    await bench.rounds(forecasts.WINDOW_S + 1)
+    assert bench.machines.moves == [('m-desk0', 'spare')]
+    entry = dataclasses.replace(moved.entry, id='next', born_ms=2)
+    arrived = worker_registry.WorkerRegistry(bench.cluster).register(entry)
+    assert math.isinf(arrived.health.replaced_s)
+
+
 async def test_late_job_is_not_deferred_for_ever(bench):
     """Another service lacks machines, and lasting tasks hold all of these."""
     bench.add_workers('photo', 5)
