--- a/libs/backends/src/jackdawlatch/backends/sockets.py
+++ b/libs/backends/src/jackdawlatch/backends/sockets.py
@@ -3,7 +3,7 @@
 import socket
 import struct
 
-# On, and no time for bytes that were not delivered yet.
+# ``struct linger``: on, with a timeout of 0 s.
 RESET = struct.pack('ii', 1, 0)
 
 
--- a/libs/backends/tests/test_backends_resets.py
+++ b/libs/backends/tests/test_backends_resets.py
@@ -42,7 +42,7 @@
 
 
 async def test_request_that_was_given_up_arrives_late(holder):
-    """Guards against ONE: the next leader has given the same order meanwhile.
+    """Guards against an order that arrives after the same one of the next leader.
 
     A connection that ends in order delivers what was sent on it before.
     """
--- a/libs/jobs/src/jackdawlatch/jobs/early_cancels.py
+++ b/libs/jobs/src/jackdawlatch/jobs/early_cancels.py
@@ -1,7 +1,7 @@
 """Cancels of jobs that have no record, but may still get one.
 
-The store may carry out the write of a job whose answer was lost, seconds after
-another host has told its caller that there is no such job.
+The store may carry out the write of a job whose answer was lost, seconds after a
+caller was told that there is no such job.
 """
 
 from returns import result
--- a/libs/jobs/src/jackdawlatch/jobs/intake.py
+++ b/libs/jobs/src/jackdawlatch/jobs/intake.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-from typing import ClassVar
 
 from returns import result
 
@@ -15,56 +14,19 @@
     job_entries,
     load_sightings,
     model,
+    outcomes,
     queues,
     refusals,
     stored,
 )
-from jackdawlatch.model import clocks, failures, records
+from jackdawlatch.model import clocks, records
 from jackdawlatch.policy import shedding
 from jackdawlatch.store import keyvalue, monitored, transactions
 from jackdawlatch.telemetry import decisions, meters
 
-RETRY_AFTER_S = shedding.STORE_RETRY_S
 BEARER = 'bearer'
 
 
-class NotAccepted(failures.NotRun, frozen=True, kw_only=True):
-    """The job is not stored and never runs.
-
-    ``reason`` is why it was refused before any write, empty if the store
-    refused the write.
-    """
-
-    code: ClassVar[str] = 'job-not-accepted'
-
-    reason: str = ''
-
-
-class OutcomeUnknown(failures.OutcomeUnknown, frozen=True, kw_only=True):
-    """The write may take effect; the caller has to resend the job."""
-
-    code: ClassVar[str] = 'job-outcome-unknown'
-
-
-class KeyUnknown(failures.Problem, frozen=True, kw_only=True):
-    """No team of the configuration in force holds the key of the call."""
-
-    code: ClassVar[str] = 'key-unknown'
-
-
-_KEY_UNKNOWN = KeyUnknown(message='no team of the configuration holds this key')
-
-
-class NoSuchJob(failures.Problem, frozen=True, kw_only=True):
-    """No job with this id was accepted, or it was removed after its end."""
-
-    code: ClassVar[str] = 'job-unknown'
-
-
-Failure = NotAccepted | OutcomeUnknown | KeyUnknown | NoSuchJob
-Submitted = result.Result[None, NotAccepted | OutcomeUnknown]
-
-
 @dataclasses.dataclass(frozen=True)
 class Dependencies:
     """What the intake works with."""
@@ -99,7 +61,7 @@
 
     def authorize(
         self, queue: queues.Queue, header: str, request_id: str
-    ) -> result.Result[str, KeyUnknown | NotAccepted]:
+    ) -> result.Result[str, outcomes.KeyUnknown | outcomes.NotAccepted]:
         """Return the team that calls a queue, '' if the call needs no key.
 
         ``header`` is the call's Authorization header, which contains the key.
@@ -111,19 +73,21 @@
         if team is not None and scheme.lower() == BEARER:
             return result.Success(team.name)
         # A newer configuration may hold the key while the store is away.
-        refusal = self._refusal() or _KEY_UNKNOWN
+        refusal = self._refusal() or outcomes.KEY_UNKNOWN
         self._refusals.note_key(
             request_id, queue.name, self.catalog.version, refusal.code
         )
         return result.Failure(refusal)
 
-    async def submit(self, job: model.Job, request_id: str) -> Submitted:
+    async def submit(
+        self, job: model.Job, request_id: str
+    ) -> outcomes.Submitted:
         """Store a checked job; a success means that it is stored.
 
         A job whose record is stored already is not refused.
         """
         refusal = self._refusal(job)
-        outcome: Submitted | None = None
+        outcome: outcomes.Submitted | None = None
         if refusal is not None:
             outcome = await self._refuse(job, refusal)
         if outcome is None:
@@ -135,22 +99,22 @@
             outcome = await self._write(job_entries.creation(stamped))
         self._note('submit', job.id, request_id, outcome, job.team)
         failure = outcome.swap().value_or(None)
-        if isinstance(failure, NotAccepted):
+        if isinstance(failure, outcomes.NotAccepted):
             self._refusals.count(job.team, failure.code)
         return outcome
 
     async def cancel(
         self, job_id: str, request_id: str
-    ) -> result.Result[None, Failure]:
+    ) -> result.Result[None, outcomes.Failure]:
         """Store a request to cancel an accepted job."""
         found = await self._get(job_entries.job_key(job_id))
         if isinstance(found, result.Failure):
             return found
         asked_s = self._dependencies.clock.wall_s()
-        outcome: result.Result[None, Failure] | None = None
+        outcome: result.Result[None, outcomes.Failure] | None = None
         if found.unwrap() is None:
             written = await self._early_cancels.write(job_id, asked_s)
-            outcome = _if_unknown(job_id, written)
+            outcome = outcomes.of_early_cancel(job_id, written)
         if outcome is None:
             cancellation = job_entries.cancellation(job_id, asked_s)
             outcome = await self._write(cancellation)
@@ -159,26 +123,28 @@
 
     async def phase(
         self, job_id: str
-    ) -> result.Result[stored.JobPhase, Failure]:
+    ) -> result.Result[stored.JobPhase, outcomes.Failure]:
         """Return the phase of a job."""
         found = await self._get(f'{stored.PROGRESS_PREFIX}{job_id}')
         if isinstance(found, result.Failure):
             return found
         entry = found.unwrap()
         if entry is not None:
-            return job_entries.phase(entry).alt(_not_accepted)
+            return job_entries.phase(entry).alt(outcomes.not_accepted)
         accepted = await self._get(job_entries.job_key(job_id))
         if isinstance(accepted, result.Failure):
             return accepted
         if accepted.unwrap() is None:
-            return result.Failure(NoSuchJob(message=job_id))
+            return result.Failure(outcomes.NoSuchJob(message=job_id))
         return result.Success(stored.JobPhase.QUEUED)
 
     def pending(self, queue: queues.Queue) -> int:
         """Return the last known number of jobs of a queue not yet begun."""
         return self.pending_by_queue.get(queue.name, 0)
 
-    def _refusal(self, job: model.Job | None = None) -> NotAccepted | None:
+    def _refusal(
+        self, job: model.Job | None = None
+    ) -> outcomes.NotAccepted | None:
         """Return why a request is refused at once, None if it is not."""
         described = None
         load = self.load_sightings.of_service(job.service) if job else None
@@ -190,15 +156,15 @@
         )
         if refusal is None:
             return None
-        return NotAccepted(
+        return outcomes.NotAccepted(
             message=refusal.message,
             retry_after_s=refusal.retry_after_s,
             reason=refusal.reason.value,
         )
 
     async def _refuse(
-        self, job: model.Job, refusal: NotAccepted
-    ) -> Submitted | None:
+        self, job: model.Job, refusal: outcomes.NotAccepted
+    ) -> outcomes.Submitted | None:
         """Refuse a job, unless an earlier copy of it was accepted.
 
         Return None if that is not known: a write of its record finds out.
@@ -218,16 +184,20 @@
 
     async def _get(
         self, key: str
-    ) -> result.Result[keyvalue.Entry | None, NotAccepted]:
+    ) -> result.Result[keyvalue.Entry | None, outcomes.NotAccepted]:
         refusal = self._refusal()
         if refusal is not None:
             return result.Failure(refusal)
         found = await self._dependencies.store.get(key)
-        return found.alt(_not_accepted)
+        return found.alt(outcomes.not_accepted)
 
-    async def _write(self, transaction: transactions.Transaction) -> Submitted:
+    async def _write(
+        self, transaction: transactions.Transaction
+    ) -> outcomes.Submitted:
         written = await self._attempt(transaction)
-        uncertain = isinstance(written.swap().value_or(None), OutcomeUnknown)
+        uncertain = isinstance(
+            written.swap().value_or(None), outcomes.OutcomeUnknown
+        )
         if uncertain and self._dependencies.store.answering:
             # If the first write took effect, the second one finds its key.
             again = await self._attempt(transaction)
@@ -237,7 +207,7 @@
 
     async def _attempt(
         self, transaction: transactions.Transaction
-    ) -> Submitted:
+    ) -> outcomes.Submitted:
         refusal = self._refusal()
         if refusal is not None:
             return result.Failure(refusal)
@@ -246,18 +216,20 @@
             return result.Success(None)
         failure = written.failure()
         if isinstance(failure, transactions.Rejected):
-            return _if_created(transaction, failure)
+            return outcomes.of_rejected_creation(transaction, failure)
         if isinstance(failure, keyvalue.Uncertain):
             self._uncertain_s = self._dependencies.clock.monotonic_s()
-            return result.Failure(OutcomeUnknown(message=failure.message))
-        return result.Failure(_not_accepted(failure))
+            return result.Failure(
+                outcomes.OutcomeUnknown(message=failure.message)
+            )
+        return result.Failure(outcomes.not_accepted(failure))
 
     def _note(
         self,
         name: str,
         job_id: str,
         request_id: str,
-        outcome: result.Result[None, Failure],
+        outcome: result.Result[None, outcomes.Failure],
         team: str = '',
     ) -> None:
         outcome_text = 'stored'
@@ -265,7 +237,11 @@
         if isinstance(outcome, result.Failure):
             failure = outcome.failure()
             outcome_text = failure.line()
-            reason = failure.reason if isinstance(failure, NotAccepted) else ''
+            reason = (
+                failure.reason
+                if isinstance(failure, outcomes.NotAccepted)
+                else ''
+            )
         self._dependencies.log.note(
             name,
             request=request_id,
@@ -277,38 +253,3 @@
         )
         if reason:
             self._dependencies.log.count(f'{name}-refused-{reason}')
-
-
-def _if_unknown(
-    job_id: str,
-    written: result.Result[int, keyvalue.WriteFailure | keyvalue.Unavailable],
-) -> result.Result[None, Failure] | None:
-    """Return the answer to the early cancel of a job.
-
-    None if the job has a record by now.
-    """
-    if isinstance(written, result.Success):
-        return result.Failure(NoSuchJob(message=job_id))
-    failure = written.failure()
-    if isinstance(failure, transactions.Rejected):
-        return None
-    return result.Failure(_not_accepted(failure))
-
-
-def _if_created(
-    creation: transactions.Transaction, rejected: transactions.Rejected
-) -> Submitted:
-    """Return whether a job has a record, whose creation was rejected."""
-    if any(put.key in rejected.revisions_by_key for put in creation.puts):
-        return result.Success(None)
-    return result.Failure(
-        NotAccepted(
-            message='the job was cancelled',
-            retry_after_s=RETRY_AFTER_S,
-            reason='cancelled',
-        )
-    )
-
-
-def _not_accepted(failure: failures.Problem) -> NotAccepted:
-    return NotAccepted(message=failure.message, retry_after_s=RETRY_AFTER_S)
--- a/libs/jobs/tests/test_jobs_intake.py
+++ b/libs/jobs/tests/test_jobs_intake.py
@@ -13,6 +13,7 @@
     intake,
     job_entries,
     model,
+    outcomes,
     stored,
 )
 from jackdawlatch.model import clocks, records
@@ -61,20 +62,20 @@
     bench.store.lose_replies = 1
     submitted = await bench.intake.submit(JOB, 'r1')
     # Not reported as refused, because the job is stored and will run.
-    assert isinstance(submitted.failure(), intake.OutcomeUnknown)
+    assert isinstance(submitted.failure(), outcomes.OutcomeUnknown)
     assert bench.store.content.get('work/jobs/a') is not None
 
 
 async def test_cancelled_job_is_stored_late(bench):
-    """Guards against UNASKED: the caller was told that there is no such job."""
+    """Guards against a job that runs after its caller was told there is none."""
     late_write = job_entries.creation(JOB)
     cancelled = await bench.intake.cancel('a', 'r1')
-    assert isinstance(cancelled.failure(), intake.NoSuchJob)
+    assert isinstance(cancelled.failure(), outcomes.NoSuchJob)
     bench.clock.advance(early_cancels.LATE_WRITE_S)
     bench.store.content.commit(late_write)
     assert bench.store.content.get('work/jobs/a') is None
     again = await bench.intake.submit(JOB, 'r2')
-    assert isinstance(again.failure(), intake.NotAccepted)
+    assert isinstance(again.failure(), outcomes.NotAccepted)
     assert again.failure().reason == 'cancelled'
 
 
@@ -109,14 +110,14 @@
         )
         with mock.patch.object(bench.store, name, failing):
             cancelled = await bench.intake.cancel('a', 'r')
-        assert isinstance(cancelled.failure(), intake.NotAccepted)
+        assert isinstance(cancelled.failure(), outcomes.NotAccepted)
         await bench.watchdog.timed(bench.store.get('any'))
 
 
 async def test_store_that_is_down_means_not_accepted(bench):
     bench.store.down = True
     refused = await bench.intake.submit(JOB, 'r1')
-    assert isinstance(refused.failure(), intake.NotAccepted)
+    assert isinstance(refused.failure(), outcomes.NotAccepted)
     assert refused.failure().retry_after_s > 0
 
 
@@ -134,7 +135,7 @@
 
 async def test_phase_of_unknown_queued_and_ended_jobs(bench):
     unknown = await bench.intake.phase('a')
-    assert isinstance(unknown.failure(), intake.NoSuchJob)
+    assert isinstance(unknown.failure(), outcomes.NoSuchJob)
     await bench.intake.submit(JOB, 'r1')
     assert (await bench.intake.phase('a')).unwrap() is stored.JobPhase.QUEUED
     progress = stored.Progress(phase=stored.JobPhase.DONE)
--- a/libs/jobs/tests/test_jobs_shedding.py
+++ b/libs/jobs/tests/test_jobs_shedding.py
@@ -4,7 +4,7 @@
 import json
 import os
 
-from jackdawlatch.jobs import intake, model, queues, stored_load
+from jackdawlatch.jobs import intake, model, outcomes, queues, stored_load
 from jackdawlatch.model import clocks, records
 from jackdawlatch.standins import fakes
 from jackdawlatch.store import keyvalue, monitored
@@ -95,7 +95,7 @@
     # The job may have been accepted: only a write shows whether it was.
     bench.store.down = True
     failure = (await bench.intake.submit(JOB, 'r')).failure()
-    assert isinstance(failure, intake.NotAccepted)
+    assert isinstance(failure, outcomes.NotAccepted)
     assert failure.reason != 'backlog'
     assert failure.retry_after_s == 1
 
@@ -105,7 +105,7 @@
     other = records.replace(JOB, id='b', service='other')
     bench.store.lose_replies = 1
     lost = await bench.intake.submit(other, 'r')
-    assert isinstance(lost.failure(), intake.OutcomeUnknown)
+    assert isinstance(lost.failure(), outcomes.OutcomeUnknown)
     await bench.watchdog.timed(bench.store.get('any'))
     bench.clock.advance(11)
     bench.publish()
--- a/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/dispatch.py
@@ -15,7 +15,7 @@
     cluster_state,
     fences,
     persistence,
-    placing,
+    placements,
     reconciliation,
     runs,
     settlements,
@@ -90,7 +90,7 @@
             )
         )
 
-    def place(self, placements: Iterable[placing.Placement]) -> None:
+    def place(self, placements: Iterable[placements.Placement]) -> None:
         """Persist the placements, then send their starts.
 
         The members of a gang are all sent, or none of them.
--- a/libs/scheduler/src/jackdawlatch/scheduler/placing.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/placing.py
@@ -1,7 +1,5 @@
 """Assigns the waiting tasks of one step to workers."""
 
-import dataclasses
-import enum
 import functools
 from collections.abc import Callable
 
@@ -9,52 +7,13 @@
 from jackdawlatch.scheduler import (
     advisor,
     late_starts,
+    placements,
     reservations,
     spread,
     tasks,
     workers,
 )
 
-
-@dataclasses.dataclass(frozen=True)
-class Placement:
-    """A task to be started on a worker."""
-
-    task: tasks.Task
-    worker: workers.Worker
-    attempt: int
-    ticket: str = ''
-
-
-class WaitReason(enum.Enum):
-    """Why a ready task was not placed.
-
-    ``SPREAD``: each worker with room runs as many tasks of its step as may share
-    one.  ``RESTRICTED``: workers with room are excluded by the gang, the rack or
-    the tickets of its step, or by a start that another one may carry out late.
-    ``WITHHELD``: its job is late, and the workers with room are kept free to move
-    to other services.  ``QUOTA``: the runs of its team hold as much as they may.
-    """
-
-    NO_WORKER = 'no-worker'
-    UNUSABLE = 'workers-unusable'
-    SUSPENDED = 'workers-suspended'
-    NO_ROOM = 'no-room'
-    SPREAD = 'spread'
-    RESTRICTED = 'step-restricted'
-    WITHHELD = 'workers-withheld'
-    QUOTA = 'team-quota'
-
-
-@dataclasses.dataclass(frozen=True)
-class Wait:
-    """A ready step with tasks that were not placed."""
-
-    state: tasks.StepState
-    reason: WaitReason
-    counts: reservations.WorkerCounts
-
-
 WorkerFilter = Callable[[workers.Worker], bool]
 Assignments = list[tuple[tasks.Task, workers.Worker]]
 
@@ -105,7 +64,7 @@
             self._service, self._step, self._late
         )
 
-    def place(self) -> list[Placement]:
+    def place(self) -> list[placements.Placement]:
         """Return the placements; a gang is placed whole or not at all."""
         waiting = [
             task
@@ -132,7 +91,7 @@
         # The members of a gang share one attempt number.
         last_attempt = max(task.attempt for task in self.state.tasks)
         return [
-            Placement(
+            placements.Placement(
                 task,
                 worker,
                 1 + max(task.attempt, last_attempt * gang),
@@ -141,7 +100,7 @@
             for task, worker in assigned
         ]
 
-    def wait(self) -> Wait:
+    def wait(self) -> placements.Wait:
         """Return why tasks of the step still wait after ``place``."""
         counts = self._reservations.counts(
             self._service, self._step, self._late
@@ -151,24 +110,24 @@
                 reason
                 for reason, number in (
                     (
-                        WaitReason.QUOTA,
+                        placements.WaitReason.QUOTA,
                         _within_quota(self._reservations, self.state),
                     ),
-                    (WaitReason.NO_WORKER, counts.known),
-                    (WaitReason.UNUSABLE, counts.usable),
-                    (WaitReason.SUSPENDED, counts.available),
-                    (WaitReason.NO_ROOM, counts.fitting),
-                    (WaitReason.WITHHELD, counts.open),
+                    (placements.WaitReason.NO_WORKER, counts.known),
+                    (placements.WaitReason.UNUSABLE, counts.usable),
+                    (placements.WaitReason.SUSPENDED, counts.available),
+                    (placements.WaitReason.NO_ROOM, counts.fitting),
+                    (placements.WaitReason.WITHHELD, counts.open),
                     (
-                        WaitReason.SPREAD,
+                        placements.WaitReason.SPREAD,
                         sum(map(self._spread.admits, self.candidates)),
                     ),
                 )
                 if not number
             ),
-            WaitReason.RESTRICTED,
+            placements.WaitReason.RESTRICTED,
         )
-        return Wait(self.state, reason, counts)
+        return placements.Wait(self.state, reason, counts)
 
     def _request_tickets(self) -> None:
         """Request tickets for the workers that still have capacity, if any."""
--- a/libs/scheduler/src/jackdawlatch/scheduler/planner.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/planner.py
@@ -8,6 +8,7 @@
     job_order,
     late_starts,
     lateness,
+    placements,
     placing,
     reservations,
     round_times,
@@ -23,7 +24,7 @@
     ``unplaced`` holds the steps with ready tasks for which there was no worker.
     """
 
-    placements: list[placing.Placement]
+    placements: list[placements.Placement]
     unplaced: list[placing.StepPlacer]
 
     def place(self, placers: Iterable[placing.StepPlacer]) -> None:
--- a/libs/scheduler/src/jackdawlatch/scheduler/start_orders.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/start_orders.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from jackdawlatch.jobs import stored
-from jackdawlatch.scheduler import cluster_state, fences, placing, runs
+from jackdawlatch.scheduler import cluster_state, fences, placements, runs
 
 
 @dataclasses.dataclass(frozen=True)
@@ -16,7 +16,7 @@
 
 
 def create(
-    cluster: cluster_state.ClusterState, placement: placing.Placement
+    cluster: cluster_state.ClusterState, placement: placements.Placement
 ) -> StartOrder:
     """Assign a task to its worker; return the order to start it."""
     task = placement.task
--- a/libs/scheduler/src/jackdawlatch/scheduler/waiting.py
+++ b/libs/scheduler/src/jackdawlatch/scheduler/waiting.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from jackdawlatch.scheduler import cluster_state, placing, tasks
+from jackdawlatch.scheduler import cluster_state, placements, placing, tasks
 
 PERIOD_S = 1.0
 # Placing takes some tens of milliseconds when a worker has room.
@@ -45,7 +45,7 @@
             )
 
     def _note(
-        self, wait: placing.Wait, waited_s: float, wait_count: int
+        self, wait: placements.Wait, waited_s: float, wait_count: int
     ) -> None:
         state = wait.state
         first = next(
--- a/libs/scheduler/tests/test_scheduler_advisor.py
+++ b/libs/scheduler/tests/test_scheduler_advisor.py
@@ -11,6 +11,7 @@
 from jackdawlatch.scheduler import (
     advisor,
     job_loader,
+    placements,
     placing,
     reports,
     reservations,
@@ -59,18 +60,18 @@
         """Approve these workers from now on."""
         self.client.approved.update({name: 'ticket' for name in names})
 
-    async def plan(self, rounds: int = 9) -> list[placing.Placement]:
+    async def plan(self, rounds: int = 9) -> list[placements.Placement]:
         """Plan some rounds; return what the last one places."""
         asking = asyncio.create_task(self.advisor.run())
-        placements: list[placing.Placement] = []
+        placed: list[placements.Placement] = []
         for _ in range(rounds):
-            placements = self._place()
+            placed = self._place()
             await asyncio.sleep(0)
             await asyncio.sleep(0)
         asking.cancel()
-        return placements
+        return placed
 
-    def _place(self) -> list[placing.Placement]:
+    def _place(self) -> list[placements.Placement]:
         reserved = reservations.Reservations(
             {'photo': list(self.cluster.workers_by_id.values())},
             self.clock.monotonic_s(),
--- a/libs/scheduler/tests/test_scheduler_capacity.py
+++ b/libs/scheduler/tests/test_scheduler_capacity.py
@@ -12,6 +12,7 @@
     cluster_state,
     job_loader,
     persistence,
+    placements,
     placing,
     reports,
     reservations,
@@ -113,7 +114,9 @@
     return run
 
 
-def _place(worker: workers.Worker, **step: object) -> list[placing.Placement]:
+def _place(
+    worker: workers.Worker, **step: object
+) -> list[placements.Placement]:
     job = tasks.JobState(benches.job('new', **{'room': CORE, **step}))
     reserved = reservations.Reservations({'photo': [worker]}, now_s=0)
     return placing.StepPlacer(job.steps[0], reserved, None).place()
--- a/libs/scheduler/tests/test_scheduler_decisions.py
+++ b/libs/scheduler/tests/test_scheduler_decisions.py
@@ -25,6 +25,7 @@
     tasks,
     workers,
 )
+from jackdawlatch.scheduler import placements as step_placements
 from jackdawlatch.scheduler import planner as planners
 from jackdawlatch.store import keyvalue
 from jackdawlatch.testing import functions
@@ -357,7 +358,7 @@
 
 def _place(
     job: tasks.JobState, fleet: list[workers.Worker]
-) -> list[placing.Placement]:
+) -> list[step_placements.Placement]:
     reserved = reservations.Reservations({'s': fleet}, now_s=0)
     return placing.StepPlacer(job.steps[0], reserved, None).place()
 
--- a/libs/scheduler/tests/test_scheduler_teams.py
+++ b/libs/scheduler/tests/test_scheduler_teams.py
@@ -15,6 +15,7 @@
     job_loader,
     job_order,
     lateness,
+    placements,
     placing,
     planner,
     reports,
@@ -231,7 +232,7 @@
     placer = placing.StepPlacer(gang, reserved, advice)
     assert not placer.may_fit
     assert not placer.place()
-    assert placer.wait().reason is placing.WaitReason.QUOTA
+    assert placer.wait().reason is placements.WaitReason.QUOTA
     advice.request_more.assert_not_called()
 
 
--- a/libs/scheduler/tests/test_scheduler_unwanted_runs.py
+++ b/libs/scheduler/tests/test_scheduler_unwanted_runs.py
@@ -5,7 +5,14 @@
 
 import scheduler_fleets as fleets
 
-from jackdawlatch.scheduler import calls, placing, reports, runs, workers
+from jackdawlatch.scheduler import (
+    calls,
+    placements,
+    placing,
+    reports,
+    runs,
+    workers,
+)
 from jackdawlatch.scheduler import tasks as scheduler_tasks
 from jackdawlatch.testing import functions
 
@@ -97,7 +104,7 @@
 
 def _placements(
     fleet: fleets.Fleet, task: scheduler_tasks.Task, *pool: workers.Worker
-) -> list[placing.Placement]:
+) -> list[placements.Placement]:
     return placing.StepPlacer(task.state, fleet.reserve(*pool), None).place()
 
 
--- a/libs/unified/tests/test_unified_silence.py
+++ b/libs/unified/tests/test_unified_silence.py
@@ -90,7 +90,7 @@
 
 
 async def test_configuration_is_late_after_silence(bench):
-    """Guards against CONFIG: hosts that do not lead refused a new queue."""
+    """Guards against hosts that do not lead and refuse a new queue for long."""
     async with connections.Connection(bench.daemons[0].front) as connection:
         accepted, _ = await connection.call(
             'POST', JOB_PATH, dict(unified_bench.BODY)
